--- /dev/null
+++ b/bramblewood/__init__.py
@@ -0,0 +1,1 @@
+"""bramblewood: a central planner that tells plain proxies which worker serves which slice of keys."""
--- /dev/null
+++ b/bramblewood/adapter/wire.py
@@ -0,0 +1,136 @@
+"""Wire words and units: lines of JSON into events, and orders into lines of JSON."""
+
+import json
+from typing import Any, Callable
+
+from .. import interface as door
+
+MS = 1000.0
+EVERY_TABLE = 65535
+STATES = {2: door.READY, 0: door.DRAINING, 1: door.GONE}
+EFFECTS = {"read_like": door.IDEMPOTENT, "idempotency_key": door.FINGERPRINTED,
+           "non_idempotent": door.SIDE_EFFECTING}
+ENDINGS = {100: "answered", 301: "errored", 302: "rate-limited", 303: "timed-out", 304: "unreachable", 305: "broken"}
+LOAD_WORDS = {"cpu": ("busy", 1.0), "waiting": ("queued", 1.0), "active": ("held", 1.0),
+              "avg_ms": ("mean_time", 1 / MS), "rps": ("rate", 1.0), "err_rps": ("errored_rate", 1.0)}
+# start-up facts: our name, the wire's section and key, and what turns one into the other
+PLAIN, SECONDS = (lambda value: value), (lambda value: value / MS)
+FACTS: list[tuple[str, str, str, Callable[[Any], Any]]] = [
+    ("zone", "", "az", PLAIN), ("zones", "", "zones", PLAIN), ("manager", "", "me", PLAIN),
+    ("managers", "", "n_instances", PLAIN), ("must_ask_for_list", "", "discovery", lambda v: v == "subscribe"),
+    ("weights", "", "weight_kind", lambda v: {"silent": "none", "nominal": "registered"}.get(v, v)),
+    ("may_probe", "limits", "may_probe", PLAIN), ("may_message", "limits", "peers", PLAIN),
+    ("drain_grace", "obligations", "stop_sending_within", SECONDS),
+    ("ask_within", "obligations", "ask_within", SECONDS), ("warm_after", "obligations", "warm_after", SECONDS),
+    ("cold_from", "obligations", "cold_from", PLAIN), ("overload_factor", "obligations", "overload_factor", PLAIN),
+    ("overload_span", "obligations", "fall", SECONDS),
+    ("dropped_stay_open", "obligations", "dropped_stay_open", PLAIN),
+    ("bare", "specifics", "bare", SECONDS), ("most_waiting", "specifics", "most_waiting", PLAIN),
+    ("lines_per_second", "specifics", "egress_per_s", PLAIN), ("message_head", "specifics", "overhead", PLAIN),
+    ("message_delay", "specifics", "push_delay", SECONDS), ("longest_delay", "specifics", "worst_transit", SECONDS),
+    ("messages_allowed", "specifics", "pushes_allowed", PLAIN),
+    ("messages_span", "specifics", "counted_over", SECONDS), ("cycle", "specifics", "cycle", SECONDS),
+    ("slices", "specifics", "key_ranges", PLAIN), ("proxies", "specifics", "proxy_count", PLAIN),
+    ("single_owner", "specifics", "one_owner", PLAIN), ("write_span", "specifics", "in_flight_max", SECONDS),
+    ("lease", "specifics", "lease", SECONDS), ("usual_retry", "specifics", "usual_how", PLAIN),
+    ("retry_wait", "specifics", "try_aims", PLAIN), ("intake", "specifics", "intake_per_s", PLAIN),
+    ("pick", "specifics", "lb_method", lambda v: {"lottery": "weighted", "wheel": "even"}.get(v, v)),
+    ("levels", "specifics", "throttle_by", lambda v: {"ratio": "share", "rps": "rate", "silent": "none"}.get(v, v)),
+    ("standing_lines", "specifics", "default_size", PLAIN), ("home_only", "specifics", "home_only", PLAIN),
+    ("stays_away_after", "specifics", "ejects", PLAIN), ("keys_stay_warm", "specifics", "warm_keys", PLAIN),
+]
+
+
+class Malformed(Exception):
+    """Input that is not the wire's, with what is wrong and where."""
+
+
+def decode(line: bytes, where: str) -> tuple[str, dict]:
+    """One line of input as its message's name and fields."""
+    try:
+        message = json.loads(line)
+    except ValueError as problem:
+        raise Malformed(f"{where}: not JSON: {problem}") from None
+    if not isinstance(message, dict) or len(message) != 1:
+        raise Malformed(f"{where}: expected an object with one key, the message's name")
+    (name, fields), = message.items()
+    if not isinstance(fields, dict):
+        raise Malformed(f"{where}: fields of {name} are not an object")
+    return name, fields
+
+
+def facts_of(options: dict) -> dict:
+    """The start-up settings as a plain map in our words; what is absent stays absent, what is unknown is skipped."""
+    facts = {}
+    for ours, section, key, turn in FACTS:
+        part = options.get(section, {}) if section else options
+        if key in part:
+            facts[ours] = turn(part[key])
+    writes = options.get("specifics", {}).get("mutating", [])
+    facts["load_fields"] = [LOAD_WORDS[f][0] for f in options.get("report", {}).get("fields", []) if f in LOAD_WORDS]
+    facts["operations"] = [{
+        "name": c["name"], "kind": EFFECTS.get(c["effect"], door.SIDE_EFFECTING),
+        "latency_objective": c["objective"] / MS, "integration_timeout": c["deadline"] / MS,
+        "billed_value": c["importance"], "late_value": c.get("late_worth", 0.0),
+        "group": {"cell": "pool"}.get(c.get("dedup_scope"), c.get("dedup_scope", "")),
+        "window": c.get("window", 0.0) / MS, "writes": bool(writes[k]) if k < len(writes) else False,
+    } for k, c in enumerate(options.get("classes", []))]
+    return facts
+
+
+def load_of(fields: dict) -> dict:
+    """A load report in our words; values we do not know are skipped."""
+    return {LOAD_WORDS[k][0]: v * LOAD_WORDS[k][1] for k, v in (fields.get("health_info") or {}).items()
+            if k in LOAD_WORDS and isinstance(v, (int, float))}
+
+
+def entry_of(item: dict) -> door.ListedWorker:
+    started = item.get("boot_time") or None
+    return door.ListedWorker(item["worker"], STATES[item["health"]], item.get("w", 0), item.get("rack_zone", ""),
+                             item.get("cluster", 0), item.get("class_of_host", ""), started and started / MS)
+
+
+EVENTS: dict[str, Callable[[dict], Any]] = {
+    "installed": lambda f: door.MarkAnswered(f["edge"], f["gen"], f["time_taken"] / MS),
+    "heard": lambda f: door.WorkerHeard(f["worker"], f.get("rack_zone", ""), f["n"], f.get("bad", 0),
+                                        f.get("time_taken", 0) / MS, f["over"] / MS, load_of(f)),
+    "wakeup": lambda f: door.TimerDue(f["nonce"]),
+    "held": lambda f: door.LineHeld(f["table"], f["worker"], f["w"]),
+    "ping_result": lambda f: door.Probed(f["worker"], ENDINGS.get(f["how"], "unknown"),
+                                         f.get("time_taken", 0) / MS, load_of(f)),
+    "weight_seen": lambda f: door.SliceHeat(f["table"], f["class"], f["n"], f.get("bad", 0), f["over"] / MS),
+    "traffic": lambda f: door.ProxyTraffic(f["edge"], f["class"], f["n"], f.get("bad", 0), f["over"] / MS),
+    "mail": lambda f: door.PeerNote(f["origin_peer"], bytes.fromhex(f["msg"])),
+    "disconnected": lambda f: door.ProxyLeft(f["edge"]),
+    "enrolled": lambda f: door.ProxyJoined(f["edge"], f.get("rack_zone", ""), f.get("w", 0), f.get("flag", False)),
+    "handed": lambda f: door.SliceGiven(f["table"], f.get("flag", False)),
+}
+
+
+def bits(positions: tuple) -> int:
+    return sum(1 << k for k in positions)
+
+
+def table_number(table: int) -> int:
+    return EVERY_TABLE if table == door.ALL_SLICES else table
+
+
+ORDERS: dict[type, Callable[[Any], tuple[str, dict]]] = {
+    door.SetLine: lambda o: ("set_weight", {"table": o.table, "worker": o.worker, "w": o.weight}),
+    door.ClearTable: lambda o: ("reset_table", {"table": o.table}),
+    door.BindProxy: lambda o: ("hand_table", {"only": bits(o.operations), "table": o.table, "edge": o.proxy}),
+    door.Admit: lambda o: ("ration", {"retry_mode": o.retry, "only": bits(o.operations),
+                                      "table": table_number(o.table), "allowance": o.level}),
+    door.Withdraw: lambda o: ("pull", {"flag": o.out, "worker": o.worker}),
+    door.Mark: lambda o: ("seal", {"gen": o.number, "flag": o.everyone}),
+    door.Wake: lambda o: ("sleep", {"delay": o.after * MS, "nonce": o.token}),
+    door.Probe: lambda o: ("touch", {"worker": o.worker}),
+    door.TellPeer: lambda o: ("say", {"peer": o.manager, "msg": o.payload.hex()}),
+    door.AskList: lambda o: ("query_all", {}),
+    door.FollowList: lambda o: ("follow", {"flag": o.on}),
+    door.Log: lambda o: ("trace", {"what": o.text}),
+}
+
+
+def encode(name: str, fields: dict) -> bytes:
+    return json.dumps({name: fields}, separators=(",", ":")).encode() + b"\n"
--- /dev/null
+++ b/bramblewood/balance.py
@@ -0,0 +1,520 @@
+"""Every decision of a manager: which worker serves which slice, which orders go out and when.
+
+How it is called: make one Manager(seed, facts) at a start (facts is the plain map the manager is started with),
+then hand it manager.handle(now, events) and send the orders it returns, in their order. Events, orders and the
+words used here are in bramblewood/interface.py; docs/design.md tells what the design page settles and where this
+departs from it. Pure: no input or output, no clock, equal events give equal orders.
+"""
+
+import math
+import zlib
+from collections import deque
+
+from . import interface as door
+
+# --- constants: unit, and why this size -------------------------------------------------------------------
+REPORTS = 5          # reports averaged; the design page
+HELD = 3             # reports in a row that both tests must hold; the design page
+LIMIT = 0.75         # share of capacity, the middle of the paper's 0.70-0.80
+BOUND = 1.4          # top load over bottom load, the middle of the paper's 1.3-1.5
+WORKING_POINT = 0.65  # share of capacity at which the paper's servers answer best; capacity is load over this
+SLOW = 1.5           # times the median answer time, "half again slower"; the design page
+TREND = (0.5, 2.0)   # bounds of the trend factor; the design page
+TENTH = 10           # turns in which ordinary tables go out; the design page
+TURN = 0.5           # s between turns of publishing; two messages a second is the strictest allowance seen
+UNSEEN = 2.0         # s before a report shows a move: longest delay of a report and of an order, roughly
+STALE = 3            # cycles without a report after which the last one no longer counts
+QUEUED = 0.1         # busy workers that one waiting invocation stands for; ten waiting are a full worker more
+STANDBY = 0.01       # weight of a slice's second line; enough for a retry or a withdrawal, too little to be a move
+COLD_PART = 0.6      # part of a cold worker's present capacity used, kept for lost key caches and wrong weights
+FAILING = 0.5        # share of unanswered tries at which a worker is doubted; noise stays far below
+FEW = 4              # tries, fewer say nothing
+MOST_DOUBTED = 0.45  # share of open workers that may be doubted; more is a fault of the view, not of the workers
+DOUBT = 6.0          # s out of use at the first doubt, doubled at each further one
+LONGEST_DOUBT = 24.0  # s, so that a recovered worker is not lost for the day
+WAITING_PART = 0.6   # part of the lines that may wait which is used; the rest is for what an answer does not tell
+MESSAGES_PART = 0.8  # part of the messages allowed which is used; the rest is for what still travels
+LAPSE = 10.0         # s after which an unanswered message no longer waits; the slowest channel is done by then
+PATIENCE = 4.0       # s without an answer before a list is asked for again; calls time out sooner
+LONG_AGO = -1e9      # s, a start before any clock
+
+def usual(values):
+    """The median, 0 of nothing."""
+    ranked = sorted(values)
+    return ranked[len(ranked) // 2] if ranked else 0.0
+
+
+def sound(*figures):
+    """Whether figures of a report can be used: finite and not negative."""
+    return all(isinstance(f, (int, float)) and math.isfinite(f) and f >= 0 for f in figures)
+
+
+class Part:
+    """A small actor: notes go into its inbox, and the manager's loop hands it one at a time."""
+
+    def __init__(self, manager):
+        self.manager, self.inbox = manager, deque()
+
+    def tell(self, note, *what):
+        self.inbox.append((note, what))
+        self.manager.post.append(self)
+
+
+class Worker(Part):
+    """A worker as listed, as its load reports show it, and as proxies met it."""
+
+    def __init__(self, manager, name):
+        super().__init__(manager)
+        self.name, self.state, self.weight, self.zone, self.pool = name, door.GONE, 1.0, "", 0
+        self.started, self.trusted, self.doubted_until, self.doubts = None, LONG_AGO, LONG_AGO, 0
+        self.forget()
+
+    def forget(self):
+        """What was measured of an earlier process says nothing of this one."""
+        self.levels, self.times = deque(maxlen=REPORTS), deque(maxlen=REPORTS)
+        self.outcomes = [0.0, 0.0]  # answered, unanswered; halved every cycle
+        self.latest, self.met, self.silent = [], [], STALE
+
+    @property
+    def usable(self):
+        return self.state == door.READY and self.doubted_until <= self.manager.now
+
+    def ramp(self):
+        """Part of its capacity that a worker surely has; a new or newly trusted one has little."""
+        facts, age = self.manager.facts, self.manager.now - self.trusted
+        warm_after, least = facts.get("warm_after", 0.0), facts.get("cold_from", 1.0)
+        return 1.0 if age >= warm_after else least + (1 - least) * max(age, 0.0) / warm_after
+
+    def listed(self, entry):
+        started = entry.started if entry.started is not None else LONG_AGO
+        if self.started is not None and started != self.started or self.started is None and started > LONG_AGO:
+            self.forget()  # a new process: cold, whatever the old one did
+            self.trusted, self.doubted_until, self.doubts = started, LONG_AGO, 0
+        self.started, self.state, self.zone, self.pool = started, entry.state, entry.zone, entry.pool
+        self.weight = entry.weight if sound(entry.weight) and entry.weight > 0 else 1.0
+
+    def dropped(self):
+        self.state = door.GONE
+
+    def heard(self, report):
+        good = max(report.tries - report.unanswered, 0)
+        self.outcomes[0] += good
+        self.outcomes[1] += report.unanswered
+        if good and report.mean_time > 0:
+            self.met.append((report.mean_time, good))
+        load = {k: v for k, v in report.load.items() if sound(v)}
+        if "busy" in load:
+            self.latest.append(load["busy"] + QUEUED * load.get("queued", 0.0))
+        elif "held" in load:
+            self.latest.append(load["held"] / self.weight)
+        else:
+            self.latest.append(report.tries / max(report.over, 0.1) / self.weight)
+
+    def doubt(self, why):
+        """Out of use for a while, longer each time; taken back as if new, one slice at a time."""
+        hold = min(DOUBT * 2 ** self.doubts, LONGEST_DOUBT)
+        self.doubts += 1
+        self.doubted_until = self.trusted = self.manager.now + hold
+        self.outcomes = [0.0, 0.0]
+        self.manager.orders.append(door.Log(f"worker {self.name} out of use for {hold:.0f} s: {why}"))
+
+    def cycle(self, expected):
+        """Close the report of this cycle; a worker that few try is assumed to carry what is expected of it."""
+        self.silent = 0 if self.latest else self.silent + 1
+        if self.latest:
+            self.levels.append(sum(self.latest) / len(self.latest))
+        elif self.silent >= STALE:
+            self.levels.append(expected)
+        if self.met:
+            self.times.append(sum(t * n for t, n in self.met) / sum(n for _, n in self.met))
+        self.latest, self.met = [], []
+        self.outcomes = [part / 2 for part in self.outcomes]
+
+    def level(self):
+        return sum(self.levels) / len(self.levels) if self.levels else 0.0
+
+    def time(self):
+        return sum(self.times) / len(self.times) if self.times else 0.0
+
+
+class Slice(Part):
+    """A slice: its heat, the lines its table should have, and the lines that the store holds."""
+
+    def __init__(self, manager, number):
+        super().__init__(manager)
+        self.number, self.ours = number, False
+        self.main = self.standby = None
+        self.stored, self.latest, self.estimates, self.before = {}, {}, deque(maxlen=REPORTS), None
+
+    def given(self, ours):
+        self.ours, self.stored, self.main, self.standby = ours, {}, None, None
+
+    def held(self, worker, weight):
+        self.stored[worker] = weight
+        ranked = sorted(self.stored, key=lambda w: -self.stored[w])  # the heaviest line is the slice's server
+        self.main, self.standby = ranked[0], ranked[1] if len(ranked) > 1 else None
+
+    def heat(self, report):
+        self.latest[report.operation] = (report.invocations / max(report.over, 0.1), 0)
+
+    def cycle(self):
+        """One report of heat, with the design's trend: heat now x (1 + growth), the factor held in bounds."""
+        now = sum(rate for rate, age in self.latest.values() if age < STALE)
+        self.latest = {name: (rate, age + 1) for name, (rate, age) in self.latest.items()}
+        trend = now / self.before if self.before else 1.0  # nothing before: no trend
+        self.estimates.append(now * min(max(trend, TREND[0]), TREND[1]))
+        self.before = now
+
+    def estimate(self):
+        return sum(self.estimates) / len(self.estimates) if self.estimates else 0.0
+
+    def go(self, main, standby, urgent):
+        self.main, self.standby = main, standby
+        self.manager.publisher.tell("changed", self, urgent)
+
+    def changes(self):
+        """Orders that bring the store's table to the wanted one; new lines before old ones go."""
+        wanted = {w: part for w, part in ((self.standby, STANDBY), (self.main, 1.0)) if w is not None}
+        orders = [door.SetLine(self.number, w.name, part) for w, part in wanted.items()
+                  if self.stored.get(w) != part]
+        return wanted, orders + [door.SetLine(self.number, w.name, 0) for w in self.stored if w not in wanted]
+
+
+class Roster(Part):
+    """Keeps to the list; where it must be asked for, asks again in time and without flooding."""
+
+    def __init__(self, manager):
+        super().__init__(manager)
+        self.following, self.ask_at, self.failures = not manager.facts.get("must_ask_for_list"), LONG_AGO, 0
+
+    def listed(self, event):
+        named = set()
+        for entry in event.workers:
+            worker = self.manager.workers.get(entry.worker)
+            if worker is None:
+                worker = self.manager.workers[entry.worker] = Worker(self.manager, entry.worker)
+            worker.tell("listed", entry)
+            named.add(worker)
+        if event.complete:
+            for worker in self.manager.workers.values():
+                if worker not in named:
+                    worker.tell("dropped")
+        if not event.cached:
+            self.following, self.failures = True, 0
+
+    def failed(self):
+        if self.manager.facts.get("must_ask_for_list"):
+            self.following = False
+            self.failures += 1
+            wait = min(0.5 * 2 ** self.failures, self.manager.facts.get("ask_within", PATIENCE) / 2)
+            self.ask_at = self.manager.now + wait * (0.5 + self.manager.chance())
+
+    def turn(self):
+        if not self.following and self.manager.now >= self.ask_at:
+            self.manager.orders.append(door.FollowList(True))
+            self.ask_at = self.manager.now + PATIENCE
+
+
+class Planner(Part):
+    """The design's rule, and the urgent moves around it."""
+
+    def __init__(self, manager):
+        super().__init__(manager)
+        self.held, self.loads, self.own, self.moves, self.last_taken = 0, {}, {}, deque(), {}
+        self.total, self.weights = 0.0, 1.0
+
+    def cycle(self):
+        """On each report: books, then health, then the rule."""
+        manager = self.manager
+        for piece in manager.ours():
+            piece.cycle()
+        self.judge()
+        common = usual(w.level() for w in manager.workers.values() if w.levels and w.usable)
+        others = 1 - 1 / max(manager.facts.get("managers", 1), 1)
+        for worker in manager.workers.values():
+            worker.cycle(common * others * worker.ramp())
+        self.books()
+        self.rule()
+
+    def books(self):
+        """Loads in heat: reported levels scaled so that they add up to the heat of all slices, moves included."""
+        manager, pieces = self.manager, self.manager.ours()
+        open_workers = [w for w in manager.workers.values() if w.state == door.READY]
+        self.own = dict.fromkeys(manager.workers.values(), 0.0)
+        for piece in pieces:
+            if piece.main is not None:
+                self.own[piece.main] += piece.estimate()
+        heat = sum(piece.estimate() for piece in pieces)
+        self.total = heat * max(manager.facts.get("slices", 0), len(pieces)) / max(len(pieces), 1)
+        self.weights = sum(w.weight for w in open_workers) or 1.0
+        scale = self.total / (sum(w.level() * w.weight for w in open_workers) or 1.0)
+        self.loads = {w: scale * w.weight * w.level() for w in manager.workers.values()}
+        while self.moves and self.moves[0][0] < manager.now - UNSEEN - REPORTS:
+            self.moves.popleft()
+        for at, source, target, moved in self.moves:
+            unseen = min(1 - (manager.now - at - UNSEEN) / REPORTS, 1.0)  # part of the average from before it
+            for worker, sign in ((source, -1), (target, 1)):
+                if worker in self.loads:
+                    self.loads[worker] = max(self.loads[worker] + sign * moved * unseen, 0.0)
+
+    def capacity(self, worker):
+        """The design's stand-in: the worker's weight share of all load, over the paper's working point."""
+        return worker.weight / self.weights * self.total / WORKING_POINT
+
+    def has_room(self, worker, heat):
+        """Guards cold workers: all managers share one budget, each uses its part, one slice a cycle."""
+        part = worker.ramp()
+        if part >= 1.0:
+            return True
+        budget = part * self.capacity(worker) * COLD_PART / max(self.manager.facts.get("managers", 1), 1)
+        cycle = self.manager.facts.get("cycle", 1.0)
+        return (self.last_taken.get(worker, LONG_AGO) <= self.manager.now - 0.9 * cycle
+                and self.own.get(worker, 0.0) + heat <= budget)
+
+    def rank(self, worker):
+        return self.loads.get(worker, 0.0) / worker.weight
+
+    def least_loaded(self, heat, but):
+        """The least loaded worker that may take this heat; chance breaks ties so that managers differ."""
+        able = [w for w in self.manager.workers.values() if w.usable and w is not but and self.has_room(w, heat)]
+        return min(able, key=lambda w: (self.rank(w) + heat / w.weight, w.name), default=None)
+
+    def move(self, piece, target, urgent):
+        heat = piece.estimate()
+        if piece.main is not None:
+            self.own[piece.main] = self.own.get(piece.main, 0.0) - heat
+            self.loads[piece.main] = max(self.loads.get(piece.main, 0.0) - heat, 0.0)
+        self.own[target] = self.own.get(target, 0.0) + heat
+        self.loads[target] = self.loads.get(target, 0.0) + heat
+        self.moves.append((self.manager.now, piece.main, target, heat))
+        self.last_taken[target] = self.manager.now
+        standby = piece.standby if piece.standby is not target else self.second(piece, target)
+        piece.tell("go", target, standby, urgent)
+
+    def second(self, piece, main):
+        """A warm worker for the slice's second line, of another zone where there is one."""
+        if not STANDBY:
+            return None
+        used = {}
+        for other in self.manager.ours():
+            used[other.standby] = used.get(other.standby, 0) + 1
+        able = [w for w in self.manager.workers.values() if w.usable and w is not main and w.ramp() >= 1.0]
+        return min(able, key=lambda w: (w.zone == main.zone, used.get(w, 0) / w.weight, w.name), default=None)
+
+    def rule(self):
+        """The design: top worker over its limit, ratio over the bound, both held; smallest slice to the least."""
+        ranked = sorted((w for w in self.manager.workers.values() if w.usable), key=lambda w: (self.rank(w), w.name))
+        median = usual(w.time() for w in ranked if w.times)
+        holding = {piece.main for piece in self.manager.ours()}
+        over = [w for w in ranked if w in holding and
+                (self.loads[w] > LIMIT * self.capacity(w) or len(w.times) >= HELD and w.time() > SLOW * median)]
+        if not over or self.rank(over[-1]) <= BOUND * self.rank(ranked[0]):
+            self.held = 0
+            return
+        self.held += 1
+        if self.held < HELD:
+            return
+        top = over[-1]
+        piece = min((p for p in self.manager.ours() if p.main is top), key=lambda p: (p.estimate(), p.number))
+        target = self.least_loaded(piece.estimate(), top)
+        if target and self.loads.get(target, 0.0) + piece.estimate() <= LIMIT * self.capacity(target):
+            self.manager.orders.append(door.Log(f"slice {piece.number} from {top.name} (over) to {target.name}"))
+            self.move(piece, target, False)
+
+    def judge(self):
+        """Doubt a worker by its symptom, most tries unanswered, whatever the cause; never most of the fleet."""
+        open_workers = [w for w in self.manager.workers.values() if w.state == door.READY]
+        room = MOST_DOUBTED * len(open_workers) - sum(not w.usable for w in open_workers)
+        bad = [(w.outcomes[1] / sum(w.outcomes), w.name, w) for w in open_workers
+               if w.usable and sum(w.outcomes) >= FEW and w.outcomes[1] >= FAILING * sum(w.outcomes)]
+        if len(bad) > room:
+            return
+        for part, _, worker in sorted(bad, key=lambda b: b[:2], reverse=True):
+            worker.tell("doubt", f"{part:.0%} of its tries unanswered")
+
+    def settle(self):
+        """Slices without a usable worker go at once to the least loaded; standby lines follow."""
+        for worker in self.manager.workers.values():
+            if worker.usable and worker.ramp() < 1.0:
+                self.trim(worker)
+        for piece in self.manager.ours():
+            if piece.main is None or not piece.main.usable:
+                target = self.least_loaded(piece.estimate(), piece.main)
+                if target:
+                    self.move(piece, target, True)
+            elif STANDBY and (piece.standby is None or not piece.standby.usable or piece.standby is piece.main):
+                second = self.second(piece, piece.main)
+                if second is not piece.standby:
+                    urgent = piece.standby is not None and piece.standby.state != door.READY
+                    piece.standby = second
+                    piece.tell("go", piece.main, second, urgent)
+
+    def trim(self, worker):
+        """A worker that restarted under its slices keeps only what a cold one may be sent."""
+        held = sorted((p for p in self.manager.ours() if p.main is worker), key=lambda p: (-p.estimate(), p.number))
+        budget = (worker.ramp() * self.capacity(worker) * COLD_PART / max(self.manager.facts.get("managers", 1), 1))
+        excess = sum(p.estimate() for p in held) - budget
+        for piece in held:
+            if excess <= 0 or not self.total:
+                return
+            target = self.least_loaded(piece.estimate(), worker)
+            if target:
+                excess -= piece.estimate()
+                self.move(piece, target, True)
+
+
+class Publisher(Part):
+    """Urgent tables at once, a tenth of the others each turn, only what changed, never too much in the channel."""
+
+    def __init__(self, manager):
+        super().__init__(manager)
+        self.urgent, self.others, self.sent, self.number, self.rules_due = {}, {}, deque(), 0, False
+
+    def changed(self, piece, urgent):
+        if urgent:
+            self.others.pop(piece, None)
+            self.urgent[piece] = None
+        elif piece not in self.urgent:
+            self.others[piece] = None
+
+    def answered(self, event):
+        """Messages leave in order: an answer to one means that all before it have left the channel."""
+        for message in self.sent:
+            if message["number"] == event.mark:
+                message["awaited"].discard(event.proxy)
+                for earlier in self.sent:
+                    if earlier is message:
+                        break
+                    earlier["awaited"].clear()
+                return
+
+    def left(self, proxy):
+        for message in self.sent:
+            message["awaited"].discard(proxy)
+
+    def flush(self, turn):
+        facts, now, proxies = self.manager.facts, self.manager.now, len(self.manager.proxies)
+        span, allowed = facts.get("messages_span", LAPSE), facts.get("messages_allowed", 0)
+        for message in self.sent:
+            if message["awaited"] and now < message["at"] + LAPSE:
+                message["until"] = now
+            else:
+                message["awaited"].clear()
+        while self.sent and not self.sent[0]["awaited"] and self.sent[0]["until"] < now - span:
+            self.sent.popleft()
+        if allowed and len(self.sent) >= MESSAGES_PART * allowed - 2 * (not self.urgent):
+            return
+        rules = self.manager.gate.orders() if self.rules_due and self.manager.ours() else []
+        head = facts.get("message_head", 0) + 1 + len(self.manager.gate.orders())
+        room = WAITING_PART * facts.get("most_waiting", math.inf) - sum(m["lines"] for m in self.sent if m["awaited"])
+        queue = list(self.urgent)
+        if turn:
+            queue += list(self.others)[:math.ceil(len(self.others) / TENTH)]
+        orders, lines = list(rules), (head + len(rules)) * proxies
+        if lines > room:
+            return
+        if rules:
+            self.rules_due = False
+        for piece in queue:
+            wanted, changes = piece.changes() if piece.ours else ({}, [])
+            if lines + len(changes) * proxies > room:
+                break
+            self.urgent.pop(piece, None)
+            self.others.pop(piece, None)
+            if changes:
+                orders, lines, piece.stored = orders + changes, lines + len(changes) * proxies, wanted
+        if orders:
+            self.number = (self.number + 1) % 65536
+            self.sent.append({"number": self.number, "lines": lines, "at": now, "until": now,
+                              "awaited": set(self.manager.proxies)})
+            self.manager.orders += orders + [door.Mark(self.number)]
+
+
+class Gate(Part):
+    """What is let in, and when proxies try again."""
+
+    def orders(self):
+        """Further tries by kind: anything that could take effect twice is repeated only if it never started."""
+        operations = self.manager.facts.get("operations", [])
+        return [door.Admit(door.ALL_SLICES, (k,), 1.0, door.RETRY_UNSTARTED)
+                for k, operation in enumerate(operations)
+                if self.manager.facts.get("usual_retry") != door.RETRY_UNSTARTED]
+
+
+class Manager:
+    """One manager: hand it what happened, get its orders."""
+
+    def __init__(self, seed, facts):
+        self.seed, self.facts, self.counter, self.now = seed, facts, 0, 0.0
+        self.post, self.orders, self.workers, self.slices, self.proxies = deque(), [], {}, {}, {}
+        self.roster, self.planner = Roster(self), Planner(self)
+        self.publisher, self.gate = Publisher(self), Gate(self)
+        self.turn_at, self.cycle_at = None, LONG_AGO
+
+    def chance(self):
+        """A number from 0 up to 1, from the seed and a counter."""
+        self.counter += 1
+        return zlib.crc32(f"{self.seed}:{self.counter}".encode()) / 2 ** 32
+
+    def ours(self):
+        return [piece for piece in self.slices.values() if piece.ours]
+
+    def handle(self, now, events):
+        self.now, self.orders = now, []
+        if self.turn_at is None:
+            self.turn_at = now + TURN * self.chance()
+            self.orders.append(door.Wake(self.turn_at - now, "turn"))
+        for event in events:
+            self.admit(event)
+            self.run()
+        turn = now >= self.turn_at
+        if turn:
+            self.turn_at = now + TURN
+            self.orders.append(door.Wake(TURN, "turn"))
+            self.roster.tell("turn")
+            if now >= self.cycle_at:
+                self.cycle_at = now + self.facts.get("cycle", 1.0) - TURN / 2
+                self.planner.tell("cycle")
+            self.run()
+        self.planner.tell("settle")
+        self.run()
+        self.publisher.tell("flush", turn)
+        self.run()
+        return self.orders
+
+    def run(self):
+        """The loop that empties the inboxes."""
+        while self.post:
+            part = self.post.popleft()
+            note, what = part.inbox.popleft()
+            getattr(part, note)(*what)
+
+    def admit(self, event):
+        """The door: ids become objects; what is unknown, unsound or no longer held is let fall."""
+        worker = self.workers.get(getattr(event, "worker", None))
+        piece = self.slices.get(getattr(event, "slice", None))
+        match event:
+            case door.WorkersListed():
+                self.roster.tell("listed", event)
+            case door.ListFailed():
+                self.roster.tell("failed")
+            case door.WorkerHeard() if worker and sound(event.tries, event.unanswered, event.mean_time, event.over):
+                worker.tell("heard", event)
+            case door.SliceHeat() if piece and piece.ours and sound(event.invocations, event.over):
+                piece.tell("heat", event)
+            case door.MarkAnswered():
+                self.publisher.tell("answered", event)
+            case door.ProxyJoined():
+                self.proxies[event.proxy] = event.zone
+            case door.ProxyLeft():
+                self.proxies.pop(event.proxy, None)
+                self.publisher.tell("left", event.proxy)
+            case door.SliceGiven():
+                if piece is None:
+                    piece = self.slices[event.slice] = Slice(self, event.slice)
+                piece.tell("given", event.ours)
+                self.publisher.rules_due = True
+            case door.LineHeld() if piece and piece.ours and sound(event.weight) and event.weight > 0:
+                if worker is None:  # the store may name a worker that no list of ours has: keep it, as gone
+                    worker = self.workers[event.worker] = Worker(self, event.worker)
+                piece.tell("held", worker, event.weight)
