--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -21,7 +21,7 @@
 SLOW = 1.5           # times the median answer time, "half again slower"; the design page
 TREND = (0.5, 2.0)   # bounds of the trend factor; the design page
 TENTH = 10           # turns in which ordinary tables go out; the design page
-TURN = 0.5           # s between turns of publishing; two messages a second is the strictest allowance seen
+TURN = 0.5           # s between turns of publishing, so that ten turns take about the five reports' time
 UNSEEN = 2.0         # s before a report shows a move: longest delay of a report and of an order, roughly
 STALE = 3            # cycles without a report after which the last one no longer counts
 QUEUED = 0.1         # busy workers that one waiting invocation stands for; ten waiting are a full worker more
@@ -34,6 +34,10 @@
 LONGEST_DOUBT = 24.0  # s, so that a recovered worker is not lost for the day
 WAITING_PART = 0.6   # part of the lines that may wait which is used; the rest is for what an answer does not tell
 MESSAGES_PART = 0.8  # part of the messages allowed which is used; the rest is for what still travels
+SATURATED = 1.3      # times the usual load level; above it unanswered tries are overload, not failure
+STRAINED = (0.6, 0.15)  # answer time over the latency objective, unanswered share: above either, less is let in
+RELAXED = (0.4, 0.05)  # below both, more is let in again; the gap keeps levels from swinging
+STEP = 0.1           # part of an operation that one step of strain shuts out; ten steps to nothing
 LAPSE = 10.0         # s after which an unanswered message no longer waits; the slowest channel is done by then
 PATIENCE = 4.0       # s without an answer before a list is asked for again; calls time out sooner
 LONG_AGO = -1e9      # s, a start before any clock
@@ -74,6 +78,7 @@
         self.levels, self.times = deque(maxlen=REPORTS), deque(maxlen=REPORTS)
         self.outcomes = [0.0, 0.0]  # answered, unanswered; halved every cycle
         self.latest, self.met, self.silent = [], [], STALE
+        self.strain = 0  # 0: all is let in; 1: no further tries; above: that many steps less is let in
 
     @property
     def usable(self):
@@ -125,11 +130,32 @@
             self.levels.append(sum(self.latest) / len(self.latest))
         elif self.silent >= STALE:
             self.levels.append(expected)
+        self.feel()
         if self.met:
             self.times.append(sum(t * n for t, n in self.met) / sum(n for _, n in self.met))
         self.latest, self.met = [], []
         self.outcomes = [part / 2 for part in self.outcomes]
 
+    def feel(self):
+        """Overload, whatever its cause: further tries are cut first, then levels, step by step; back more slowly."""
+        objective = min((o["latency_objective"] for o in self.manager.facts.get("operations", [])), default=1.0)
+        tries, strain = sum(self.outcomes), self.strain
+        if tries < FEW:
+            strain -= 1
+        else:
+            bad, good = self.outcomes[1] / tries, sum(n for _, n in self.met)
+            time = sum(t * n for t, n in self.met) / good / objective if good else 0.0
+            if time > STRAINED[0] or bad > STRAINED[1]:
+                strain += 1
+            elif time < RELAXED[0] and bad < RELAXED[1]:
+                strain -= 1
+        strain = min(max(strain, 0), 1 + round(len(self.manager.facts.get("operations", [])) / STEP))
+        if strain != self.strain:
+            worse, self.strain = strain > self.strain, strain
+            for piece in self.manager.ours():
+                if piece.main is self:
+                    self.manager.publisher.tell("changed", piece, worse)
+
     def level(self):
         return sum(self.levels) / len(self.levels) if self.levels else 0.0
 
@@ -145,9 +171,10 @@
         self.number, self.ours = number, False
         self.main = self.standby = None
         self.stored, self.latest, self.estimates, self.before = {}, {}, deque(maxlen=REPORTS), None
+        self.rules = None  # what the store's table lets in, None: as it comes
 
     def given(self, ours):
-        self.ours, self.stored, self.main, self.standby = ours, {}, None, None
+        self.ours, self.stored, self.main, self.standby, self.rules = ours, {}, None, None, None
 
     def held(self, worker, weight):
         self.stored[worker] = weight
@@ -177,7 +204,12 @@
         wanted = {w: part for w, part in ((self.standby, STANDBY), (self.main, 1.0)) if w is not None}
         orders = [door.SetLine(self.number, w.name, part) for w, part in wanted.items()
                   if self.stored.get(w) != part]
-        return wanted, orders + [door.SetLine(self.number, w.name, 0) for w in self.stored if w not in wanted]
+        orders += [door.SetLine(self.number, w.name, 0) for w in self.stored if w not in wanted]
+        gate, strain = self.manager.gate, self.main.strain if self.main else 0
+        rules = gate.rules(strain) if strain or self.rules else None
+        orders += [door.Admit(self.number, (k,), *rule) for k, rule in enumerate(rules or [])
+                   if rule != (self.rules or gate.rules(0))[k]]
+        return wanted, rules, orders
 
 
 class Roster(Part):
@@ -274,10 +306,14 @@
     def rank(self, worker):
         return self.loads.get(worker, 0.0) / worker.weight
 
-    def least_loaded(self, heat, but):
+    def least_loaded(self, heat, but, must=False):
         """The least loaded worker that may take this heat; chance breaks ties so that managers differ."""
-        able = [w for w in self.manager.workers.values() if w.usable and w is not but and self.has_room(w, heat)]
-        return min(able, key=lambda w: (self.rank(w) + heat / w.weight, w.name), default=None)
+        warm = self.manager.now - self.manager.facts.get("warm_after", 0.0)
+        ready = [w for w in self.manager.workers.values() if w.state == door.READY and w is not but]
+        able = ([w for w in ready if w.usable and self.has_room(w, heat)]
+                or must and ([w for w in ready if w.usable and (w.started or LONG_AGO) <= warm]
+                             or [w for w in ready if (w.started or LONG_AGO) <= warm] or ready))
+        return min(able or [], key=lambda w: (self.rank(w) + heat / w.weight, w.name), default=None)
 
     def move(self, piece, target, urgent):
         heat = piece.estimate()
@@ -325,8 +361,10 @@
         """Doubt a worker by its symptom, most tries unanswered, whatever the cause; never most of the fleet."""
         open_workers = [w for w in self.manager.workers.values() if w.state == door.READY]
         room = MOST_DOUBTED * len(open_workers) - sum(not w.usable for w in open_workers)
-        bad = [(w.outcomes[1] / sum(w.outcomes), w.name, w) for w in open_workers
-               if w.usable and sum(w.outcomes) >= FEW and w.outcomes[1] >= FAILING * sum(w.outcomes)]
+        share = {w: w.outcomes[1] / sum(w.outcomes) for w in open_workers if sum(w.outcomes) >= FEW}
+        common, level = usual(share.values()), usual(w.level() for w in open_workers)
+        bad = [(part, w.name, w) for w, part in share.items() if w.usable and part >= FAILING + common
+               and not (w.latest and max(w.latest) > SATURATED * level)]
         if len(bad) > room:
             return
         for part, _, worker in sorted(bad, key=lambda b: b[:2], reverse=True):
@@ -339,7 +377,8 @@
                 self.trim(worker)
         for piece in self.manager.ours():
             if piece.main is None or not piece.main.usable:
-                target = self.least_loaded(piece.estimate(), piece.main)
+                must = piece.main is None or piece.main.state != door.READY  # a doubted one may keep its slices
+                target = self.least_loaded(piece.estimate(), piece.main, must)
                 if target:
                     self.move(piece, target, True)
             elif STANDBY and (piece.standby is None or not piece.standby.usable or piece.standby is piece.main):
@@ -402,27 +441,29 @@
                 message["awaited"].clear()
         while self.sent and not self.sent[0]["awaited"] and self.sent[0]["until"] < now - span:
             self.sent.popleft()
-        if allowed and len(self.sent) >= MESSAGES_PART * allowed - 2 * (not self.urgent):
+        allowed *= MESSAGES_PART
+        if allowed and (len(self.sent) >= allowed or self.sent and now < self.sent[-1]["at"] + span / allowed):
             return
-        rules = self.manager.gate.orders() if self.rules_due and self.manager.ours() else []
-        head = facts.get("message_head", 0) + 1 + len(self.manager.gate.orders())
+        standing = self.manager.gate.standing() if self.rules_due and self.manager.ours() else []
+        head = facts.get("message_head", 0) + 1 + len(self.manager.gate.standing())
         room = WAITING_PART * facts.get("most_waiting", math.inf) - sum(m["lines"] for m in self.sent if m["awaited"])
         queue = list(self.urgent)
         if turn:
             queue += list(self.others)[:math.ceil(len(self.others) / TENTH)]
-        orders, lines = list(rules), (head + len(rules)) * proxies
+        orders, lines = list(standing), (head + len(standing)) * proxies
         if lines > room:
             return
-        if rules:
+        if standing:
             self.rules_due = False
         for piece in queue:
-            wanted, changes = piece.changes() if piece.ours else ({}, [])
+            wanted, rules, changes = piece.changes() if piece.ours else ({}, None, [])
             if lines + len(changes) * proxies > room:
                 break
             self.urgent.pop(piece, None)
             self.others.pop(piece, None)
             if changes:
-                orders, lines, piece.stored = orders + changes, lines + len(changes) * proxies, wanted
+                orders, lines = orders + changes, lines + len(changes) * proxies
+                piece.stored, piece.rules = wanted, rules
         if orders:
             self.number = (self.number + 1) % 65536
             self.sent.append({"number": self.number, "lines": lines, "at": now, "until": now,
@@ -433,12 +474,21 @@
 class Gate(Part):
     """What is let in, and when proxies try again."""
 
-    def orders(self):
-        """Further tries by kind: anything that could take effect twice is repeated only if it never started."""
+    def rules(self, strain):
+        """Level and further tries of each operation; under strain the least billed value is shut out first."""
         operations = self.manager.facts.get("operations", [])
-        return [door.Admit(door.ALL_SLICES, (k,), 1.0, door.RETRY_UNSTARTED)
-                for k, operation in enumerate(operations)
-                if self.manager.facts.get("usual_retry") != door.RETRY_UNSTARTED]
+        retry = door.NO_RETRY if strain else door.RETRY_UNSTARTED  # what may take effect twice is never repeated
+        shut, levels = STEP * max(strain - 1, 0), {}
+        for k in sorted(range(len(operations)), key=lambda k: (operations[k]["billed_value"], k)):
+            levels[k] = round(1 - min(shut, 1.0), 3)
+            shut = max(shut - 1.0, 0.0)
+        return [(levels[k], retry) for k in range(len(operations))]
+
+    def standing(self):
+        """The rules of all slices where the proxies' usual way differs."""
+        if self.manager.facts.get("usual_retry") == door.RETRY_UNSTARTED:
+            return []
+        return [door.Admit(door.ALL_SLICES, (k,), *rule) for k, rule in enumerate(self.rules(0))]
 
 
 class Manager:
