--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -381,12 +381,15 @@
                 target = self.least_loaded(piece.estimate(), piece.main, must)
                 if target:
                     self.move(piece, target, True)
-            elif STANDBY and (piece.standby is None or not piece.standby.usable or piece.standby is piece.main):
+            elif piece.standby is None or not piece.standby.usable or piece.standby is piece.main:
                 second = self.second(piece, piece.main)
                 if second is not piece.standby:
-                    urgent = piece.standby is not None and piece.standby.state != door.READY
-                    piece.standby = second
-                    piece.tell("go", piece.main, second, urgent)
+                    piece.tell("go", piece.main, second, False)
+            if any(w.state != door.READY for w in piece.stored):  # a line to a closed worker, however it came there
+                if piece.standby and piece.standby.state != door.READY:
+                    piece.tell("go", piece.main, self.second(piece, piece.main), True)
+                else:
+                    self.manager.publisher.tell("changed", piece, True)
 
     def trim(self, worker):
         """A worker that restarted under its slices keeps only what a cold one may be sent."""
