--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -1,9 +1,9 @@
 """Every decision of a manager: which worker serves which slice, which orders go out and when.
 
-How it is called: make one Manager(seed, facts) at a start (facts is the plain map the manager is started with),
-then hand it manager.handle(now, events) and send the orders it returns, in their order. Events, orders and the
-words used here are in bramblewood/interface.py; docs/design.md tells what the design page settles and where this
-departs from it. Pure: no input or output, no clock, equal events give equal orders.
+How it is called: make one Manager(seed, facts) at a start, facts being the plain map that the manager is
+started with; then call manager.handle(now, events) and send the orders it returns, in their order. Events,
+orders and words are in bramblewood/interface.py. docs/design.md tells what the design page settles and where
+this departs from it. Pure: no input or output, no clock; equal events give equal orders.
 """
 
 import math
@@ -25,20 +25,23 @@
 UNSEEN = 2.0         # s before a report shows a move: longest delay of a report and of an order, roughly
 STALE = 3            # cycles without a report after which the last one no longer counts
 QUEUED = 0.1         # busy workers that one waiting invocation stands for; ten waiting are a full worker more
-STANDBY = 0.01       # weight of a slice's second line; enough for a retry or a withdrawal, too little to be a move
-COLD_PART = 0.6      # part of a cold worker's present capacity used, kept for lost key caches and wrong weights
+STANDBY = 0.01       # weight of a slice's second line; enough to retry at, too little to be a move
+COLD_PART = 0.6      # part of a cold worker's capacity used; the rest is for lost key caches, wrong weights
 FAILING = 0.5        # share of unanswered tries at which a worker is doubted; noise stays far below
 FEW = 4              # tries, fewer say nothing
-MOST_DOUBTED = 0.45  # share of open workers that may be doubted; more is a fault of the view, not of the workers
+MOST_DOUBTED = 0.45  # share of open workers that may be doubted; more is a fault of the view
 DOUBT = 6.0          # s out of use at the first doubt, doubled at each further one
 LONGEST_DOUBT = 24.0  # s, so that a recovered worker is not lost for the day
-WAITING_PART = 0.6   # part of the lines that may wait which is used; the rest is for what an answer does not tell
+WAITING_PART = 0.6   # part used of the lines that may wait; the rest is for what answers do not tell
 MESSAGES_PART = 0.8  # part of the messages allowed which is used; the rest is for what still travels
 SATURATED = 1.3      # times the usual load level; above it unanswered tries are overload, not failure
-STRAINED = (0.6, 0.15)  # answer time over the latency objective, unanswered share: above either, less is let in
+STRAINED = (0.6, 0.15)  # answer time over objective, unanswered share: above either, less is let in
 RELAXED = (0.4, 0.05)  # below both, more is let in again; the gap keeps levels from swinging
-STEP = 0.1           # part of an operation that one step of strain shuts out; ten steps to nothing
-LAPSE = 10.0         # s after which an unanswered message no longer waits; the slowest channel is done by then
+CUT = (0.5, 0.9)     # least and most that a level keeps at one cut; in between goes by the share answered
+FLOOR = 0.1          # level below which the next operation is cut; a little shows how things stand
+RAISE = 1.2          # factor by which a level comes back each cycle; slower than it was cut
+LAG = 3.0            # s before a cut shows in reports: order, answer and report, each about one
+LAPSE = 10.0         # s after which an unanswered message no longer waits; a slow channel is done by then
 PATIENCE = 4.0       # s without an answer before a list is asked for again; calls time out sooner
 LONG_AGO = -1e9      # s, a start before any clock
 
@@ -78,7 +81,8 @@
         self.levels, self.times = deque(maxlen=REPORTS), deque(maxlen=REPORTS)
         self.outcomes = [0.0, 0.0]  # answered, unanswered; halved every cycle
         self.latest, self.met, self.silent = [], [], STALE
-        self.strain = 0  # 0: all is let in; 1: no further tries; above: that many steps less is let in
+        self.cut, self.again_at = False, LONG_AGO  # further tries are cut; when a level may be cut again
+        self.admitted = [1.0] * len(self.manager.facts.get("operations", []))
 
     @property
     def usable(self):
@@ -92,7 +96,7 @@
 
     def listed(self, entry):
         started = entry.started if entry.started is not None else LONG_AGO
-        if self.started is not None and started != self.started or self.started is None and started > LONG_AGO:
+        if started != (LONG_AGO if self.started is None else self.started):
             self.forget()  # a new process: cold, whatever the old one did
             self.trusted, self.doubted_until, self.doubts = started, LONG_AGO, 0
         self.started, self.state, self.zone, self.pool = started, entry.state, entry.zone, entry.pool
@@ -112,7 +116,7 @@
             self.latest.append(load["busy"] + QUEUED * load.get("queued", 0.0))
         elif "held" in load:
             self.latest.append(load["held"] / self.weight)
-        else:
+        elif not self.manager.facts.get("load_fields"):
             self.latest.append(report.tries / max(report.over, 0.1) / self.weight)
 
     def doubt(self, why):
@@ -121,10 +125,10 @@
         self.doubts += 1
         self.doubted_until = self.trusted = self.manager.now + hold
         self.outcomes = [0.0, 0.0]
-        self.manager.orders.append(door.Log(f"worker {self.name} out of use for {hold:.0f} s: {why}"))
+        self.manager.log(f"worker {self.name} out of use for {hold:.0f} s: {why}")
 
     def cycle(self, expected):
-        """Close the report of this cycle; a worker that few try is assumed to carry what is expected of it."""
+        """Close this cycle's report; a worker that few try is assumed to carry what is expected of it."""
         self.silent = 0 if self.latest else self.silent + 1
         if self.latest:
             self.levels.append(sum(self.latest) / len(self.latest))
@@ -137,24 +141,30 @@
         self.outcomes = [part / 2 for part in self.outcomes]
 
     def feel(self):
-        """Overload, whatever its cause: further tries are cut first, then levels, step by step; back more slowly."""
-        objective = min((o["latency_objective"] for o in self.manager.facts.get("operations", [])), default=1.0)
-        tries, strain = sum(self.outcomes), self.strain
-        if tries < FEW:
-            strain -= 1
-        else:
-            bad, good = self.outcomes[1] / tries, sum(n for _, n in self.met)
-            time = sum(t * n for t, n in self.met) / good / objective if good else 0.0
-            if time > STRAINED[0] or bad > STRAINED[1]:
-                strain += 1
-            elif time < RELAXED[0] and bad < RELAXED[1]:
-                strain -= 1
-        strain = min(max(strain, 0), 1 + round(len(self.manager.facts.get("operations", [])) / STEP))
-        if strain != self.strain:
-            worse, self.strain = strain > self.strain, strain
+        """Overload, whatever its cause: further tries are cut first, then levels, by billed value."""
+        operations = self.manager.facts.get("operations", [])
+        objective = min((o["latency_objective"] for o in operations), default=1.0)
+        tries, good = sum(self.outcomes), sum(n for _, n in self.met)
+        bad = self.outcomes[1] / tries if tries >= FEW else 0.0
+        time = sum(t * n for t, n in self.met) / good / objective if good and tries >= FEW else 0.0
+        by_value = sorted(range(len(operations)), key=lambda k: (operations[k]["billed_value"], k))
+        before = (self.cut, list(self.admitted))
+        if (time > STRAINED[0] or bad > STRAINED[1]) and self.manager.now >= self.again_at:
+            low = next((k for k in by_value if self.admitted[k] > FLOOR), None)
+            self.again_at = self.manager.now + (LAG if self.cut else 0.0)
+            if self.cut and low is not None:
+                self.admitted[low] = max(self.admitted[low] * max(CUT[0], CUT[1] * (1 - bad)), FLOOR)
+            self.cut = True
+        elif time < RELAXED[0] and bad < RELAXED[1]:
+            shut = next((k for k in reversed(by_value) if self.admitted[k] < 1), None)
+            if shut is not None:
+                self.admitted[shut] = min(self.admitted[shut] * RAISE, 1.0)
+            else:
+                self.cut = False
+        if (self.cut, self.admitted) != before:
             for piece in self.manager.ours():
                 if piece.main is self:
-                    self.manager.publisher.tell("changed", piece, worse)
+                    self.manager.publisher.tell("changed", piece, True)
 
     def level(self):
         return sum(self.levels) / len(self.levels) if self.levels else 0.0
@@ -205,10 +215,10 @@
         orders = [door.SetLine(self.number, w.name, part) for w, part in wanted.items()
                   if self.stored.get(w) != part]
         orders += [door.SetLine(self.number, w.name, 0) for w in self.stored if w not in wanted]
-        gate, strain = self.manager.gate, self.main.strain if self.main else 0
-        rules = gate.rules(strain) if strain or self.rules else None
-        orders += [door.Admit(self.number, (k,), *rule) for k, rule in enumerate(rules or [])
-                   if rule != (self.rules or gate.rules(0))[k]]
+        usual = self.manager.gate.rules()
+        rules = self.manager.gate.rules(self.main) if self.main else usual
+        orders += [door.Admit(self.number, (k,), *rule) for k, rule in enumerate(rules)
+                   if rule != (self.rules or usual)[k]]
         return wanted, rules, orders
 
 
@@ -269,7 +279,7 @@
         self.rule()
 
     def books(self):
-        """Loads in heat: reported levels scaled so that they add up to the heat of all slices, moves included."""
+        """Loads in heat: reported levels scaled to add up to the heat of all slices, moves included."""
         manager, pieces = self.manager, self.manager.ours()
         open_workers = [w for w in manager.workers.values() if w.state == door.READY]
         self.own = dict.fromkeys(manager.workers.values(), 0.0)
@@ -295,13 +305,15 @@
 
     def has_room(self, worker, heat):
         """Guards cold workers: all managers share one budget, each uses its part, one slice a cycle."""
-        part = worker.ramp()
-        if part >= 1.0:
+        if worker.ramp() >= 1.0:
             return True
-        budget = part * self.capacity(worker) * COLD_PART / max(self.manager.facts.get("managers", 1), 1)
         cycle = self.manager.facts.get("cycle", 1.0)
         return (self.last_taken.get(worker, LONG_AGO) <= self.manager.now - 0.9 * cycle
-                and self.own.get(worker, 0.0) + heat <= budget)
+                and self.own.get(worker, 0.0) + heat <= self.budget(worker))
+
+    def budget(self, worker):
+        managers = max(self.manager.facts.get("managers", 1), 1)
+        return worker.ramp() * self.capacity(worker) * COLD_PART / managers
 
     def rank(self, worker):
         return self.loads.get(worker, 0.0) / worker.weight
@@ -324,7 +336,9 @@
         self.loads[target] = self.loads.get(target, 0.0) + heat
         self.moves.append((self.manager.now, piece.main, target, heat))
         self.last_taken[target] = self.manager.now
-        standby = piece.standby if piece.standby is not target else self.second(piece, target)
+        standby = piece.standby
+        if standby is None or standby is target or not standby.usable:
+            standby = self.second(piece, target)
         piece.tell("go", target, standby, urgent)
 
     def second(self, piece, main):
@@ -338,12 +352,13 @@
         return min(able, key=lambda w: (w.zone == main.zone, used.get(w, 0) / w.weight, w.name), default=None)
 
     def rule(self):
-        """The design: top worker over its limit, ratio over the bound, both held; smallest slice to the least."""
-        ranked = sorted((w for w in self.manager.workers.values() if w.usable), key=lambda w: (self.rank(w), w.name))
+        """The design: top over its limit, ratio over the bound, both held; smallest slice to the least."""
+        usable = [w for w in self.manager.workers.values() if w.usable]
+        ranked = sorted(usable, key=lambda w: (self.rank(w), w.name))
         median = usual(w.time() for w in ranked if w.times)
         holding = {piece.main for piece in self.manager.ours()}
-        over = [w for w in ranked if w in holding and
-                (self.loads[w] > LIMIT * self.capacity(w) or len(w.times) >= HELD and w.time() > SLOW * median)]
+        over = [w for w in ranked if w in holding and (
+            self.loads[w] > LIMIT * self.capacity(w) or len(w.times) >= HELD and w.time() > SLOW * median)]
         if not over or self.rank(over[-1]) <= BOUND * self.rank(ranked[0]):
             self.held = 0
             return
@@ -354,11 +369,11 @@
         piece = min((p for p in self.manager.ours() if p.main is top), key=lambda p: (p.estimate(), p.number))
         target = self.least_loaded(piece.estimate(), top)
         if target and self.loads.get(target, 0.0) + piece.estimate() <= LIMIT * self.capacity(target):
-            self.manager.orders.append(door.Log(f"slice {piece.number} from {top.name} (over) to {target.name}"))
+            self.manager.log(f"slice {piece.number} from {top.name} (over) to {target.name}")
             self.move(piece, target, False)
 
     def judge(self):
-        """Doubt a worker by its symptom, most tries unanswered, whatever the cause; never most of the fleet."""
+        """Doubt a worker by its symptom, tries unanswered, whatever the cause; never most of the fleet."""
         open_workers = [w for w in self.manager.workers.values() if w.state == door.READY]
         room = MOST_DOUBTED * len(open_workers) - sum(not w.usable for w in open_workers)
         share = {w: w.outcomes[1] / sum(w.outcomes) for w in open_workers if sum(w.outcomes) >= FEW}
@@ -371,31 +386,32 @@
             worker.tell("doubt", f"{part:.0%} of its tries unanswered")
 
     def settle(self):
-        """Slices without a usable worker go at once to the least loaded; standby lines follow."""
+        """Slices without a usable worker go at once to the least loaded; standby lines follow.
+
+        A line to a closed worker is urgent however it came there: a drain counts from being told, and a store
+        read at a joining or a slice given may bring it back."""
         for worker in self.manager.workers.values():
             if worker.usable and worker.ramp() < 1.0:
                 self.trim(worker)
         for piece in self.manager.ours():
-            if piece.main is None or not piece.main.usable:
-                must = piece.main is None or piece.main.state != door.READY  # a doubted one may keep its slices
-                target = self.least_loaded(piece.estimate(), piece.main, must)
-                if target:
-                    self.move(piece, target, True)
-            elif piece.standby is None or not piece.standby.usable or piece.standby is piece.main:
-                second = self.second(piece, piece.main)
-                if second is not piece.standby:
-                    piece.tell("go", piece.main, second, False)
-            if any(w.state != door.READY for w in piece.stored):  # a line to a closed worker, however it came there
-                if piece.standby and piece.standby.state != door.READY:
-                    piece.tell("go", piece.main, self.second(piece, piece.main), True)
-                else:
-                    self.manager.publisher.tell("changed", piece, True)
+            main, standby, target = piece.main, piece.standby, None
+            if main is None or not main.usable:
+                must = main is None or main.state != door.READY  # a doubted one may keep its slices
+                target = self.least_loaded(piece.estimate(), main, must)
+            if target:
+                self.move(piece, target, True)
+            elif main and (standby is None or not standby.usable or standby is main):
+                second = self.second(piece, main)
+                if second is not standby:
+                    piece.tell("go", main, second, False)
+            if any(w.state != door.READY for w in piece.stored):
+                self.manager.publisher.tell("changed", piece, True)
 
     def trim(self, worker):
         """A worker that restarted under its slices keeps only what a cold one may be sent."""
-        held = sorted((p for p in self.manager.ours() if p.main is worker), key=lambda p: (-p.estimate(), p.number))
-        budget = (worker.ramp() * self.capacity(worker) * COLD_PART / max(self.manager.facts.get("managers", 1), 1))
-        excess = sum(p.estimate() for p in held) - budget
+        held = [p for p in self.manager.ours() if p.main is worker]
+        held.sort(key=lambda p: (-p.estimate(), p.number))
+        excess = sum(p.estimate() for p in held) - self.budget(worker)
         for piece in held:
             if excess <= 0 or not self.total:
                 return
@@ -406,7 +422,7 @@
 
 
 class Publisher(Part):
-    """Urgent tables at once, a tenth of the others each turn, only what changed, never too much in the channel."""
+    """Urgent tables at once, a tenth of the others each turn, only changes, never too much at once."""
 
     def __init__(self, manager):
         super().__init__(manager)
@@ -444,12 +460,13 @@
                 message["awaited"].clear()
         while self.sent and not self.sent[0]["awaited"] and self.sent[0]["until"] < now - span:
             self.sent.popleft()
-        allowed *= MESSAGES_PART
-        if allowed and (len(self.sent) >= allowed or self.sent and now < self.sent[-1]["at"] + span / allowed):
+        pace = span / (allowed * MESSAGES_PART) if allowed else 0.0
+        if pace and self.sent and (len(self.sent) * pace >= span or now < self.sent[-1]["at"] + pace):
             return
         standing = self.manager.gate.standing() if self.rules_due and self.manager.ours() else []
         head = facts.get("message_head", 0) + 1 + len(self.manager.gate.standing())
-        room = WAITING_PART * facts.get("most_waiting", math.inf) - sum(m["lines"] for m in self.sent if m["awaited"])
+        room = WAITING_PART * facts.get("most_waiting", math.inf)
+        room -= sum(message["lines"] for message in self.sent if message["awaited"])
         queue = list(self.urgent)
         if turn:
             queue += list(self.others)[:math.ceil(len(self.others) / TENTH)]
@@ -477,21 +494,17 @@
 class Gate(Part):
     """What is let in, and when proxies try again."""
 
-    def rules(self, strain):
-        """Level and further tries of each operation; under strain the least billed value is shut out first."""
+    def rules(self, worker=None):
+        """Level and further tries of each operation; what may take effect twice is never repeated."""
+        retry = door.NO_RETRY if worker and worker.cut else door.RETRY_UNSTARTED
         operations = self.manager.facts.get("operations", [])
-        retry = door.NO_RETRY if strain else door.RETRY_UNSTARTED  # what may take effect twice is never repeated
-        shut, levels = STEP * max(strain - 1, 0), {}
-        for k in sorted(range(len(operations)), key=lambda k: (operations[k]["billed_value"], k)):
-            levels[k] = round(1 - min(shut, 1.0), 3)
-            shut = max(shut - 1.0, 0.0)
-        return [(levels[k], retry) for k in range(len(operations))]
+        return [(round(worker.admitted[k], 3) if worker else 1.0, retry) for k in range(len(operations))]
 
     def standing(self):
         """The rules of all slices where the proxies' usual way differs."""
         if self.manager.facts.get("usual_retry") == door.RETRY_UNSTARTED:
             return []
-        return [door.Admit(door.ALL_SLICES, (k,), *rule) for k, rule in enumerate(self.rules(0))]
+        return [door.Admit(door.ALL_SLICES, (k,), *rule) for k, rule in enumerate(self.rules())]
 
 
 class Manager:
@@ -509,6 +522,9 @@
         self.counter += 1
         return zlib.crc32(f"{self.seed}:{self.counter}".encode()) / 2 ** 32
 
+    def log(self, text):
+        self.orders.append(door.Log(text))
+
     def ours(self):
         return [piece for piece in self.slices.values() if piece.ours]
 
@@ -551,7 +567,7 @@
                 self.roster.tell("listed", event)
             case door.ListFailed():
                 self.roster.tell("failed")
-            case door.WorkerHeard() if worker and sound(event.tries, event.unanswered, event.mean_time, event.over):
+            case door.WorkerHeard(_, _, tries, bad, time, over) if worker and sound(tries, bad, time, over):
                 worker.tell("heard", event)
             case door.SliceHeat() if piece and piece.ours and sound(event.invocations, event.over):
                 piece.tell("heat", event)
--- a/bramblewood/interface.py
+++ b/bramblewood/interface.py
@@ -3,9 +3,10 @@
 Times are seconds with fractions; ids (workers, proxies, slices) are opaque and used only here, at the door.
 """
 
-from typing import Any, Mapping, NamedTuple, Optional, Union
+from collections.abc import Mapping
+from typing import Any, NamedTuple, Union
 
-ALL_SLICES = -1  # in Admit: every slice in this manager's charge (every joined proxy where there are no slices)
+ALL_SLICES = -1  # in Admit: every slice in this manager's charge, or every joined proxy without slices
 READY, DRAINING, GONE = "ready", "draining", "gone"
 IDEMPOTENT, FINGERPRINTED, SIDE_EFFECTING = "idempotent", "fingerprinted", "side-effecting"
 NO_RETRY, RETRY_UNSTARTED, RETRY_ONCE, RETRY_TWICE = 0, 1, 2, 3
@@ -21,7 +22,7 @@
     zone: str = ""
     pool: int = 0
     kind: str = ""
-    started: Optional[float] = None
+    started: float | None = None
 
 
 class WorkersListed(NamedTuple):
@@ -65,7 +66,7 @@
 
 
 class Probed(NamedTuple):
-    """The end of a probe: answered, errored, rate-limited, timed-out, unreachable, broken or none of these."""
+    """The end of a probe: answered, errored, rate-limited, timed-out, unreachable, broken, unknown."""
     worker: str
     ending: str
     took: float
@@ -116,8 +117,8 @@
     token: str
 
 
-Event = Union[WorkersListed, ListFailed, WorkerHeard, SliceHeat, ProxyTraffic, Probed, MarkAnswered, ProxyJoined,
-              ProxyLeft, SliceGiven, LineHeld, PeerNote, TimerDue]
+Event = Union[WorkersListed, ListFailed, WorkerHeard, SliceHeat, ProxyTraffic, Probed, MarkAnswered,
+              ProxyJoined, ProxyLeft, SliceGiven, LineHeld, PeerNote, TimerDue]
 
 
 # --- orders ---------------------------------------------------------------------------------------------
@@ -135,7 +136,7 @@
 
 
 class BindProxy(NamedTuple):
-    """Where there are no slices: put a proxy on a table, for the operations at these positions (none: all)."""
+    """Where there are no slices: put a proxy on a table, for operations at these positions (none: all)."""
     proxy: int
     table: int
     operations: tuple = ()
@@ -174,7 +175,7 @@
 
 class TellPeer(NamedTuple):
     """Send a short message to one manager, or to all (None)."""
-    manager: Optional[int]
+    manager: int | None
     payload: bytes
 
 
@@ -192,6 +193,7 @@
     text: str
 
 
-Order = Union[SetLine, ClearTable, BindProxy, Admit, Withdraw, Mark, Wake, Probe, TellPeer, AskList, FollowList, Log]
+Order = Union[SetLine, ClearTable, BindProxy, Admit, Withdraw, Mark, Wake, Probe, TellPeer, AskList,
+              FollowList, Log]
 
 Facts = Mapping[str, Any]  # what a manager is told at its start; docs/design.md names what the module reads
--- /dev/null
+++ b/tests/helper.py
@@ -0,0 +1,151 @@
+"""What the tests share: facts, events in short form, and a ledger of what the orders amount to."""
+
+import random
+
+from bramblewood import interface as door
+from bramblewood.balance import Manager
+
+OPERATIONS = [
+    {"name": "look", "kind": door.IDEMPOTENT, "latency_objective": 1.0, "integration_timeout": 4.0,
+     "billed_value": 1.0},
+    {"name": "pay", "kind": door.SIDE_EFFECTING, "latency_objective": 1.0, "integration_timeout": 3.0,
+     "billed_value": 5.0},
+    {"name": "seat", "kind": door.FINGERPRINTED, "latency_objective": 2.0, "integration_timeout": 6.0,
+     "billed_value": 4.0, "group": "pool", "window": 6.0}]
+FACTS = {"operations": OPERATIONS, "managers": 1, "manager": 0, "slices": 12, "proxies": 4, "cycle": 1.0,
+         "warm_after": 10.0, "cold_from": 0.25, "overload_factor": 3.0, "drain_grace": 3.0, "usual_retry": 0,
+         "most_waiting": 2000, "message_head": 8, "messages_allowed": 20, "messages_span": 10.0,
+         "load_fields": ["busy"]}
+
+
+def entry(name, state=door.READY, zone="a", started=None, weight=1.0):
+    return door.ListedWorker(name, state, weight, zone, 0, "", started)
+
+
+class Ledger:
+    """Hands a manager its events and keeps the tables, the channel and the messages that its orders make."""
+
+    def __init__(self, workers=4, seed=1, lines_per_second=1000.0, **facts):
+        self.facts = {**FACTS, **facts}
+        self.manager, self.now, self.rate = Manager(seed, self.facts), 100.0, lines_per_second
+        self.tables = {number: {f"w{number % workers}": 1.0} for number in range(self.facts["slices"])}
+        self.timers, self.marks, self.messages, self.orders, self.rules = [], [], [], [], {}
+        self.waiting, self.most, self.free_at = [], 0, 0.0  # messages in the channel: (leaves at, lines)
+        self.joined, self.states, self.told = set(range(self.facts["proxies"])), {}, {}
+        given = [event for number, table in self.tables.items() for event in [
+            door.SliceGiven(number, True), *(door.LineHeld(number, w, part) for w, part in table.items())]]
+        self.step(0.0, self.list_of([entry(f"w{k}", zone="ab"[k % 2]) for k in range(workers)], True),
+                  *[door.ProxyJoined(p, "a", 5.0) for p in sorted(self.joined)], *given)
+
+    def list_of(self, entries, complete=False):
+        for item in entries:
+            if item.state != self.states.get(item.worker):
+                self.told[item.worker] = self.now
+            self.states[item.worker] = item.state
+        return door.WorkersListed(tuple(entries), complete)
+
+    def step(self, seconds, *events):
+        """Time goes on; timers and marks that are due come first. Returns the orders."""
+        self.now += seconds
+        due = [door.TimerDue(token) for at, token in self.timers if at <= self.now]
+        self.timers = [timer for timer in self.timers if timer[0] > self.now]
+        answers = [door.MarkAnswered(p, mark, self.now - sent) for at, sent, mark in self.marks
+                   if at <= self.now for p in sorted(self.joined)]
+        self.marks = [mark for mark in self.marks if mark[0] > self.now]
+        orders = self.manager.handle(self.now, [*due, *answers, *events])
+        self.book(orders)
+        self.orders += orders
+        return orders
+
+    def book(self, orders):
+        lines = 0
+        for order in orders:
+            match order:
+                case door.Wake(after, token):
+                    self.timers.append((self.now + after, token))
+                case door.SetLine(table, worker, weight):
+                    lines += 1
+                    self.tables[table].pop(worker, None)
+                    if weight:
+                        self.tables[table][worker] = weight
+                case door.Admit(table, operations, level, retry):
+                    lines += 1
+                    for k in operations or range(len(self.facts["operations"])):
+                        self.rules[table, k] = (level, retry)
+        self.waiting = [(at, n) for at, n in self.waiting if at > self.now]
+        if lines:
+            cost = (lines + self.facts["message_head"] + 1) * len(self.joined)
+            self.free_at = max(self.free_at, self.now) + cost / self.rate
+            self.waiting.append((self.free_at, cost))
+            self.messages.append(self.now)
+            numbers = [o.number for o in orders if isinstance(o, door.Mark)]
+            self.marks += [(self.free_at + 0.3, self.now, number) for number in numbers]
+        self.most = max(self.most, sum(n for _, n in self.waiting))
+
+    def seconds(self, count, heat=1.0, heard=None, each=None):
+        """Whole seconds with reports: the heat of each slice, and what proxies met at each worker."""
+        for _ in range(count):
+            self.step(0.5)
+            self.step(0.5, *self.reports(heat, heard or {}))
+            if each:
+                each(self)
+
+    def reports(self, heat, heard):
+        hot = heat if callable(heat) else lambda number: heat
+        events = [door.SliceHeat(n, "look", int(20 * hot(n)), 0, 20.0) for n in self.tables]
+        for name, state in self.states.items():
+            busy = sum(hot(n) for n, table in self.tables.items() if table.get(name, 0) == 1.0) / 6
+            good = {"tries": max(int(6 * busy), 1), "unanswered": 0, "mean_time": 0.2, "over": 1.0,
+                    "load": {"busy": busy}}
+            if state != door.GONE:
+                events.append(door.WorkerHeard(name, "a", **{**good, **heard.get(name, {})}))
+        return events
+
+    def main(self, number):
+        table = self.tables[number]
+        return max(table, key=table.get) if table else None
+
+    def on(self, name):
+        return [number for number in self.tables if self.main(number) == name]
+
+    def check(self):
+        """The rules that can be seen from orders, after any step."""
+        open_workers = [name for name, state in self.states.items() if state == door.READY]
+        for number, table in self.tables.items():
+            assert table or not open_workers, f"slice {number} has no line"
+            for name in table:
+                late = self.now - self.told.get(name, self.now)
+                kept = self.states.get(name) == door.READY or late < self.facts["drain_grace"]
+                assert kept or not open_workers, f"slice {number} names {name}, closed {late:.1f} s ago"
+        for (_, k), (level, retry) in self.rules.items():
+            kind = self.facts["operations"][k]["kind"]
+            assert 0 <= level <= 1
+            assert kind == door.IDEMPOTENT or retry <= door.RETRY_UNSTARTED
+        assert self.most <= self.facts["most_waiting"]
+        recent = [at for at in self.messages if at > self.now - self.facts["messages_span"]]
+        assert len(recent) <= (self.facts["messages_allowed"] or len(recent))
+
+
+def rough_day(seed, steps=120, **facts):
+    """A random day of lists, failures, joins and reports; the rules are checked after every step."""
+    dice, ledger = random.Random(seed), Ledger(workers=6, seed=seed, **facts)
+    for _ in range(steps):
+        events = []
+        for name in sorted(ledger.states):
+            if dice.random() < 0.03:
+                state = dice.choice([door.READY, door.DRAINING, door.GONE])
+                was, others = ledger.states[name], [s for n, s in ledger.states.items() if n != name]
+                if state == door.READY or door.READY in others:
+                    started = ledger.now if state == door.READY != was else None
+                    events.append(ledger.list_of([entry(name, state, started=started)]))
+        if dice.random() < 0.05:
+            proxy = dice.randrange(4)
+            events += [door.ProxyLeft(proxy), door.ProxyJoined(proxy, "a", 5.0)]
+        if dice.random() < 0.1:
+            events.append(door.ListFailed())
+        heard = {name: {"tries": 9, "unanswered": dice.randrange(10)} for name in ledger.states
+                 if dice.random() < 0.2}
+        heats = {n: dice.choice([0, 1, 1, 2, 9]) for n in ledger.tables}
+        ledger.step(0.5, *events, *(ledger.reports(heats.get, heard) if dice.random() < 0.6 else []))
+        ledger.check()
+    return ledger
--- /dev/null
+++ b/tests/test_balance.py
@@ -0,0 +1,186 @@
+"""Plain cases of the design's rule and of each guard."""
+
+import math
+
+from bramblewood import interface as door
+from bramblewood.balance import BOUND, HELD, STANDBY, Manager, Slice
+
+from .helper import FACTS, Ledger, entry
+
+
+def estimates(*rates):
+    piece = Slice(Manager(1, FACTS), 0)
+    for rate in rates:
+        piece.heat(door.SliceHeat(0, "look", rate, 0, 1.0))
+        piece.cycle()
+    return list(piece.estimates)
+
+
+def test_trend_factor_is_held_in_bounds():
+    assert estimates(10, 11) == [10, 11 * 1.1]
+    assert estimates(10, 100)[-1] == 200
+    assert estimates(100, 10)[-1] == 5
+    assert estimates(0, 8)[-1] == 8  # nothing before: no trend
+
+
+def test_heat_is_averaged_over_five_reports():
+    piece = Slice(Manager(1, FACTS), 0)
+    for _ in range(9):
+        piece.heat(door.SliceHeat(0, "look", 4, 0, 1.0))
+        piece.cycle()
+    assert len(piece.estimates) == 5 and piece.estimate() == 4
+
+
+def test_an_even_load_moves_nothing():
+    ledger = Ledger()
+    before = {n: ledger.main(n) for n in ledger.tables}
+    ledger.seconds(12)
+    assert {n: ledger.main(n) for n in ledger.tables} == before
+
+
+def test_the_top_workers_smallest_slice_goes_to_the_least_loaded():
+    ledger = Ledger()
+    heat = {0: 3, 4: 2, 8: 1, 3: 0.2, 7: 0.2, 11: 0.2}  # w0 is hot, w3 nearly idle
+    ledger.seconds(HELD)
+    assert ledger.main(8) == "w0"
+    ledger.seconds(8, heat=lambda n: heat.get(n, 1.0))
+    assert ledger.main(8) == "w3" and ledger.main(0) == "w0" and ledger.main(4) == "w0"
+
+
+def test_no_move_that_would_overload_the_target():
+    ledger = Ledger(workers=2, slices=2)
+    ledger.seconds(12, heat=lambda n: (9.0, 3.0)[n])
+    assert BOUND < 3 and ledger.main(0) == "w0"
+
+
+def test_slices_of_a_closed_worker_go_at_once():
+    for state in (door.DRAINING, door.GONE):
+        ledger = Ledger()
+        ledger.seconds(4)
+        ledger.step(0.1, ledger.list_of([entry("w1", state)]))
+        ledger.seconds(1)
+        assert not any("w1" in table for table in ledger.tables.values())
+        ledger.check()
+
+
+def test_a_closed_workers_line_is_urgent_even_as_a_standby_of_a_doubted_one():
+    ledger = Ledger(workers=2)
+    ledger.seconds(4)
+    for worker in ledger.manager.workers.values():
+        worker.tell("doubt", "a test")
+    ledger.manager.run()
+    ledger.step(0.1, ledger.list_of([entry("w1", door.GONE)]))
+    ledger.seconds(2)
+    assert all(set(table) == {"w0"} for table in ledger.tables.values())
+
+
+def test_ordinary_tables_go_out_a_tenth_each_turn_and_only_changes():
+    ledger = Ledger(slices=40, messages_allowed=0, most_waiting=20000)
+    sizes = []
+    for _ in range(8):
+        orders = ledger.step(0.5)
+        sizes.append(len([o for o in orders if isinstance(o, door.SetLine)]))
+    assert 0 < max(sizes) <= 4  # forty standby lines, a tenth each turn
+    ledger.seconds(30)
+    lines = [o for o in ledger.orders if isinstance(o, door.SetLine)]
+    assert len(lines) == len(set(lines)) == 40 and all(o.weight == STANDBY for o in lines)
+
+
+def test_a_new_worker_takes_one_slice_a_cycle_within_its_budget():
+    ledger = Ledger()
+    ledger.seconds(4)
+    ledger.step(0.1, ledger.list_of([entry("w9", started=ledger.now)]),
+                ledger.list_of([entry("w1", door.GONE), entry("w2", door.GONE)]))
+    assert len(ledger.on("w9")) <= 1
+    ledger.seconds(2)
+    assert len(ledger.on("w9")) <= 3
+
+
+def test_a_worker_that_restarts_under_its_slices_keeps_a_cold_ones_part():
+    ledger = Ledger()
+    ledger.seconds(5)
+    ledger.step(0.1, ledger.list_of([entry("w1", started=ledger.now)]))
+    ledger.seconds(1)
+    assert len(ledger.on("w1")) < 3
+
+
+def test_a_failing_worker_is_emptied_and_taken_back_step_by_step():
+    ledger = Ledger()
+    ledger.seconds(4)
+    failing = {"w2": {"tries": 20, "unanswered": 18, "load": {}}}
+    ledger.seconds(3, heard=failing)
+    assert not ledger.on("w2")
+    worker = ledger.manager.workers["w2"]
+    assert not worker.usable
+    ledger.seconds(6)
+    assert worker.usable and worker.ramp() < 1
+
+
+def test_a_suspicion_of_most_of_the_fleet_is_not_believed():
+    ledger = Ledger()
+    ledger.seconds(4)
+    failing = {f"w{k}": {"tries": 20, "unanswered": 18, "load": {}} for k in (0, 1, 2)}
+    ledger.seconds(4, heard=failing)
+    assert all(w.usable for w in ledger.manager.workers.values())
+
+
+def test_overload_is_not_failure_retries_are_cut_before_levels_and_come_back():
+    ledger = Ledger()
+    ledger.seconds(4)
+    full = {"w2": {"tries": 20, "unanswered": 12, "load": {"busy": 3.0}}}
+    seen = []
+    ledger.seconds(6, heard=full, each=lambda now: seen.append(dict(now.rules)))
+    assert ledger.manager.workers["w2"].usable
+    hot = [rules[n, 0] for rules in seen for n in ledger.on("w2") if (n, 0) in rules]
+    assert hot[0] == (1.0, door.NO_RETRY) and hot[-1][0] < 1.0  # further tries first, then the level
+    assert all(rules[n, 1][0] == 1.0 for rules in seen for n in ledger.on("w2") if (n, 1) in rules)
+    ledger.seconds(30)
+    assert all(level == 1.0 for level, _ in ledger.rules.values())
+
+
+def test_retry_orders_never_repeat_what_may_take_effect_twice():
+    ledger = Ledger()
+    ledger.seconds(2)
+    assert ledger.rules[door.ALL_SLICES, 1][1] <= door.RETRY_UNSTARTED
+    assert ledger.rules[door.ALL_SLICES, 2][1] <= door.RETRY_UNSTARTED
+
+
+def test_a_list_is_asked_for_again_without_flooding():
+    ledger = Ledger(must_ask_for_list=True, ask_within=10.0)
+    ledger.manager.roster.following = False
+    asks = []
+    for _ in range(40):
+        asks += [o for o in ledger.step(0.5, door.ListFailed()) if isinstance(o, door.FollowList)]
+    assert len(asks) == 0 or len(asks) < 10
+    quiet = [o for _ in range(24) for o in ledger.step(0.5) if isinstance(o, door.FollowList)]
+    assert 1 <= len(quiet) <= 4
+
+
+def test_a_crash_is_recovered_from_the_stores_tables():
+    ledger = Ledger()
+    ledger.seconds(3)
+    fresh = Manager(9, ledger.facts)
+    items = [entry(f"w{k}", door.GONE if k == 1 else door.READY) for k in range(4)]
+    events = [door.WorkersListed(tuple(items), True, True)]
+    for number, table in ledger.tables.items():
+        events.append(door.SliceGiven(number, True))
+        events += [door.LineHeld(number, w, part) for w, part in table.items()]
+    orders = fresh.handle(ledger.now, events + [door.ProxyJoined(0, "a", 1.0)])
+    moved = {o.table for o in orders if isinstance(o, door.SetLine) and o.weight == 1.0}
+    assert moved >= set(ledger.on("w1"))
+
+
+def test_the_door_lets_unsound_and_unknown_events_fall():
+    ledger = Ledger()
+    ledger.seconds(2)
+    state = [list(s.estimates) for s in ledger.manager.slices.values()]
+    orders = ledger.step(
+        0.0, door.WorkerHeard("nobody", "a", 3, 1, 0.1, 1.0), door.WorkerHeard("w1", "a", -3, 1, 0.1, 1.0),
+        door.WorkerHeard("w1", "a", 3, 1, math.nan, 1.0), door.WorkerHeard("w1", "a", 3, 1, 0.1, math.inf),
+        door.SliceHeat(999, "look", 1, 0, 1.0), door.SliceHeat(1, "look", -1, 0, 1.0), door.TimerDue("late"),
+        door.MarkAnswered(77, 5, 1.0), door.ProxyLeft(99), door.LineHeld(999, "w1", 1.0),
+        door.PeerNote(3, b"x"),
+        door.Probed("nobody", "answered", 0.1), door.ProxyTraffic(1, "look", 1, 0, 1.0),
+        door.LineHeld(1, "w1", -1.0), door.WorkerHeard("w1", "a", 3, 1, 0.1, 1.0, {"busy": math.inf}))
+    assert not [o for o in orders if isinstance(o, door.SetLine | door.Admit)]
+    assert [list(s.estimates) for s in ledger.manager.slices.values()] == state
