--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -37,7 +37,7 @@
 SATURATED = 1.3      # times the usual load level; above it unanswered tries are overload, not failure
 STRAINED = (0.6, 0.15)  # answer time over objective, unanswered share: above either, less is let in
 RELAXED = (0.4, 0.05)  # below both, more is let in again; the gap keeps levels from swinging
-CUT = (0.5, 0.9)     # least and most that a level keeps at one cut; in between goes by the share answered
+CUT = (0.25, 0.9)    # least and most that a level keeps at one cut; between, by share answered and time
 FLOOR = 0.1          # level below which the next operation is cut; a little shows how things stand
 RAISE = 1.2          # factor by which a level comes back each cycle; slower than it was cut
 LAG = 3.0            # s before a cut shows in reports: order, answer and report, each about one
@@ -153,7 +153,8 @@
             low = next((k for k in by_value if self.admitted[k] > FLOOR), None)
             self.again_at = self.manager.now + (LAG if self.cut else 0.0)
             if self.cut and low is not None:
-                self.admitted[low] = max(self.admitted[low] * max(CUT[0], CUT[1] * (1 - bad)), FLOOR)
+                kept = CUT[1] * (1 - bad) / max(time, 1.0)  # a long queue must drain before it helps to let in
+                self.admitted[low] = max(self.admitted[low] * max(CUT[0], kept), FLOOR)
             self.cut = True
         elif time < RELAXED[0] and bad < RELAXED[1]:
             shut = next((k for k in reversed(by_value) if self.admitted[k] < 1), None)
