Count an urgent move once for every manager

Cause: two managers evacuate the same worker to the same least loaded ones, each blind to the other.

--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -334,6 +334,8 @@
             self.own[piece.main] = self.own.get(piece.main, 0.0) - heat
             self.loads[piece.main] = max(self.loads.get(piece.main, 0.0) - heat, 0.0)
         self.own[target] = self.own.get(target, 0.0) + heat
+        if urgent:  # the other managers, unseen, are likely to send as much the same way
+            heat *= max(self.manager.facts.get("managers", 1), 1)
         self.loads[target] = self.loads.get(target, 0.0) + heat
         self.moves.append((self.manager.now, piece.main, target, heat))
         self.last_taken[target] = self.manager.now
