--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -26,7 +26,7 @@
 STALE = 3            # cycles without a report after which the last one no longer counts
 QUEUED = 0.1         # busy workers that one waiting invocation stands for; ten waiting are a full worker more
 STANDBY = 0.01       # weight of a slice's second line; enough to retry at, too little to be a move
-COLD_PART = 0.8      # part of a cold worker's capacity used; the rest is for lost key caches, wrong weights
+COLD_PART = 0.6      # part of a cold worker's capacity used; the rest is for lost key caches, wrong weights
 FAILING = 0.5        # share of unanswered tries at which a worker is doubted; noise stays far below
 FEW = 4              # tries, fewer say nothing
 MOST_DOUBTED = 0.45  # share of open workers that may be doubted; more is a fault of the view
@@ -264,10 +264,10 @@
     def __init__(self, manager):
         super().__init__(manager)
         self.held, self.loads, self.own, self.moves, self.last_taken = 0, {}, {}, deque(), {}
-        self.total, self.weights, self.reported = 0.0, 1.0, False
+        self.total, self.weights = 0.0, 1.0
 
-    def report(self):
-        """On each report: heat, load and health; the rule and its cycle run each turn."""
+    def cycle(self):
+        """On each report: books, then health, then the rule."""
         manager = self.manager
         for piece in manager.ours():
             piece.cycle()
@@ -276,7 +276,8 @@
         others = 1 - 1 / max(manager.facts.get("managers", 1), 1)
         for worker in manager.workers.values():
             worker.cycle(common * others * worker.ramp())
-        self.reported = True
+        self.books()
+        self.rule()
 
     def books(self):
         """Loads in heat: reported levels scaled to add up to the heat of all slices, moves included."""
@@ -307,7 +308,8 @@
         """Guards cold workers: all managers share one budget, each uses its part, one slice a cycle."""
         if worker.ramp() >= 1.0:
             return True
-        return (self.last_taken.get(worker, LONG_AGO) <= self.manager.now - 0.9 * TURN
+        cycle = self.manager.facts.get("cycle", 1.0)
+        return (self.last_taken.get(worker, LONG_AGO) <= self.manager.now - 0.9 * cycle
                 and self.own.get(worker, 0.0) + heat <= self.budget(worker))
 
     def budget(self, worker):
@@ -360,11 +362,10 @@
         holding = {piece.main for piece in self.manager.ours()}
         over = [w for w in ranked if w in holding and (
             self.loads[w] > LIMIT * self.capacity(w) or len(w.times) >= HELD and w.time() > SLOW * median)]
-        fresh, self.reported = self.reported, False
         if not over or self.rank(over[-1]) <= BOUND * self.rank(ranked[0]):
             self.held = 0
             return
-        self.held += fresh
+        self.held += 1
         if self.held < HELD:
             return
         top = over[-1]
@@ -373,6 +374,7 @@
         if target and self.loads.get(target, 0.0) + piece.estimate() <= LIMIT * self.capacity(target):
             self.manager.log(f"slice {piece.number} from {top.name} (over) to {target.name}")
             self.move(piece, target, False)
+            self.held = 0  # the next move needs three reports that have seen this one
 
     def judge(self):
         """Doubt a worker by its symptom, tries unanswered, whatever the cause; never most of the fleet."""
@@ -545,9 +547,7 @@
             self.roster.tell("turn")
             if now >= self.cycle_at:
                 self.cycle_at = now + self.facts.get("cycle", 1.0) - TURN / 2
-                self.planner.tell("report")
-            self.planner.tell("books")
-            self.planner.tell("rule")
+                self.planner.tell("cycle")
             self.run()
         self.planner.tell("settle")
         self.run()
