--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -263,7 +263,7 @@
 
     def __init__(self, manager):
         super().__init__(manager)
-        self.held, self.loads, self.own, self.moves, self.last_taken = 0, {}, {}, deque(), {}
+        self.held, self.loads, self.own, self.moves, self.last_taken = {}, {}, {}, deque(), {}
         self.total, self.weights = 0.0, 1.0
 
     def cycle(self):
@@ -362,11 +362,10 @@
         holding = {piece.main for piece in self.manager.ours()}
         over = [w for w in ranked if w in holding and (
             self.loads[w] > LIMIT * self.capacity(w) or len(w.times) >= HELD and w.time() > SLOW * median)]
-        if not over or self.rank(over[-1]) <= BOUND * self.rank(ranked[0]):
-            self.held = 0
-            return
-        self.held += 1
-        if self.held < HELD:
+        over = [w for w in over if self.rank(w) > BOUND * self.rank(ranked[0])]
+        self.held = {w: self.held.get(w, 0) + 1 for w in over}
+        over = [w for w in over if self.held[w] >= HELD]
+        if not over:
             return
         top = over[-1]
         piece = min((p for p in self.manager.ours() if p.main is top), key=lambda p: (p.estimate(), p.number))
@@ -374,7 +373,7 @@
         if target and self.loads.get(target, 0.0) + piece.estimate() <= LIMIT * self.capacity(target):
             self.manager.log(f"slice {piece.number} from {top.name} (over) to {target.name}")
             self.move(piece, target, False)
-            self.held = 0  # the next move needs three reports that have seen this one
+            self.held[top] = 0  # the next move from it needs three reports that have seen this one
 
     def judge(self):
         """Doubt a worker by its symptom, tries unanswered, whatever the cause; never most of the fleet."""
