--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -37,7 +37,7 @@
 SATURATED = 1.3      # times the usual load level; above it unanswered tries are overload, not failure
 STRAINED = (0.6, 0.15)  # answer time over objective, unanswered share: above either, less is let in
 RELAXED = (0.4, 0.05)  # below both, more is let in again; the gap keeps levels from swinging
-CUT = (0.1, 0.9)     # least and most kept at one cut; between, by share answered and answer time
+CUT = (0.4, 0.9)     # least and most kept at one cut; between, by share answered and answer time
 FLOOR = 0.1          # least level of an operation; a little shows how things stand
 RAISE = 1.4          # factor by which what is let in comes back each cycle; slower than it was cut
 LAG = 3.0            # s before a cut shows in reports: order, answer and report, each about one
@@ -151,7 +151,7 @@
         before = (self.cut, self.admitted)
         if (time > STRAINED[0] or bad > STRAINED[1]) and self.manager.now >= self.again_at:
             if self.cut or time > 1:
-                self.admitted *= max(CUT[0], CUT[1] * (1 - bad) / max(time, 1.0) ** 2)
+                self.admitted *= max(CUT[0], CUT[1] * (1 - bad) / max(time, 1.0))
                 self.again_at = self.manager.now + LAG
             self.cut = True
         elif time < RELAXED[0] and bad < RELAXED[1]:
