--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -37,9 +37,9 @@
 SATURATED = 1.3      # times the usual load level; above it unanswered tries are overload, not failure
 STRAINED = (0.6, 0.15)  # answer time over objective, unanswered share: above either, less is let in
 RELAXED = (0.4, 0.05)  # below both, more is let in again; the gap keeps levels from swinging
-CUT = (0.4, 0.9)     # least and most kept at one cut; between, by share answered and answer time
-FLOOR = 0.1          # least level of an operation; a little shows how things stand
-RAISE = 1.4          # factor by which what is let in comes back each cycle; slower than it was cut
+CUT = (0.25, 0.9)    # least and most that a level keeps at one cut; between, by share answered and time
+FLOOR = 0.1          # level below which the next operation is cut; a little shows how things stand
+RAISE = 1.2          # factor by which a level comes back each cycle; slower than it was cut
 LAG = 3.0            # s before a cut shows in reports: order, answer and report, each about one
 LAPSE = 10.0         # s after which an unanswered message no longer waits; a slow channel is done by then
 PATIENCE = 4.0       # s without an answer before a list is asked for again; calls time out sooner
@@ -82,7 +82,7 @@
         self.outcomes = [0.0, 0.0]  # answered, unanswered; halved every cycle
         self.latest, self.met, self.silent = [], [], STALE
         self.cut, self.again_at = False, LONG_AGO  # further tries are cut; when a level may be cut again
-        self.admitted = 1.0  # part of its invocations that is let in
+        self.admitted = [1.0] * len(self.manager.facts.get("operations", []))
 
     @property
     def usable(self):
@@ -141,22 +141,27 @@
         self.outcomes = [part / 2 for part in self.outcomes]
 
     def feel(self):
-        """Overload, whatever its cause: further tries are cut first, then what is let in, back step by step.
-
-        Once answers take longer than the objective, what waits is lost already: little is let in until the queue
-        has drained. That can refuse too much where the queue was a short burst."""
+        """Overload, whatever its cause: further tries are cut first, then levels, by billed value."""
+        operations = self.manager.facts.get("operations", [])
+        objective = min((o["latency_objective"] for o in operations), default=1.0)
         tries, good = sum(self.outcomes), sum(n for _, n in self.met)
         bad = self.outcomes[1] / tries if tries >= FEW else 0.0
-        time = sum(t * n for t, n in self.met) / good / self.manager.gate.objective if good else 0.0
-        before = (self.cut, self.admitted)
+        time = sum(t * n for t, n in self.met) / good / objective if good and tries >= FEW else 0.0
+        by_value = sorted(range(len(operations)), key=lambda k: (operations[k]["billed_value"], k))
+        before = (self.cut, list(self.admitted))
         if (time > STRAINED[0] or bad > STRAINED[1]) and self.manager.now >= self.again_at:
-            if self.cut or time > 1:
-                self.admitted *= max(CUT[0], CUT[1] * (1 - bad) / max(time, 1.0))
-                self.again_at = self.manager.now + LAG
+            low = next((k for k in by_value if self.admitted[k] > FLOOR), None)
+            self.again_at = self.manager.now + (LAG if self.cut else 0.0)
+            if self.cut and low is not None:
+                kept = CUT[1] * (1 - bad) / max(time, 1.0)  # a long queue must drain before it helps to let in
+                self.admitted[low] = max(self.admitted[low] * max(CUT[0], kept), FLOOR)
             self.cut = True
         elif time < RELAXED[0] and bad < RELAXED[1]:
-            self.cut = self.admitted < 1
-            self.admitted = min(max(self.admitted, CUT[0]) * RAISE, 1.0)
+            shut = next((k for k in reversed(by_value) if self.admitted[k] < 1), None)
+            if shut is not None:
+                self.admitted[shut] = min(self.admitted[shut] * RAISE, 1.0)
+            else:
+                self.cut = False
         if (self.cut, self.admitted) != before:
             for piece in self.manager.ours():
                 if piece.main is self:
@@ -259,16 +264,13 @@
     def __init__(self, manager):
         super().__init__(manager)
         self.held, self.loads, self.own, self.moves, self.last_taken = {}, {}, {}, deque(), {}
-        self.total, self.weights, self.mix = 0.0, 1.0, {}  # heat of all, weight of all, heat by operation
+        self.total, self.weights = 0.0, 1.0
 
     def cycle(self):
         """On each report: books, then health, then the rule."""
         manager = self.manager
-        self.mix = {}
         for piece in manager.ours():
             piece.cycle()
-            for name, (rate, _) in piece.latest.items():
-                self.mix[name] = self.mix.get(name, 0.0) + rate
         self.judge()
         common = usual(w.level() for w in manager.workers.values() if w.levels and w.usable)
         others = 1 - 1 / max(manager.facts.get("managers", 1), 1)
@@ -495,23 +497,11 @@
 class Gate(Part):
     """What is let in, and when proxies try again."""
 
-    def __init__(self, manager):
-        super().__init__(manager)
-        self.operations = manager.facts.get("operations", [])
-        self.objective = min((o["latency_objective"] for o in self.operations), default=1.0)
-
     def rules(self, worker=None):
-        """Level and further tries of each operation: the least billed value is shut out first.
-
-        What may take effect twice is never repeated: a further try only after proof that the first never ran."""
+        """Level and further tries of each operation; what may take effect twice is never repeated."""
         retry = door.NO_RETRY if worker and worker.cut else door.RETRY_UNSTARTED
-        shut, levels = 1 - worker.admitted if worker else 0.0, {}
-        mix = self.manager.planner.mix
-        for k in sorted(range(len(self.operations)), key=lambda k: (self.operations[k]["billed_value"], k)):
-            part = mix.get(self.operations[k]["name"], 0.0) / (sum(mix.values()) or 1.0)
-            levels[k] = round(max(1 - shut / part, FLOOR) if part else 1.0, 1)
-            shut = max(shut - part * (1 - levels[k]), 0.0)
-        return [(levels[k], retry) for k in range(len(self.operations))]
+        operations = self.manager.facts.get("operations", [])
+        return [(round(worker.admitted[k], 3) if worker else 1.0, retry) for k in range(len(operations))]
 
     def standing(self):
         """The rules of all slices where the proxies' usual way differs."""
