Let levels back by a fifth each cycle

Cause: after a jam a level came back by a factor from a tenth and left the worker idle for a dozen seconds.

--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -39,7 +39,7 @@
 RELAXED = (0.4, 0.05)  # below both, more is let in again; the gap keeps levels from swinging
 CUT = (0.25, 0.9)    # least and most that a level keeps at one cut; between, by share answered and time
 FLOOR = 0.1          # level below which the next operation is cut; a little shows how things stand
-RAISE = 1.2          # factor by which a level comes back each cycle; slower than it was cut
+RAISE = 0.2          # part of an operation let in again each cycle; five cycles from nothing to all
 LAG = 3.0            # s before a cut shows in reports: order, answer and report, each about one
 LAPSE = 10.0         # s after which an unanswered message no longer waits; a slow channel is done by then
 PATIENCE = 4.0       # s without an answer before a list is asked for again; calls time out sooner
@@ -159,7 +159,7 @@
         elif time < RELAXED[0] and bad < RELAXED[1]:
             shut = next((k for k in reversed(by_value) if self.admitted[k] < 1), None)
             if shut is not None:
-                self.admitted[shut] = min(self.admitted[shut] * RAISE, 1.0)
+                self.admitted[shut] = min(self.admitted[shut] + RAISE, 1.0)
             else:
                 self.cut = False
         if (self.cut, self.admitted) != before:
