--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -26,7 +26,7 @@
 STALE = 3            # cycles without a report after which the last one no longer counts
 QUEUED = 0.1         # busy workers that one waiting invocation stands for; ten waiting are a full worker more
 STANDBY = 0.01       # weight of a slice's second line; enough to retry at, too little to be a move
-OVERFLOW = 0.4       # weight of a second line while the first worker is strained and the second is not
+OVERFLOW = 1.0       # weight of a second line while the first worker is strained and the second is not
 COLD_PART = 0.6      # part of a cold worker's capacity used; the rest is for lost key caches, wrong weights
 FAILING = 0.5        # share of unanswered tries at which a worker is doubted; noise stays far below
 FEW = 4              # tries, fewer say nothing
@@ -214,7 +214,8 @@
     def changes(self):
         """Orders that bring the store's table to the wanted one; new lines before old ones go."""
         main, standby = self.main, self.standby
-        spare = main and standby and main.cut and not standby.cut and standby.usable and standby.ramp() >= 1.0
+        spare = (main and standby and self.manager.facts.get("pick") == "pair" and main.cut and not standby.cut
+                 and standby.usable and standby.ramp() >= 1.0)
         second = OVERFLOW if spare else STANDBY
         wanted = {w: part for w, part in ((standby, second), (main, 1.0)) if w is not None}
         orders = [door.SetLine(self.number, w.name, part) for w, part in wanted.items()
