Use all of the capacity that a cold worker surely has

Cause: on a rolling deploy successors stood at a fifth of their load while the last warm workers drowned.

--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -27,7 +27,7 @@
 QUEUED = 0.1         # busy workers that one waiting invocation stands for; ten waiting are a full worker more
 STANDBY = 0.01       # weight of a slice's second line; enough to retry at, too little to be a move
 OVERFLOW = 0.4       # weight of a second line while the first worker is strained and the second is not
-COLD_PART = 0.6      # part of a cold worker's capacity used; the rest is for lost key caches, wrong weights
+COLD_PART = 1.0      # part of a cold worker's sure capacity used; the rules' multiple covers wrong guesses
 FAILING = 0.5        # share of unanswered tries at which a worker is doubted; noise stays far below
 FEW = 4              # tries, fewer say nothing
 MOST_DOUBTED = 0.45  # share of open workers that may be doubted; more is a fault of the view
@@ -154,7 +154,7 @@
             low = next((k for k in by_value if self.admitted[k] > FLOOR), None)
             self.again_at = self.manager.now + (LAG if self.cut else 0.0)
             if self.cut and low is not None:
-                kept = CUT[1] * (1 - bad) / max(time, 1.0)  # a long queue must drain before it helps to let in
+                kept = CUT[1] * (1 - bad) / max(time, 1.0)  # a long queue must drain first
                 self.admitted[low] = max(self.admitted[low] * max(CUT[0], kept), FLOOR)
             self.cut = True
         elif time < RELAXED[0] and bad < RELAXED[1]:
@@ -214,8 +214,8 @@
     def changes(self):
         """Orders that bring the store's table to the wanted one; new lines before old ones go."""
         main, standby = self.main, self.standby
-        spare = (main and standby and self.manager.facts.get("pick") == "pair" and main.cut and not standby.cut
-                 and standby.usable and standby.ramp() >= 1.0)
+        spare = main and main.cut and standby and standby.usable and not standby.cut and standby.ramp() >= 1.0
+        spare = spare and self.manager.facts.get("pick") == "pair"  # elsewhere a fixed part goes, at a price
         second = OVERFLOW if spare else STANDBY
         wanted = {w: part for w, part in ((standby, second), (main, 1.0)) if w is not None}
         orders = [door.SetLine(self.number, w.name, part) for w, part in wanted.items()
