--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -27,7 +27,7 @@
 QUEUED = 0.1         # busy workers that one waiting invocation stands for; ten waiting are a full worker more
 STANDBY = 0.01       # weight of a slice's second line; enough to retry at, too little to be a move
 OVERFLOW = 0.4       # weight of a second line while the first worker is strained and the second is not
-COLD_PART = 0.8      # part of a cold worker's sure capacity used; at all of it a hunted day came to 98% of the rule
+COLD_PART = 1.0      # part of a cold worker's sure capacity used; the rules' multiple covers lost key caches
 FAILING = 0.5        # share of unanswered tries at which a worker is doubted; noise stays far below
 FEW = 4              # tries, fewer say nothing
 MOST_DOUBTED = 0.45  # share of open workers that may be doubted; more is a fault of the view
@@ -269,7 +269,7 @@
     def __init__(self, manager):
         super().__init__(manager)
         self.held, self.loads, self.own, self.moves, self.last_taken = {}, {}, {}, deque(), {}
-        self.total, self.weights = 0.0, 1.0
+        self.total, self.weights, self.common = 0.0, 1.0, 0.0  # heat, weight, and the usual load level
 
     def cycle(self):
         """On each report: books, then health, then the rule."""
@@ -277,10 +277,10 @@
         for piece in manager.ours():
             piece.cycle()
         self.judge()
-        common = usual(w.level() for w in manager.workers.values() if w.levels and w.usable)
+        self.common = usual(w.level() for w in manager.workers.values() if w.levels and w.usable)
         others = 1 - 1 / max(manager.facts.get("managers", 1), 1)
         for worker in manager.workers.values():
-            worker.cycle(common * others * worker.ramp())
+            worker.cycle(self.common * others * worker.ramp())
         self.books()
         self.rule()
 
@@ -318,8 +318,10 @@
                 and self.own.get(worker, 0.0) + heat <= self.budget(worker))
 
     def budget(self, worker):
+        """A cold worker's part; under overload the stand-in capacity promises more than a worker can do."""
         managers = max(self.manager.facts.get("managers", 1), 1)
-        return worker.ramp() * self.capacity(worker) * COLD_PART / managers
+        promised = min(max(self.common, WORKING_POINT), 1.0) / WORKING_POINT
+        return worker.ramp() * self.capacity(worker) / promised * COLD_PART / managers
 
     def rank(self, worker):
         return self.loads.get(worker, 0.0) / worker.weight
