Doubt only a worker whose answers were quick until they stopped

Cause: overloaded workers were taken for broken and emptied, and the next ones tipped over. Should also hold against heavy operations, hot keys and slowed workers; harms where a worker breaks while overloaded.

--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -137,17 +137,21 @@
             self.levels.append(expected)
         self.feel()
         if self.met:
-            self.times.append(sum(t * n for t, n in self.met) / sum(n for _, n in self.met))
+            self.times.append(self.answer_time())
         self.latest, self.met = [], []
         self.outcomes = [part / 2 for part in self.outcomes]
 
+    def answer_time(self):
+        """The mean time of the latest answers."""
+        if self.met:
+            return sum(t * n for t, n in self.met) / sum(n for _, n in self.met)
+        return self.times[-1] if self.times else 0.0
+
     def feel(self):
         """Overload, whatever its cause: further tries are cut first, then levels, by billed value."""
-        operations = self.manager.facts.get("operations", [])
-        objective = min((o["latency_objective"] for o in operations), default=1.0)
-        tries, good = sum(self.outcomes), sum(n for _, n in self.met)
+        operations, tries = self.manager.facts.get("operations", []), sum(self.outcomes)
         bad = self.outcomes[1] / tries if tries >= FEW else 0.0
-        time = sum(t * n for t, n in self.met) / good / objective if good and tries >= FEW else 0.0
+        time = self.answer_time() / self.manager.objective if self.met and tries >= FEW else 0.0
         by_value = sorted(range(len(operations)), key=lambda k: (operations[k]["billed_value"], k))
         before = (self.cut, list(self.admitted))
         if (time > STRAINED[0] or bad > STRAINED[1]) and self.manager.now >= self.again_at:
@@ -383,13 +387,17 @@
             self.held[top] = 0  # the next move from it needs three reports that have seen this one
 
     def judge(self):
-        """Doubt a worker by its symptom, tries unanswered, whatever the cause; never most of the fleet."""
+        """Doubt a worker by its symptom, tries unanswered, whatever the cause; never most of the fleet.
+
+        One whose answers were slow already is overloaded, not broken: emptying it pushes the next one over.
+        So a worker that breaks while it is overloaded keeps its slices until the list drops it."""
         open_workers = [w for w in self.manager.workers.values() if w.state == door.READY]
         room = MOST_DOUBTED * len(open_workers) - sum(not w.usable for w in open_workers)
         share = {w: w.outcomes[1] / sum(w.outcomes) for w in open_workers if sum(w.outcomes) >= FEW}
         common, level = usual(share.values()), usual(w.level() for w in open_workers)
         bad = [(part, w.name, w) for w, part in share.items() if w.usable and part >= FAILING + common
-               and not (w.latest and max(w.latest) > SATURATED * level)]
+               and not (w.latest and max(w.latest) > SATURATED * level)
+               and w.answer_time() < STRAINED[0] * self.manager.objective]
         if len(bad) > room:
             return
         for part, _, worker in sorted(bad, key=lambda b: b[:2], reverse=True):
@@ -526,6 +534,7 @@
         self.roster, self.planner = Roster(self), Planner(self)
         self.publisher, self.gate = Publisher(self), Gate(self)
         self.turn_at, self.cycle_at = None, LONG_AGO
+        self.objective = min((o["latency_objective"] for o in facts.get("operations", [])), default=1.0)
 
     def chance(self):
         """A number from 0 up to 1, from the seed and a counter."""
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -138,6 +138,15 @@
     assert all(level == 1.0 for level, _ in ledger.rules.values())
 
 
+def test_a_worker_whose_answers_were_slow_already_is_not_doubted():
+    ledger = Ledger()
+    ledger.seconds(4)
+    slow = {"w2": {"tries": 20, "unanswered": 5, "mean_time": 1.5}}
+    ledger.seconds(2, heard=slow)
+    ledger.seconds(4, heard={"w2": {"tries": 20, "unanswered": 18, "mean_time": 1.8, "load": {}}})
+    assert ledger.manager.workers["w2"].usable
+
+
 def test_retry_orders_never_repeat_what_may_take_effect_twice():
     ledger = Ledger()
     ledger.seconds(2)
