--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -38,10 +38,10 @@
 SATURATED = 1.3      # times the usual load level; above it unanswered tries are overload, not failure
 STRAINED = (0.35, 0.1)  # answer time over objective, unanswered share: above either, less is let in
 RELAXED = (0.25, 0.05)  # below both, more is let in again; the gap keeps levels from swinging
-CUT = (0.1, 0.9)     # least and most that a level keeps at one cut; between, by share answered and time
+CUT = (0.6, 0.95)   # least and most that a level keeps at one cut; between, by share answered and time
 FLOOR = 0.1          # level below which the next operation is cut; a little shows how things stand
 RAISE = 0.2          # part of an operation let in again each cycle; five cycles from nothing to all
-LAG = 3.0            # s before a cut shows in reports: order, answer and report, each about one
+LAG = 2.0            # s before a cut shows in reports: order, answer and report, each about one
 LAPSE = 10.0         # s after which an unanswered message no longer waits; a slow channel is done by then
 PATIENCE = 4.0       # s without an answer before a list is asked for again; calls time out sooner
 LONG_AGO = -1e9      # s, a start before any clock
@@ -158,7 +158,7 @@
             low = next((k for k in by_value if self.admitted[k] > FLOOR), None)
             self.again_at = self.manager.now + (LAG if self.cut else 0.0)
             if self.cut and low is not None:
-                kept = CUT[1] * (1 - bad) / max(time, 1.0) ** 2  # a long queue must drain first
+                kept = CUT[1] * (1 - bad) / max(time, 1.0)  # a long queue must drain first
                 self.admitted[low] = max(self.admitted[low] * max(CUT[0], kept), FLOOR)
             self.cut = True
         elif time < RELAXED[0] and bad < RELAXED[1]:
