--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -15,8 +15,8 @@
 # --- constants: unit, and why this size -------------------------------------------------------------------
 REPORTS = 5          # reports averaged; the design page
 HELD = 3             # reports in a row that both tests must hold; the design page
-LIMIT = 0.75         # share of capacity, the middle of the paper's 0.70-0.80
-BOUND = 1.4          # top load over bottom load, the middle of the paper's 1.3-1.5
+LIMIT = 0.80         # share of capacity, the top of the paper's 0.70-0.80: moves cost key caches
+BOUND = 1.5          # top load over bottom load, the top of the paper's 1.3-1.5, for the same reason
 WORKING_POINT = 0.65  # share of capacity at which the paper's servers answer best; capacity is load over this
 SLOW = 1.5           # times the median answer time, "half again slower"; the design page
 TREND = (0.5, 2.0)   # bounds of the trend factor; the design page
@@ -38,10 +38,10 @@
 SATURATED = 1.3      # times the usual load level; above it unanswered tries are overload, not failure
 STRAINED = (0.35, 0.1)  # answer time over objective, unanswered share: above either, less is let in
 RELAXED = (0.25, 0.05)  # below both, more is let in again; the gap keeps levels from swinging
-CUT = (0.6, 0.95)   # least and most that a level keeps at one cut; between, by share answered and time
+CUT = (0.25, 0.9)    # least and most that a level keeps at one cut; between, by share answered and time
 FLOOR = 0.1          # level below which the next operation is cut; a little shows how things stand
 RAISE = 0.2          # part of an operation let in again each cycle; five cycles from nothing to all
-LAG = 2.0            # s before a cut shows in reports: order, answer and report, each about one
+LAG = 3.0            # s before a cut shows in reports: order, answer and report, each about one
 LAPSE = 10.0         # s after which an unanswered message no longer waits; a slow channel is done by then
 PATIENCE = 4.0       # s without an answer before a list is asked for again; calls time out sooner
 LONG_AGO = -1e9      # s, a start before any clock
