--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -15,8 +15,8 @@
 # --- constants: unit, and why this size -------------------------------------------------------------------
 REPORTS = 5          # reports averaged; the design page
 HELD = 3             # reports in a row that both tests must hold; the design page
-LIMIT = 0.80         # share of capacity, the top of the paper's 0.70-0.80: moves cost key caches
-BOUND = 1.5          # top load over bottom load, the top of the paper's 1.3-1.5, for the same reason
+LIMIT = 0.75         # share of capacity, the middle of the paper's 0.70-0.80
+BOUND = 1.4          # top load over bottom load, the middle of the paper's 1.3-1.5
 WORKING_POINT = 0.65  # share of capacity at which the paper's servers answer best; capacity is load over this
 SLOW = 1.5           # times the median answer time, "half again slower"; the design page
 TREND = (0.5, 2.0)   # bounds of the trend factor; the design page
@@ -35,6 +35,7 @@
 LONGEST_DOUBT = 24.0  # s, so that a recovered worker is not lost for the day
 WAITING_PART = 0.6   # part used of the lines that may wait; the rest is for what answers do not tell
 MESSAGES_PART = 0.8  # part of the messages allowed which is used; the rest is for what still travels
+JAMMED = 3.0         # times the usual load level, the most that a report counts
 SATURATED = 1.3      # times the usual load level; above it unanswered tries are overload, not failure
 STRAINED = (0.35, 0.1)  # answer time over objective, unanswered share: above either, less is let in
 RELAXED = (0.25, 0.05)  # below both, more is let in again; the gap keeps levels from swinging
@@ -128,11 +129,12 @@
         self.outcomes = [0.0, 0.0]
         self.manager.log(f"worker {self.name} out of use for {hold:.0f} s: {why}")
 
-    def cycle(self, expected):
+    def cycle(self, usual_level, expected):
         """Close this cycle's report; a worker that few try is assumed to carry what is expected of it."""
         self.silent = 0 if self.latest else self.silent + 1
-        if self.latest:
-            self.levels.append(sum(self.latest) / len(self.latest))
+        if self.latest:  # a jammed worker's queue must not make all others look idle
+            level = sum(self.latest) / len(self.latest)
+            self.levels.append(min(level, JAMMED * usual_level) if usual_level else level)
         elif self.silent >= STALE:
             self.levels.append(expected)
         self.feel()
@@ -284,7 +286,7 @@
         self.common = usual(w.level() for w in manager.workers.values() if w.levels and w.usable)
         others = 1 - 1 / max(manager.facts.get("managers", 1), 1)
         for worker in manager.workers.values():
-            worker.cycle(self.common * others * worker.ramp())
+            worker.cycle(self.common, self.common * others * worker.ramp())
         self.books()
         self.rule()
 
