--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -283,7 +283,7 @@
         for piece in manager.ours():
             piece.cycle()
         self.judge()
-        self.common = usual(w.level() for w in manager.workers.values() if w.levels and w.usable)
+        self.common = usual(sum(w.latest) / len(w.latest) for w in manager.workers.values() if w.latest)
         others = 1 - 1 / max(manager.facts.get("managers", 1), 1)
         for worker in manager.workers.values():
             worker.cycle(self.common, self.common * others * worker.ramp())
