--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -35,7 +35,7 @@
 LONGEST_DOUBT = 24.0  # s, so that a recovered worker is not lost for the day
 WAITING_PART = 0.6   # part used of the lines that may wait; the rest is for what answers do not tell
 MESSAGES_PART = 0.8  # part of the messages allowed which is used; the rest is for what still travels
-JAMMED = 1.5         # times the usual load level, the most that a report counts
+JAMMED = 2.0         # times the usual load level, the most that a report counts
 SATURATED = 1.3      # times the usual load level; above it unanswered tries are overload, not failure
 STRAINED = (0.35, 0.1)  # answer time over objective, unanswered share: above either, less is let in
 RELAXED = (0.25, 0.05)  # below both, more is let in again; the gap keeps levels from swinging
@@ -516,13 +516,19 @@
 
     def rules(self, worker=None):
         """Level and further tries of each operation; what may take effect twice is never repeated."""
-        retry = door.NO_RETRY if worker and worker.cut else door.RETRY_UNSTARTED
-        operations = self.manager.facts.get("operations", [])
-        return [(round(worker.admitted[k], 3) if worker else 1.0, retry) for k in range(len(operations))]
+        in_time = self.manager.facts.get("retry_wait", 1.0) < 1  # a further try can still meet the objective
+        rules = []
+        for k, operation in enumerate(self.manager.facts.get("operations", [])):
+            again = in_time and operation["kind"] == door.IDEMPOTENT
+            retry = door.RETRY_ONCE if again else door.RETRY_UNSTARTED
+            rules.append((round(worker.admitted[k], 3) if worker else 1.0,
+                          door.NO_RETRY if worker and worker.cut else retry))
+        return rules
 
     def standing(self):
         """The rules of all slices where the proxies' usual way differs."""
-        if self.manager.facts.get("usual_retry") == door.RETRY_UNSTARTED:
+        usual = self.manager.facts.get("usual_retry")
+        if all(retry == usual for _, retry in self.rules()):
             return []
         return [door.Admit(door.ALL_SLICES, (k,), *rule) for k, rule in enumerate(self.rules())]
 
