--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -516,19 +516,13 @@
 
     def rules(self, worker=None):
         """Level and further tries of each operation; what may take effect twice is never repeated."""
-        in_time = self.manager.facts.get("retry_wait", 1.0) < 1  # a further try can still meet the objective
-        rules = []
-        for k, operation in enumerate(self.manager.facts.get("operations", [])):
-            again = in_time and operation["kind"] == door.IDEMPOTENT
-            retry = door.RETRY_ONCE if again else door.RETRY_UNSTARTED
-            rules.append((round(worker.admitted[k], 3) if worker else 1.0,
-                          door.NO_RETRY if worker and worker.cut else retry))
-        return rules
+        retry = door.NO_RETRY if worker and worker.cut else door.RETRY_UNSTARTED
+        operations = self.manager.facts.get("operations", [])
+        return [(round(worker.admitted[k], 3) if worker else 1.0, retry) for k in range(len(operations))]
 
     def standing(self):
         """The rules of all slices where the proxies' usual way differs."""
-        usual = self.manager.facts.get("usual_retry")
-        if all(retry == usual for _, retry in self.rules()):
+        if self.manager.facts.get("usual_retry") == door.RETRY_UNSTARTED:
             return []
         return [door.Admit(door.ALL_SLICES, (k,), *rule) for k, rule in enumerate(self.rules())]
 
