--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -43,7 +43,6 @@
 FLOOR = 0.1          # level below which the next operation is cut; a little shows how things stand
 RAISE = 0.2          # part of an operation let in again each cycle; five cycles from nothing to all
 LAG = 3.0            # s before a cut shows in reports: order, answer and report, each about one
-RETURN = 30.0        # s after a start or a doubt in which a worker is filled; twice the longest warming seen
 LAPSE = 10.0         # s after which an unanswered message no longer waits; a slow channel is done by then
 PATIENCE = 4.0       # s without an answer before a list is asked for again; calls time out sooner
 LONG_AGO = -1e9      # s, a start before any clock
@@ -290,7 +289,6 @@
             worker.cycle(self.common, self.common * others * worker.ramp())
         self.books()
         self.rule()
-        self.refill()
 
     def books(self):
         """Loads in heat: reported levels scaled to add up to the heat of all slices, moves included."""
@@ -390,27 +388,6 @@
             self.move(piece, target, False)
             self.held[top] = 0  # the next move from it needs three reports that have seen this one
 
-    def refill(self):
-        """A worker that is back takes a slice a cycle from the most loaded, while that one is over or strained.
-
-        Guards against a returned worker that stands idle while others drown: smallest slices, one every third
-        report, fill it too slowly. It acts for a while after a start or a doubt; it can cost key caches."""
-        ranked = sorted((w for w in self.manager.workers.values() if w.usable), key=lambda w: (self.rank(w), w.name))
-        for worker in ranked:
-            if self.manager.now - worker.trusted > RETURN:
-                continue
-            held = {}
-            for piece in self.manager.ours():
-                held.setdefault(piece.main, []).append(piece)
-            top = next((w for w in reversed(ranked) if w in held and self.rank(w) > BOUND * self.rank(worker) and (
-                w.cut or self.loads[w] > LIMIT * self.capacity(w))), None)
-            gap = (self.rank(top) - self.rank(worker)) / 2 * worker.weight if top else 0.0
-            able = [p for p in held.get(top, ()) if p.estimate() <= gap and self.has_room(worker, p.estimate())]
-            if able:
-                piece = max(able, key=lambda p: (p.estimate(), -p.number))
-                self.manager.log(f"slice {piece.number} from {top.name} (over) to {worker.name} (back)")
-                self.move(piece, worker, True)
-
     def judge(self):
         """Doubt a worker by its symptom, tries unanswered, whatever the cause; never most of the fleet.
 
