Let in less before urgent slices take a worker past what it can do

Cause: on a release or a mass death the last warm workers take a dozen slices at once and tip over two seconds before any report shows it.

--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -43,6 +43,7 @@
 FLOOR = 0.1          # level below which the next operation is cut; a little shows how things stand
 RAISE = 0.2          # part of an operation let in again each cycle; five cycles from nothing to all
 LAG = 3.0            # s before a cut shows in reports: order, answer and report, each about one
+BRACE = 1.0          # expected busyness above which a worker that takes urgent slices lets in less
 LAPSE = 10.0         # s after which an unanswered message no longer waits; a slow channel is done by then
 PATIENCE = 4.0       # s without an answer before a list is asked for again; calls time out sooner
 LONG_AGO = -1e9      # s, a start before any clock
@@ -163,7 +164,7 @@
                 kept = CUT[1] * (1 - bad) / max(time, 1.0)  # a long queue must drain first
                 self.admitted[low] = max(self.admitted[low] * max(CUT[0], kept), FLOOR)
             self.cut = True
-        elif time < RELAXED[0] and bad < RELAXED[1]:
+        elif time < RELAXED[0] and bad < RELAXED[1] and self.manager.now >= self.again_at:
             shut = next((k for k in reversed(by_value) if self.admitted[k] < 1), None)
             if shut is not None:
                 self.admitted[shut] = min(self.admitted[shut] + RAISE, 1.0)
@@ -174,6 +175,16 @@
                 if piece.main is self:
                     self.manager.publisher.tell("changed", piece, True)
 
+    def brace(self, expected):
+        """Urgent slices will take it past what it can do: let in less before its queue grows."""
+        by_value = sorted(range(len(self.admitted)), key=lambda k: self.manager.facts["operations"][k]["billed_value"])
+        if expected > BRACE and by_value:
+            self.admitted[by_value[0]] = max(min(self.admitted[by_value[0]], BRACE / expected), FLOOR)
+            self.cut, self.again_at = True, self.manager.now + LAG
+            for piece in self.manager.ours():
+                if piece.main is self:
+                    self.manager.publisher.tell("changed", piece, True)
+
     def level(self):
         return sum(self.levels) / len(self.levels) if self.levels else 0.0
 
@@ -275,7 +286,7 @@
     def __init__(self, manager):
         super().__init__(manager)
         self.held, self.loads, self.own, self.moves, self.last_taken = {}, {}, {}, deque(), {}
-        self.total, self.weights, self.common = 0.0, 1.0, 0.0  # heat, weight, and the usual load level
+        self.total, self.weights, self.common, self.scale = 0.0, 1.0, 0.0, 0.0  # heat, weight, and the usual load level
 
     def cycle(self):
         """On each report: books, then health, then the rule."""
@@ -301,8 +312,8 @@
         heat = sum(piece.estimate() for piece in pieces)
         self.total = heat * max(manager.facts.get("slices", 0), len(pieces)) / max(len(pieces), 1)
         self.weights = sum(w.weight for w in open_workers) or 1.0
-        scale = self.total / (sum(w.level() * w.weight for w in open_workers) or 1.0)
-        self.loads = {w: scale * w.weight * w.level() for w in manager.workers.values()}
+        self.scale = self.total / (sum(w.level() * w.weight for w in open_workers) or 1.0)
+        self.loads = {w: self.scale * w.weight * w.level() for w in manager.workers.values()}
         while self.moves and self.moves[0][0] < manager.now - UNSEEN - REPORTS:
             self.moves.popleft()
         for at, source, target, moved in self.moves:
@@ -352,6 +363,8 @@
         self.loads[target] = self.loads.get(target, 0.0) + heat
         self.moves.append((self.manager.now, piece.main, target, heat))
         self.last_taken[target] = self.manager.now
+        if urgent and "busy" in self.manager.facts.get("load_fields", ()):
+            target.tell("brace", self.loads[target] / (self.scale * target.weight or 1.0))
         standby = piece.standby
         if standby is None or standby is target or not standby.usable:
             standby = self.second(piece, target)
