--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -85,6 +85,7 @@
         self.outcomes = [0.0, 0.0]  # answered, unanswered; halved every cycle
         self.latest, self.met, self.silent = [], [], STALE
         self.cut, self.again_at = False, LONG_AGO  # further tries are cut; when a level may be cut again
+        self.braced_until = LONG_AGO
         self.admitted = [1.0] * len(self.manager.facts.get("operations", []))
 
     @property
@@ -164,7 +165,7 @@
                 kept = CUT[1] * (1 - bad) / max(time, 1.0)  # a long queue must drain first
                 self.admitted[low] = max(self.admitted[low] * max(CUT[0], kept), FLOOR)
             self.cut = True
-        elif time < RELAXED[0] and bad < RELAXED[1] and self.manager.now >= self.again_at:
+        elif time < RELAXED[0] and bad < RELAXED[1] and self.manager.now >= self.braced_until:
             shut = next((k for k in reversed(by_value) if self.admitted[k] < 1), None)
             if shut is not None:
                 self.admitted[shut] = min(self.admitted[shut] + RAISE, 1.0)
@@ -181,6 +182,7 @@
         if expected > BRACE and by_value:
             self.admitted[by_value[0]] = max(min(self.admitted[by_value[0]], BRACE / expected), FLOOR)
             self.cut, self.again_at = True, self.manager.now + LAG
+            self.braced_until = self.again_at
             for piece in self.manager.ours():
                 if piece.main is self:
                     self.manager.publisher.tell("changed", piece, True)
