--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -43,7 +43,7 @@
 FLOOR = 0.1          # level below which the next operation is cut; a little shows how things stand
 RAISE = 0.2          # part of an operation let in again each cycle; five cycles from nothing to all
 LAG = 3.0            # s before a cut shows in reports: order, answer and report, each about one
-BRACE = 1.0          # expected busyness above which a worker that takes urgent slices lets in less
+BRACE = 1.0          # load over what it surely can do, above which one that takes urgent slices lets in less
 LAPSE = 10.0         # s after which an unanswered message no longer waits; a slow channel is done by then
 PATIENCE = 4.0       # s without an answer before a list is asked for again; calls time out sooner
 LONG_AGO = -1e9      # s, a start before any clock
@@ -288,7 +288,7 @@
     def __init__(self, manager):
         super().__init__(manager)
         self.held, self.loads, self.own, self.moves, self.last_taken = {}, {}, {}, deque(), {}
-        self.total, self.weights, self.common, self.scale = 0.0, 1.0, 0.0, 0.0  # heat, weight, and the usual load level
+        self.total, self.weights, self.common = 0.0, 1.0, 0.0  # heat, weight, and the usual load level
 
     def cycle(self):
         """On each report: books, then health, then the rule."""
@@ -314,8 +314,8 @@
         heat = sum(piece.estimate() for piece in pieces)
         self.total = heat * max(manager.facts.get("slices", 0), len(pieces)) / max(len(pieces), 1)
         self.weights = sum(w.weight for w in open_workers) or 1.0
-        self.scale = self.total / (sum(w.level() * w.weight for w in open_workers) or 1.0)
-        self.loads = {w: self.scale * w.weight * w.level() for w in manager.workers.values()}
+        scale = self.total / (sum(w.level() * w.weight for w in open_workers) or 1.0)
+        self.loads = {w: scale * w.weight * w.level() for w in manager.workers.values()}
         while self.moves and self.moves[0][0] < manager.now - UNSEEN - REPORTS:
             self.moves.popleft()
         for at, source, target, moved in self.moves:
@@ -336,11 +336,13 @@
         return (self.last_taken.get(worker, LONG_AGO) <= self.manager.now - 0.9 * cycle
                 and self.own.get(worker, 0.0) + heat <= self.budget(worker))
 
-    def budget(self, worker):
-        """A cold worker's part; under overload the stand-in capacity promises more than a worker can do."""
-        managers = max(self.manager.facts.get("managers", 1), 1)
+    def sure(self, worker):
+        """What a worker surely can do now; near full load the stand-in capacity promises more than that."""
         promised = min(max(self.common, WORKING_POINT), 1.0) / WORKING_POINT
-        return worker.ramp() * self.capacity(worker) / promised * COLD_PART / managers
+        return worker.ramp() * self.capacity(worker) / promised
+
+    def budget(self, worker):
+        return self.sure(worker) * COLD_PART / max(self.manager.facts.get("managers", 1), 1)
 
     def rank(self, worker):
         return self.loads.get(worker, 0.0) / worker.weight
@@ -365,8 +367,8 @@
         self.loads[target] = self.loads.get(target, 0.0) + heat
         self.moves.append((self.manager.now, piece.main, target, heat))
         self.last_taken[target] = self.manager.now
-        if urgent and "busy" in self.manager.facts.get("load_fields", ()):
-            target.tell("brace", self.loads[target] / (self.scale * target.weight or 1.0))
+        if urgent:
+            target.tell("brace", self.loads[target] / (self.sure(target) or 1.0))
         standby = piece.standby
         if standby is None or standby is target or not standby.usable:
             standby = self.second(piece, target)
