--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -153,10 +153,10 @@
 
     def feel(self):
         """Overload, whatever its cause: further tries are cut first, then levels, by billed value."""
-        operations, tries = self.manager.facts.get("operations", []), sum(self.outcomes)
+        tries = sum(self.outcomes)
         bad = self.outcomes[1] / tries if tries >= FEW else 0.0
         time = self.answer_time() / self.manager.objective if self.met and tries >= FEW else 0.0
-        by_value = sorted(range(len(operations)), key=lambda k: (operations[k]["billed_value"], k))
+        by_value = sorted(range(len(self.admitted)), key=self.manager.value_of)
         before = (self.cut, list(self.admitted))
         if (time > STRAINED[0] or bad > STRAINED[1]) and self.manager.now >= self.again_at:
             low = next((k for k in by_value if self.admitted[k] > FLOOR), None)
@@ -178,9 +178,9 @@
 
     def brace(self, expected):
         """Urgent slices will take it past what it can do: let in less before its queue grows."""
-        by_value = sorted(range(len(self.admitted)), key=lambda k: self.manager.facts["operations"][k]["billed_value"])
-        if expected > BRACE and by_value:
-            self.admitted[by_value[0]] = max(min(self.admitted[by_value[0]], BRACE / expected), FLOOR)
+        least = min(range(len(self.admitted)), key=self.manager.value_of, default=None)
+        if expected > BRACE and least is not None:
+            self.admitted[least] = max(min(self.admitted[least], BRACE / expected), FLOOR)
             self.cut, self.again_at = True, self.manager.now + LAG
             self.braced_until = self.again_at
             for piece in self.manager.ours():
@@ -338,7 +338,7 @@
 
     def sure(self, worker):
         """What a worker surely can do now; near full load the stand-in capacity promises more than that."""
-        promised = min(max(self.common, WORKING_POINT), 1.0) / WORKING_POINT
+        promised = min(max(self.common, WORKING_POINT), JAMMED) / WORKING_POINT
         return worker.ramp() * self.capacity(worker) / promised
 
     def budget(self, worker):
@@ -560,6 +560,9 @@
         self.counter += 1
         return zlib.crc32(f"{self.seed}:{self.counter}".encode()) / 2 ** 32
 
+    def value_of(self, k):
+        return self.facts["operations"][k]["billed_value"], k
+
     def log(self, text):
         self.orders.append(door.Log(text))
 
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -193,3 +193,17 @@
         door.LineHeld(1, "w1", -1.0), door.WorkerHeard("w1", "a", 3, 1, 0.1, 1.0, {"busy": math.inf}))
     assert not [o for o in orders if isinstance(o, door.SetLine | door.Admit)]
     assert [list(s.estimates) for s in ledger.manager.slices.values()] == state
+
+
+def test_urgent_slices_past_what_a_worker_can_do_cut_its_level_ahead():
+    ledger = Ledger(workers=3)
+    ledger.seconds(6)
+    ledger.step(0.1, ledger.list_of([entry("w1", door.GONE)]))
+    taken = {number for number in ledger.tables if number % 3 == 1}
+    ledger.seconds(1)
+    levels = [ledger.rules.get((number, 0), (1.0,))[0] for number in taken]
+    assert min(levels) == 1.0  # two workers can carry this
+    ledger.step(0.1, ledger.list_of([entry("w2", door.GONE)]))
+    ledger.seconds(1)
+    assert all(ledger.rules[number, 0][0] < 1.0 for number in ledger.on("w0"))  # one cannot
+    ledger.check()
