--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -230,6 +230,10 @@
         self.main, self.standby = main, standby
         self.manager.publisher.tell("changed", self, urgent)
 
+    def closed(self):
+        """Whether the store's table names a worker that drains or is gone."""
+        return any(w.state != door.READY for w in self.stored)
+
     def changes(self):
         """Orders that bring the store's table to the wanted one; new lines before old ones go."""
         main, standby = self.main, self.standby
@@ -242,8 +246,13 @@
         orders += [door.SetLine(self.number, w.name, 0) for w in self.stored if w not in wanted]
         usual = self.manager.gate.rules()
         rules = self.manager.gate.rules(self.main) if self.main else usual
-        orders += [door.Admit(self.number, (k,), *rule) for k, rule in enumerate(rules)
-                   if rule != (self.rules or usual)[k]]
+        changed = [k for k, rule in enumerate(rules) if rule != (self.rules or usual)[k]]
+        if self.closed():
+            rules = self.rules  # a line to a closed worker goes first, levels follow
+        elif len(changed) == len(rules) > 0 and len(set(rules)) == 1:
+            orders.append(door.Admit(self.number, (), *rules[0]))
+        else:
+            orders += [door.Admit(self.number, (k,), *rules[k]) for k in changed]
         return wanted, rules, orders
 
 
@@ -441,7 +450,7 @@
                 second = self.second(piece, main)
                 if second is not standby:
                     piece.tell("go", main, second, False)
-            if any(w.state != door.READY for w in piece.stored):
+            if piece.closed():
                 self.manager.publisher.tell("changed", piece, True)
 
     def trim(self, worker):
@@ -504,7 +513,7 @@
         head = facts.get("message_head", 0) + 1 + len(self.manager.gate.standing())
         room = WAITING_PART * facts.get("most_waiting", math.inf)
         room -= sum(message["lines"] for message in self.sent if message["awaited"])
-        queue = list(self.urgent)
+        queue = sorted(self.urgent, key=lambda piece: not piece.closed())  # drains before all else
         if turn:
             queue += list(self.others)[:math.ceil(len(self.others) / TENTH)]
         orders, lines = list(standing), (head + len(standing)) * proxies
@@ -518,6 +527,8 @@
                 break
             self.urgent.pop(piece, None)
             self.others.pop(piece, None)
+            if piece.closed():
+                self.urgent[piece] = None
             if changes:
                 orders, lines = orders + changes, lines + len(changes) * proxies
                 piece.stored, piece.rules = wanted, rules
