--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -246,13 +246,8 @@
         orders += [door.SetLine(self.number, w.name, 0) for w in self.stored if w not in wanted]
         usual = self.manager.gate.rules()
         rules = self.manager.gate.rules(self.main) if self.main else usual
-        changed = [k for k, rule in enumerate(rules) if rule != (self.rules or usual)[k]]
-        if self.closed():
-            rules = self.rules  # a line to a closed worker goes first, levels follow
-        elif len(changed) == len(rules) > 0 and len(set(rules)) == 1:
-            orders.append(door.Admit(self.number, (), *rules[0]))
-        else:
-            orders += [door.Admit(self.number, (k,), *rules[k]) for k in changed]
+        orders += [door.Admit(self.number, (k,), *rule) for k, rule in enumerate(rules)
+                   if rule != (self.rules or usual)[k]]
         return wanted, rules, orders
 
 
@@ -297,6 +292,7 @@
     def __init__(self, manager):
         super().__init__(manager)
         self.held, self.loads, self.own, self.moves, self.last_taken = {}, {}, {}, deque(), {}
+        self.seconds = {}
         self.total, self.weights, self.common = 0.0, 1.0, 0.0  # heat, weight, and the usual load level
 
     def cycle(self):
@@ -385,13 +381,11 @@
 
     def second(self, piece, main):
         """A warm worker for the slice's second line, of another zone where there is one."""
-        if not STANDBY:
-            return None
-        used = {}
-        for other in self.manager.ours():
-            used[other.standby] = used.get(other.standby, 0) + 1
         able = [w for w in self.manager.workers.values() if w.usable and w is not main and w.ramp() >= 1.0]
-        return min(able, key=lambda w: (w.zone == main.zone, used.get(w, 0) / w.weight, w.name), default=None)
+        second = min(able, default=None, key=lambda w: (
+            w.zone == main.zone, self.seconds.get(w, 0) / w.weight, w.name))
+        self.seconds[second] = self.seconds.get(second, 0) + 1
+        return second
 
     def rule(self):
         """The design: top over its limit, ratio over the bound, both held; smallest slice to the least."""
@@ -436,6 +430,9 @@
 
         A line to a closed worker is urgent however it came there: a drain counts from being told, and a store
         read at a joining or a slice given may bring it back."""
+        self.seconds = {}  # second lines by worker, kept up to date while this hands out more
+        for piece in self.manager.ours():
+            self.seconds[piece.standby] = self.seconds.get(piece.standby, 0) + 1
         for worker in self.manager.workers.values():
             if worker.usable and worker.ramp() < 1.0:
                 self.trim(worker)
@@ -527,8 +524,6 @@
                 break
             self.urgent.pop(piece, None)
             self.others.pop(piece, None)
-            if piece.closed():
-                self.urgent[piece] = None
             if changes:
                 orders, lines = orders + changes, lines + len(changes) * proxies
                 piece.stored, piece.rules = wanted, rules
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -207,3 +207,26 @@
     ledger.seconds(1)
     assert all(ledger.rules[number, 0][0] < 1.0 for number in ledger.on("w0"))  # one cannot
     ledger.check()
+
+
+def test_second_lines_are_spread_over_the_workers():
+    ledger = Ledger(workers=4, slices=24, messages_allowed=0, most_waiting=20000)
+    ledger.seconds(20)
+    seconds = [min(table, key=table.get) for table in ledger.tables.values()]
+    assert all(seconds.count(f"w{k}") == 6 for k in range(4))
+    ledger.step(0.1, ledger.list_of([entry("w3", door.GONE)]))  # many are given out again at one time
+    ledger.seconds(8)
+    seconds = [min(table, key=table.get) for table in ledger.tables.values()]
+    assert max(seconds.count(f"w{k}") for k in range(3)) <= 12
+
+
+def test_lines_to_closed_workers_go_before_levels():
+    ledger = Ledger(workers=3, slices=30, most_waiting=1200, messages_allowed=0)
+    ledger.seconds(12)
+    named = {n for n, table in ledger.tables.items() if "w1" in table}
+    for piece in ledger.manager.slices.values():  # levels of all slices wait to go out
+        piece.rules = [(0.5, door.NO_RETRY)] * 3
+        ledger.manager.publisher.changed(piece, True)
+    orders = ledger.step(0.05, ledger.list_of([entry("w1", door.GONE)]))
+    sent = {o.table for o in orders if isinstance(o, door.SetLine | door.Admit)}
+    assert sent and sent <= named and len(sent) < 30
