--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -83,6 +83,7 @@
         """What was measured of an earlier process says nothing of this one."""
         self.levels, self.times = deque(maxlen=REPORTS), deque(maxlen=REPORTS)
         self.outcomes = [0.0, 0.0]  # answered, unanswered; halved every cycle
+        self.carried = [0.0, 0.0]  # what of them is from earlier cycles
         self.latest, self.met, self.silent = [], [], STALE
         self.cut, self.again_at = False, LONG_AGO  # further tries are cut; when a level may be cut again
         self.braced_until = LONG_AGO
@@ -128,7 +129,7 @@
         hold = min(DOUBT * 2 ** self.doubts, LONGEST_DOUBT)
         self.doubts += 1
         self.doubted_until = self.trusted = self.manager.now + hold
-        self.outcomes = [0.0, 0.0]
+        self.outcomes, self.carried = [0.0, 0.0], [0.0, 0.0]
         self.manager.log(f"worker {self.name} out of use for {hold:.0f} s: {why}")
 
     def cycle(self, usual_level, expected):
@@ -144,6 +145,7 @@
             self.times.append(self.answer_time())
         self.latest, self.met = [], []
         self.outcomes = [part / 2 for part in self.outcomes]
+        self.carried = list(self.outcomes)
 
     def answer_time(self):
         """The mean time of the latest answers."""
@@ -153,8 +155,9 @@
 
     def feel(self):
         """Overload, whatever its cause: further tries are cut first, then levels, by billed value."""
-        tries = sum(self.outcomes)
-        bad = self.outcomes[1] / tries if tries >= FEW else 0.0
+        latest = [now - before for now, before in zip(self.outcomes, self.carried, strict=True)]
+        tries = sum(latest)
+        bad = latest[1] / tries if tries >= FEW else 0.0
         time = self.answer_time() / self.manager.objective if self.met and tries >= FEW else 0.0
         by_value = sorted(range(len(self.admitted)), key=self.manager.value_of)
         before = (self.cut, list(self.admitted))
