Brace for a surge of all heat together where busyness is reported

Cause: invocations doubled everywhere within three seconds and every queue was full before levels fell.

--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -44,6 +44,7 @@
 RAISE = 0.2          # part of an operation let in again each cycle; five cycles from nothing to all
 LAG = 3.0            # s before a cut shows in reports: order, answer and report, each about one
 BRACE = 1.0          # load over what it surely can do, above which one that takes urgent slices lets in less
+SURGE = 1.3          # latest heat over its average; below it growth is noise
 LAPSE = 10.0         # s after which an unanswered message no longer waits; a slow channel is done by then
 PATIENCE = 4.0       # s without an answer before a list is asked for again; calls time out sooner
 LONG_AGO = -1e9      # s, a start before any clock
@@ -309,6 +310,7 @@
         for worker in manager.workers.values():
             worker.cycle(self.common, self.common * others * worker.ramp())
         self.books()
+        self.surge()
         self.rule()
 
     def books(self):
@@ -411,6 +413,16 @@
             self.move(piece, target, False)
             self.held[top] = 0  # the next move from it needs three reports that have seen this one
 
+    def surge(self):
+        """Invocations that jump everywhere leave nowhere to move to: brace before the queues grow.
+
+        Only reports of busyness tell how near full a worker is; without them it does nothing."""
+        pieces = [piece for piece in self.manager.ours() if piece.estimates]
+        growth = sum(p.estimates[-1] for p in pieces) / (sum(p.estimate() for p in pieces) or math.inf)
+        if growth > SURGE and "busy" in self.manager.facts.get("load_fields", ()):
+            for worker in {piece.main: None for piece in pieces if piece.main}:
+                worker.tell("brace", worker.level() * growth)
+
     def judge(self):
         """Doubt a worker by its symptom, tries unanswered, whatever the cause; never most of the fleet.
 
