--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -55,6 +55,11 @@
     return ranked[len(ranked) // 2] if ranked else 0.0
 
 
+def mean(values):
+    """The plain average, 0 of nothing."""
+    return sum(values) / len(values) if values else 0.0
+
+
 def sound(*figures):
     """Whether figures of a report can be used: finite and not negative."""
     return all(isinstance(f, (int, float)) and math.isfinite(f) and f >= 0 for f in figures)
@@ -76,7 +81,7 @@
 
     def __init__(self, manager, name):
         super().__init__(manager)
-        self.name, self.state, self.weight, self.zone, self.pool = name, door.GONE, 1.0, "", 0
+        self.name, self.state, self.weight, self.zone = name, door.GONE, 1.0, ""
         self.started, self.trusted, self.doubted_until, self.doubts = None, LONG_AGO, LONG_AGO, 0
         self.forget()
 
@@ -105,7 +110,7 @@
         if started != (LONG_AGO if self.started is None else self.started):
             self.forget()  # a new process: cold, whatever the old one did
             self.trusted, self.doubted_until, self.doubts = started, LONG_AGO, 0
-        self.started, self.state, self.zone, self.pool = started, entry.state, entry.zone, entry.pool
+        self.started, self.state, self.zone = started, entry.state, entry.zone
         self.weight = entry.weight if sound(entry.weight) and entry.weight > 0 else 1.0
 
     def dropped(self):
@@ -137,8 +142,7 @@
         """Close this cycle's report; a worker that few try is assumed to carry what is expected of it."""
         self.silent = 0 if self.latest else self.silent + 1
         if self.latest:  # a jammed worker's queue must not make all others look idle
-            level = sum(self.latest) / len(self.latest)
-            self.levels.append(min(level, JAMMED * usual_level) if usual_level else level)
+            self.levels.append(min(mean(self.latest), JAMMED * usual_level or math.inf))
         elif self.silent >= STALE:
             self.levels.append(expected)
         self.feel()
@@ -176,9 +180,7 @@
             else:
                 self.cut = False
         if (self.cut, self.admitted) != before:
-            for piece in self.manager.ours():
-                if piece.main is self:
-                    self.manager.publisher.tell("changed", piece, True)
+            self.publish()
 
     def brace(self, expected):
         """Urgent slices will take it past what it can do: let in less before its queue grows."""
@@ -187,15 +189,18 @@
             self.admitted[least] = max(min(self.admitted[least], BRACE / expected), FLOOR)
             self.cut, self.again_at = True, self.manager.now + LAG
             self.braced_until = self.again_at
-            for piece in self.manager.ours():
-                if piece.main is self:
-                    self.manager.publisher.tell("changed", piece, True)
+            self.publish()
+
+    def publish(self):
+        for piece in self.manager.ours():
+            if piece.main is self:
+                self.manager.publisher.tell("changed", piece, True)
 
     def level(self):
-        return sum(self.levels) / len(self.levels) if self.levels else 0.0
+        return mean(self.levels)
 
     def time(self):
-        return sum(self.times) / len(self.times) if self.times else 0.0
+        return mean(self.times)
 
 
 class Slice(Part):
@@ -228,7 +233,7 @@
         self.before = now
 
     def estimate(self):
-        return sum(self.estimates) / len(self.estimates) if self.estimates else 0.0
+        return mean(self.estimates)
 
     def go(self, main, standby, urgent):
         self.main, self.standby = main, standby
@@ -296,8 +301,7 @@
     def __init__(self, manager):
         super().__init__(manager)
         self.held, self.loads, self.own, self.moves, self.last_taken = {}, {}, {}, deque(), {}
-        self.seconds = {}
-        self.total, self.weights, self.common = 0.0, 1.0, 0.0  # heat, weight, and the usual load level
+        self.seconds, self.total, self.weights, self.common = {}, 0.0, 1.0, 0.0
 
     def cycle(self):
         """On each report: books, then health, then the rule."""
@@ -305,8 +309,8 @@
         for piece in manager.ours():
             piece.cycle()
         self.judge()
-        self.common = usual(sum(w.latest) / len(w.latest) for w in manager.workers.values() if w.latest)
-        others = 1 - 1 / max(manager.facts.get("managers", 1), 1)
+        self.common = usual(mean(w.latest) for w in manager.workers.values() if w.latest)
+        others = 1 - 1 / manager.managers
         for worker in manager.workers.values():
             worker.cycle(self.common, self.common * others * worker.ramp())
         self.books()
@@ -316,15 +320,15 @@
     def books(self):
         """Loads in heat: reported levels scaled to add up to the heat of all slices, moves included."""
         manager, pieces = self.manager, self.manager.ours()
-        open_workers = [w for w in manager.workers.values() if w.state == door.READY]
+        ready = manager.ready()
         self.own = dict.fromkeys(manager.workers.values(), 0.0)
         for piece in pieces:
             if piece.main is not None:
                 self.own[piece.main] += piece.estimate()
         heat = sum(piece.estimate() for piece in pieces)
         self.total = heat * max(manager.facts.get("slices", 0), len(pieces)) / max(len(pieces), 1)
-        self.weights = sum(w.weight for w in open_workers) or 1.0
-        scale = self.total / (sum(w.level() * w.weight for w in open_workers) or 1.0)
+        self.weights = sum(w.weight for w in ready) or 1.0
+        scale = self.total / (sum(w.level() * w.weight for w in ready) or 1.0)
         self.loads = {w: scale * w.weight * w.level() for w in manager.workers.values()}
         while self.moves and self.moves[0][0] < manager.now - UNSEEN - REPORTS:
             self.moves.popleft()
@@ -352,19 +356,20 @@
         return worker.ramp() * self.capacity(worker) / promised
 
     def budget(self, worker):
-        return self.sure(worker) * COLD_PART / max(self.manager.facts.get("managers", 1), 1)
+        return self.sure(worker) * COLD_PART / self.manager.managers
 
     def rank(self, worker):
         return self.loads.get(worker, 0.0) / worker.weight
 
     def least_loaded(self, heat, but, must=False):
-        """The least loaded worker that may take this heat; chance breaks ties so that managers differ."""
-        warm = self.manager.now - self.manager.facts.get("warm_after", 0.0)
-        ready = [w for w in self.manager.workers.values() if w.state == door.READY and w is not but]
-        able = ([w for w in ready if w.usable and self.has_room(w, heat)]
-                or must and ([w for w in ready if w.usable and (w.started or LONG_AGO) <= warm]
-                             or [w for w in ready if (w.started or LONG_AGO) <= warm] or ready))
-        return min(able or [], key=lambda w: (self.rank(w) + heat / w.weight, w.name), default=None)
+        """The least loaded worker that may take this heat; where one must, rather a doubted than a cold one."""
+        ready = [w for w in self.manager.ready() if w is not but]
+        able = [w for w in ready if w.usable and self.has_room(w, heat)]
+        if must and not able:
+            warm = self.manager.now - self.manager.facts.get("warm_after", 0.0)
+            able = [w for w in ready if (w.started or LONG_AGO) <= warm] or ready
+            able = [w for w in able if w.usable] or able
+        return min(able, key=lambda w: (self.rank(w) + heat / w.weight, w.name), default=None)
 
     def move(self, piece, target, urgent):
         heat = piece.estimate()
@@ -373,7 +378,7 @@
             self.loads[piece.main] = max(self.loads.get(piece.main, 0.0) - heat, 0.0)
         self.own[target] = self.own.get(target, 0.0) + heat
         if urgent:  # the other managers, unseen, are likely to send as much the same way
-            heat *= max(self.manager.facts.get("managers", 1), 1)
+            heat *= self.manager.managers
         self.loads[target] = self.loads.get(target, 0.0) + heat
         self.moves.append((self.manager.now, piece.main, target, heat))
         self.last_taken[target] = self.manager.now
@@ -386,7 +391,9 @@
 
     def second(self, piece, main):
         """A warm worker for the slice's second line, of another zone where there is one."""
-        able = [w for w in self.manager.workers.values() if w.usable and w is not main and w.ramp() >= 1.0]
+        if self.manager.facts.get("single_owner"):
+            return None
+        able = [w for w in self.manager.usable() if w is not main and w.ramp() >= 1.0]
         second = min(able, default=None, key=lambda w: (
             w.zone == main.zone, self.seconds.get(w, 0) / w.weight, w.name))
         self.seconds[second] = self.seconds.get(second, 0) + 1
@@ -394,8 +401,7 @@
 
     def rule(self):
         """The design: top over its limit, ratio over the bound, both held; smallest slice to the least."""
-        usable = [w for w in self.manager.workers.values() if w.usable]
-        ranked = sorted(usable, key=lambda w: (self.rank(w), w.name))
+        ranked = sorted(self.manager.usable(), key=lambda w: (self.rank(w), w.name))
         median = usual(w.time() for w in ranked if w.times)
         holding = {piece.main for piece in self.manager.ours()}
         over = [w for w in ranked if w in holding and (
@@ -428,10 +434,10 @@
 
         One whose answers were slow already is overloaded, not broken: emptying it pushes the next one over.
         So a worker that breaks while it is overloaded keeps its slices until the list drops it."""
-        open_workers = [w for w in self.manager.workers.values() if w.state == door.READY]
-        room = MOST_DOUBTED * len(open_workers) - sum(not w.usable for w in open_workers)
-        share = {w: w.outcomes[1] / sum(w.outcomes) for w in open_workers if sum(w.outcomes) >= FEW}
-        common, level = usual(share.values()), usual(w.level() for w in open_workers)
+        ready = self.manager.ready()
+        room = MOST_DOUBTED * len(ready) - sum(not w.usable for w in ready)
+        share = {w: w.outcomes[1] / sum(w.outcomes) for w in ready if sum(w.outcomes) >= FEW}
+        common, level = usual(share.values()), usual(w.level() for w in ready)
         bad = [(part, w.name, w) for w, part in share.items() if w.usable and part >= FAILING + common
                and not (w.latest and max(w.latest) > SATURATED * level)
                and w.answer_time() < STRAINED[0] * self.manager.objective]
@@ -448,8 +454,8 @@
         self.seconds = {}  # second lines by worker, kept up to date while this hands out more
         for piece in self.manager.ours():
             self.seconds[piece.standby] = self.seconds.get(piece.standby, 0) + 1
-        for worker in self.manager.workers.values():
-            if worker.usable and worker.ramp() < 1.0:
+        for worker in self.manager.usable():
+            if worker.ramp() < 1.0:
                 self.trim(worker)
         for piece in self.manager.ours():
             main, standby, target = piece.main, piece.standby, None
@@ -570,6 +576,7 @@
 
     def __init__(self, seed, facts):
         self.seed, self.facts, self.counter, self.now = seed, facts, 0, 0.0
+        self.managers = max(facts.get("managers", 1), 1)
         self.post, self.orders, self.workers, self.slices, self.proxies = deque(), [], {}, {}, {}
         self.roster, self.planner = Roster(self), Planner(self)
         self.publisher, self.gate = Publisher(self), Gate(self)
@@ -587,6 +594,12 @@
     def log(self, text):
         self.orders.append(door.Log(text))
 
+    def ready(self):
+        return [worker for worker in self.workers.values() if worker.state == door.READY]
+
+    def usable(self):
+        return [worker for worker in self.workers.values() if worker.usable]
+
     def ours(self):
         return [piece for piece in self.slices.values() if piece.ours]
 
