--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -27,7 +27,7 @@
 QUEUED = 0.1         # busy workers that one waiting invocation stands for; ten waiting are a full worker more
 STANDBY = 0.01       # weight of a slice's second line; enough to retry at, too little to be a move
 OVERFLOW = 0.4       # weight of a second line while the first worker is strained and the second is not
-COLD_PART = 1.0      # part of a cold worker's sure capacity used; the rules' multiple covers lost key caches
+COLD_PART = 0.8      # part of a cold worker's sure capacity used; at all of it one fell over under overload
 FAILING = 0.5        # share of unanswered tries at which a worker is doubted; noise stays far below
 FEW = 4              # tries, fewer say nothing
 MOST_DOUBTED = 0.45  # share of open workers that may be doubted; more is a fault of the view
@@ -168,8 +168,9 @@
         before = (self.cut, list(self.admitted))
         if (time > STRAINED[0] or bad > STRAINED[1]) and self.manager.now >= self.again_at:
             low = next((k for k in by_value if self.admitted[k] > FLOOR), None)
-            self.again_at = self.manager.now + (LAG if self.cut else 0.0)
-            if self.cut and low is not None:
+            now = self.cut or self.ramp() < 1  # a cold one would fall over before levels came
+            self.again_at = self.manager.now + (LAG if now else 0.0)
+            if now and low is not None:
                 kept = CUT[1] * (1 - bad) / max(time, 1.0)  # a long queue must drain first
                 self.admitted[low] = max(self.admitted[low] * max(CUT[0], kept), FLOOR)
             self.cut = True
@@ -347,7 +348,7 @@
         if worker.ramp() >= 1.0:
             return True
         cycle = self.manager.facts.get("cycle", 1.0)
-        return (self.last_taken.get(worker, LONG_AGO) <= self.manager.now - 0.9 * cycle
+        return (not worker.cut and self.last_taken.get(worker, LONG_AGO) <= self.manager.now - 0.9 * cycle
                 and self.own.get(worker, 0.0) + heat <= self.budget(worker))
 
     def sure(self, worker):
@@ -362,7 +363,7 @@
         return self.loads.get(worker, 0.0) / worker.weight
 
     def least_loaded(self, heat, but, must=False):
-        """The least loaded worker that may take this heat; where one must, rather a doubted than a cold one."""
+        """The least loaded worker that may take this heat; where one must, rather doubted than cold."""
         ready = [w for w in self.manager.ready() if w is not but]
         able = [w for w in ready if w.usable and self.has_room(w, heat)]
         if must and not able:
