Count a slice without a report as an average one

Cause: a manager that starts anew, or is given another's slices, saw no heat and sent all that had to move to one worker.

--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -31,7 +31,7 @@
 FAILING = 0.5        # share of unanswered tries at which a worker is doubted; noise stays far below
 FEW = 4              # tries, fewer say nothing
 MOST_DOUBTED = 0.45  # share of open workers that may be doubted; more is a fault of the view
-DOUBT = 6.0          # s out of use at the first doubt, doubled twice at the most: a recovered worker is needed
+DOUBT = 6.0          # s out of use at a first doubt, doubled twice at the most: recovered workers are needed
 WAITING_PART = 0.6   # part used of the lines that may wait; the rest is for what answers do not tell
 MESSAGES_PART = 0.8  # part of the messages allowed which is used; the rest is for what still travels
 JAMMED = 2.0         # times the usual load level, the most that a report counts
@@ -227,7 +227,8 @@
         self.before = now
 
     def estimate(self):
-        return mean(self.estimates)
+        """The average; a slice just given, with no report yet, counts as an average one, or all go to one."""
+        return mean(self.estimates) if self.estimates else self.manager.planner.typical
 
     def go(self, main, standby, urgent):
         self.main, self.standby = main, standby
@@ -292,7 +293,7 @@
     def __init__(self, manager):
         super().__init__(manager)
         self.held, self.loads, self.own, self.moves, self.last_taken = {}, {}, {}, deque(), {}
-        self.seconds, self.total, self.weights, self.common = {}, 0.0, 1.0, 0.0
+        self.seconds, self.total, self.weights, self.common, self.typical = {}, 0.0, 1.0, 0.0, 1.0
 
     def cycle(self):
         """On each report: books, then health, then the rule."""
@@ -316,6 +317,7 @@
         for piece in pieces:
             if piece.main is not None:
                 self.own[piece.main] += piece.estimate()
+        self.typical = mean([piece.estimate() for piece in pieces if piece.estimates]) or self.typical
         heat = sum(piece.estimate() for piece in pieces)
         self.total = heat * max(manager.facts.get("slices", 0), len(pieces)) / max(len(pieces), 1)
         self.weights = sum(w.weight for w in ready) or 1.0
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -175,8 +175,9 @@
         events.append(door.SliceGiven(number, True))
         events += [door.LineHeld(number, w, part) for w, part in table.items()]
     orders = fresh.handle(ledger.now, events + [door.ProxyJoined(0, "a", 1.0)])
-    moved = {o.table for o in orders if isinstance(o, door.SetLine) and o.weight == 1.0}
-    assert moved >= set(ledger.on("w1"))
+    moved = {o.table: o.worker for o in orders if isinstance(o, door.SetLine) and o.weight == 1.0}
+    assert set(moved) >= set(ledger.on("w1"))
+    assert len(set(moved.values())) == 3  # spread, though no heat is known yet
 
 
 def test_the_door_lets_unsound_and_unknown_events_fall():
