--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -43,7 +43,6 @@
 LAG = 3.0            # s before a cut shows in reports: order, answer and report, each about one
 BRACE = 1.0          # load over what it surely can do, above which one that takes urgent slices lets in less
 SURGE = 1.3          # latest heat over its average; below it growth is noise
-FEW_JAMMED = 0.25    # share of workers that may be jammed for their slices to go elsewhere
 LAPSE = 10.0         # s after which an unanswered message no longer waits; a slow channel is done by then
 PATIENCE = 4.0       # s without an answer before a list is asked for again; calls time out sooner
 LONG_AGO = -1e9      # s, a start before any clock
@@ -309,7 +308,6 @@
         self.books()
         self.surge()
         self.rule()
-        self.relieve()
 
     def books(self):
         """Loads in heat: reported levels scaled to add up to the heat of all slices, moves included."""
@@ -421,17 +419,6 @@
             for worker in {piece.main: None for piece in pieces if piece.main}:
                 worker.tell("brace", worker.level() * growth)
 
-    def relieve(self):
-        """Few workers jammed, whose levels had to fall: their hottest slices go, one a cycle, where there is room."""
-        usable = self.manager.usable()
-        jammed = [w for w in usable if w.cut and min(w.admitted) < 1 and w.slices()]
-        for worker in jammed if len(jammed) <= FEW_JAMMED * len(usable) else ():
-            piece = max(worker.slices(), key=lambda p: (p.estimate(), -p.number))
-            target = self.least_loaded(piece.estimate(), worker)
-            if target and not target.cut and self.loads[target] + piece.estimate() <= LIMIT * self.capacity(target):
-                self.manager.log(f"slice {piece.number} from {worker.name} (jammed) to {target.name}")
-                self.move(piece, target, True)
-
     def judge(self):
         """Doubt a worker by its symptom, tries unanswered, whatever the cause; never most of the fleet.
 
