--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -293,6 +293,7 @@
     def __init__(self, manager):
         super().__init__(manager)
         self.held, self.loads, self.own, self.moves, self.last_taken = {}, {}, {}, deque(), {}
+        self.answered, self.heat = deque(maxlen=REPORTS), 0.0
         self.seconds, self.total, self.weights, self.common, self.typical = {}, 0.0, 1.0, 0.0, 1.0
 
     def cycle(self):
@@ -300,6 +301,8 @@
         manager = self.manager
         for piece in manager.ours():
             piece.cycle()
+        self.answered.append(sum(w.outcomes[0] - w.carried[0] for w in manager.workers.values())
+                             / manager.facts.get("cycle", 1.0))
         self.judge()
         self.common = usual(mean(w.latest) for w in manager.workers.values() if w.latest)
         others = 1 - 1 / manager.managers
@@ -318,8 +321,8 @@
             if piece.main is not None:
                 self.own[piece.main] += piece.estimate()
         self.typical = mean([piece.estimate() for piece in pieces if piece.estimates]) or self.typical
-        heat = sum(piece.estimate() for piece in pieces)
-        self.total = heat * max(manager.facts.get("slices", 0), len(pieces)) / max(len(pieces), 1)
+        self.heat = sum(piece.estimate() for piece in pieces)
+        self.total = self.heat * max(manager.facts.get("slices", 0), len(pieces)) / max(len(pieces), 1)
         self.weights = sum(w.weight for w in ready) or 1.0
         scale = self.total / (sum(w.level() * w.weight for w in ready) or 1.0)
         self.loads = {w: scale * w.weight * w.level() for w in manager.workers.values()}
@@ -344,9 +347,10 @@
                 and self.own.get(worker, 0.0) + heat <= self.budget(worker))
 
     def sure(self, worker):
-        """What a worker surely can do now; near full load the stand-in capacity promises more than that."""
-        promised = min(max(self.common, WORKING_POINT), JAMMED) / WORKING_POINT
-        return worker.ramp() * self.capacity(worker) / promised
+        """What a worker surely can do now: its share of what is answered, which overload does not inflate."""
+        answered = mean(self.answered) * self.total / (self.heat or 1.0)
+        busy = min(max(self.common, WORKING_POINT), JAMMED)
+        return worker.ramp() * worker.weight / self.weights * min(answered, self.total) / busy
 
     def budget(self, worker):
         return self.sure(worker) * COLD_PART / self.manager.managers
