--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -8,7 +8,7 @@
 
 import math
 import zlib
-from collections import deque
+from collections import Counter, deque
 
 from . import interface as door
 
@@ -41,20 +41,17 @@
 FLOOR = 0.1          # level below which the next operation is cut; a little shows how things stand
 RAISE = 0.2          # part of an operation let in again each cycle; five cycles from nothing to all
 LAG = 3.0            # s before a cut shows in reports: order, answer and report, each about one
-BRACE = 1.0          # load over what it surely can do, above which one that takes urgent slices lets in less
 SURGE = 1.3          # latest heat over its average; below it growth is noise
 LAPSE = 10.0         # s after which an unanswered message no longer waits; a slow channel is done by then
 PATIENCE = 4.0       # s without an answer before a list is asked for again; calls time out sooner
 LONG_AGO = -1e9      # s, a start before any clock
 
 def usual(values):
-    """The median, 0 of nothing."""
     ranked = sorted(values)
     return ranked[len(ranked) // 2] if ranked else 0.0
 
 
 def mean(values):
-    """The plain average, 0 of nothing."""
     return sum(values) / len(values) if values else 0.0
 
 
@@ -150,9 +147,8 @@
         self.carried = list(self.outcomes)
 
     def answer_time(self):
-        if self.met:
-            return sum(t * n for t, n in self.met) / sum(n for _, n in self.met)
-        return self.times[-1] if self.times else 0.0
+        good = sum(n for _, n in self.met)
+        return sum(t * n for t, n in self.met) / good if good else self.times[-1] if self.times else 0.0
 
     def feel(self):
         """Overload, whatever its cause: further tries are cut first, then levels, by billed value."""
@@ -176,13 +172,18 @@
             if shut is not None:
                 self.admitted[shut] = min(self.admitted[shut] + RAISE, 1.0)
         self.publish((self.cut, self.admitted) != before)
+        if self.cut != before[0]:
+            how = f"strained ({self.answer_time():.1f} s, {bad:.0%} unanswered): tries, then levels cut"
+            self.manager.log(f"worker {self.name} {how if self.cut else 'at ease: all is let in'}")
 
     def brace(self, expected):
         """Urgent slices will take it past what it can do: let in less before its queue grows."""
         least = min(range(len(self.admitted)), key=self.manager.value_of, default=None)
-        if expected > BRACE and least is not None:
-            self.admitted[least] = max(min(self.admitted[least], BRACE / expected), FLOOR)
+        if expected > 1 and least is not None:
+            self.admitted[least] = max(min(self.admitted[least], 1 / expected), FLOOR)
             self.cut, self.again_at = True, self.manager.now + LAG
+            if self.braced_until < self.manager.now:
+                self.manager.log(f"worker {self.name} faces {expected:.1f} times what it can do: less let in")
             self.braced_until = self.again_at
             self.publish(True)
 
@@ -235,7 +236,6 @@
         self.manager.publisher.tell("changed", self, urgent)
 
     def closed(self):
-        """Whether the store's table names a worker that drains or is gone."""
         return any(w.state != door.READY for w in self.stored)
 
     def changes(self):
@@ -263,9 +263,7 @@
         self.following, self.ask_at, self.failures = not manager.facts.get("must_ask_for_list"), LONG_AGO, 0
 
     def listed(self, event):
-        named = {}
-        for entry in event.workers:
-            named[self.manager.worker(entry.worker)] = entry
+        named = {self.manager.worker(entry.worker): entry for entry in event.workers}
         for worker in self.manager.workers.values():
             if worker in named:
                 worker.tell("listed", named[worker])
@@ -280,6 +278,7 @@
             self.failures += 1
             wait = min(0.5 * 2 ** self.failures, self.manager.facts.get("ask_within", PATIENCE) / 2)
             self.ask_at = self.manager.now + wait * (0.5 + self.manager.chance())
+            self.manager.log(f"a call for the list failed, the {self.failures}. time: asked again soon")
 
     def turn(self):
         if not self.following and self.manager.now >= self.ask_at:
@@ -292,9 +291,9 @@
 
     def __init__(self, manager):
         super().__init__(manager)
-        self.held, self.loads, self.own, self.moves, self.last_taken = {}, {}, {}, deque(), {}
-        self.answered, self.heat = deque(maxlen=REPORTS), 0.0
-        self.seconds, self.total, self.weights, self.common, self.typical = {}, 0.0, 1.0, 0.0, 1.0
+        self.held, self.loads, self.own, self.moves, self.last_taken = {}, {}, Counter(), deque(), {}
+        self.answered, self.seconds, self.heat, self.total = deque(maxlen=REPORTS), Counter(), 0.0, 0.0
+        self.weights, self.common, self.typical = 1.0, 0.0, 1.0
 
     def cycle(self):
         """On each report: books, then health, then the rule."""
@@ -316,10 +315,9 @@
         """Loads in heat: reported levels scaled to add up to the heat of all slices, moves included."""
         manager, pieces = self.manager, self.manager.ours()
         ready = manager.ready()
-        self.own = dict.fromkeys(manager.workers.values(), 0.0)
+        self.own = Counter()
         for piece in pieces:
-            if piece.main is not None:
-                self.own[piece.main] += piece.estimate()
+            self.own[piece.main] += piece.estimate()
         self.typical = mean([piece.estimate() for piece in pieces if piece.estimates]) or self.typical
         self.heat = sum(piece.estimate() for piece in pieces)
         self.total = self.heat * max(manager.facts.get("slices", 0), len(pieces)) / max(len(pieces), 1)
@@ -344,7 +342,7 @@
             return True
         cycle = self.manager.facts.get("cycle", 1.0)
         return (not worker.cut and self.last_taken.get(worker, LONG_AGO) <= self.manager.now - 0.9 * cycle
-                and self.own.get(worker, 0.0) + heat <= self.budget(worker))
+                and self.own[worker] + heat <= self.budget(worker))
 
     def sure(self, worker):
         """What a worker surely can do now: its share of what is answered, which overload does not inflate."""
@@ -370,10 +368,9 @@
 
     def move(self, piece, target, urgent):
         heat = piece.estimate()
-        if piece.main is not None:
-            self.own[piece.main] = self.own.get(piece.main, 0.0) - heat
-            self.loads[piece.main] = max(self.loads.get(piece.main, 0.0) - heat, 0.0)
-        self.own[target] = self.own.get(target, 0.0) + heat
+        self.own[piece.main] -= heat
+        self.own[target] += heat
+        self.loads[piece.main] = max(self.loads.get(piece.main, 0.0) - heat, 0.0)
         if urgent:  # the other managers, unseen, are likely to send as much the same way
             heat *= self.manager.managers
         self.loads[target] = self.loads.get(target, 0.0) + heat
@@ -381,19 +378,17 @@
         self.last_taken[target] = self.manager.now
         if urgent:
             target.tell("brace", self.loads[target] / (self.sure(target) or 1.0))
-        standby = piece.standby
-        if standby is None or standby is target or not standby.usable:
-            standby = self.second(piece, target)
-        piece.tell("go", target, standby, urgent)
+        keeps = piece.standby and piece.standby is not target and piece.standby.usable
+        piece.tell("go", target, piece.standby if keeps else self.second(target), urgent)
 
-    def second(self, piece, main):
+    def second(self, main):
         """A warm worker for the slice's second line, of another zone where there is one."""
         if self.manager.facts.get("single_owner"):
             return None
         able = [w for w in self.manager.usable() if w is not main and w.ramp() >= 1.0]
         second = min(able, default=None, key=lambda w: (
-            w.zone == main.zone, self.seconds.get(w, 0) / w.weight, w.name))
-        self.seconds[second] = self.seconds.get(second, 0) + 1
+            w.zone == main.zone, self.seconds[w] / w.weight, w.name))
+        self.seconds[second] += 1
         return second
 
     def rule(self):
@@ -434,7 +429,7 @@
         bad = [(part, w.name, w) for w, part in share.items()
                if w.usable and part >= FAILING + common and w.answer_time() < slow]
         if len(bad) > room:
-            return
+            return self.manager.log(f"{len(bad)} workers look broken at once: not believed")
         for part, _, worker in sorted(bad, key=lambda b: b[:2], reverse=True):
             worker.tell("doubt", f"{part:.0%} of its tries unanswered")
 
@@ -442,9 +437,8 @@
         """Slices without a usable worker go at once to the least loaded; second lines follow.
 
         A line to a closed worker is urgent however it came there, also by a store read at a joining."""
-        self.seconds = {}  # second lines by worker, kept up to date while this hands out more
-        for piece in self.manager.ours():
-            self.seconds[piece.standby] = self.seconds.get(piece.standby, 0) + 1
+        self.seconds = Counter(piece.standby for piece in self.manager.ours())  # counts on while it hands out
+        left = Counter()
         for worker in self.manager.usable():
             if worker.ramp() < 1.0:
                 self.trim(worker)
@@ -454,13 +448,17 @@
                 must = main is None or main.state != door.READY  # a doubted one may keep its slices
                 target = self.least_loaded(piece.estimate(), main, must)
             if target:
+                left[main] += 1
                 self.move(piece, target, True)
             elif main and (standby is None or not standby.usable or standby is main):
-                second = self.second(piece, main)
+                second = self.second(main)
                 if second is not standby:
                     piece.tell("go", main, second, False)
             if piece.closed():
                 self.manager.publisher.tell("changed", piece, True)
+        for main, count in left.items():
+            why = "without a worker" if main is None else f"of {main.name} ({main.state}, or out of use)"
+            self.manager.log(f"{count} slices {why} moved at once")
 
     def trim(self, worker):
         """A worker that restarted under its slices keeps only what a cold one may be sent."""
@@ -481,10 +479,10 @@
         self.urgent, self.others, self.sent, self.number, self.rules_due = {}, {}, deque(), 0, False
 
     def changed(self, piece, urgent):
-        if urgent:
+        if urgent or piece in self.urgent:
             self.others.pop(piece, None)
             self.urgent[piece] = None
-        elif piece not in self.urgent:
+        else:
             self.others[piece] = None
 
     def answered(self, event):
@@ -504,10 +502,9 @@
         facts, now, proxies = self.manager.facts, self.manager.now, len(self.manager.proxies)
         span, allowed = facts.get("messages_span", LAPSE), facts.get("messages_allowed", 0)
         for message in self.sent:
-            if message["awaited"] and now < message["at"] + LAPSE:
-                message["until"] = now
-            else:
+            if now > message["at"] + LAPSE:
                 message["awaited"].clear()
+            message["until"] = now if message["awaited"] else message["until"]
         while self.sent and not self.sent[0]["awaited"] and self.sent[0]["until"] < now - span:
             self.sent.popleft()
         pace = span / (allowed * MESSAGES_PART) if allowed else 0.0
@@ -524,8 +521,7 @@
         orders, lines = list(standing), (head + len(standing)) * proxies
         if lines > room:
             return
-        if standing:
-            self.rules_due = False
+        self.rules_due = self.rules_due and not standing
         for piece in queue:
             wanted, rules, changes = piece.changes() if piece.ours else ({}, None, [])
             if lines + len(changes) * proxies > room:
@@ -571,7 +567,6 @@
         self.objective = min((o["latency_objective"] for o in facts.get("operations", [])), default=1.0)
 
     def chance(self):
-        """A number from 0 up to 1, from the seed and a counter."""
         self.counter += 1
         return zlib.crc32(f"{self.seed}:{self.counter}".encode()) / 2 ** 32
 
@@ -647,8 +642,7 @@
                 self.proxies.pop(event.proxy, None)
                 self.publisher.tell("left", event.proxy)
             case door.SliceGiven():
-                if piece is None:
-                    piece = self.slices[event.slice] = Slice(self, event.slice)
+                piece = self.slices.setdefault(event.slice, piece or Slice(self, event.slice))
                 piece.tell("given", event.ours)
                 self.publisher.rules_due = True
             case door.LineHeld() if piece and piece.ours and sound(event.weight) and event.weight > 0:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -231,3 +231,33 @@
     orders = ledger.step(0.05, ledger.list_of([entry("w1", door.GONE)]))
     sent = {o.table for o in orders if isinstance(o, door.SetLine | door.Admit)}
     assert sent and sent <= named and len(sent) < 30
+
+
+def test_what_a_cold_worker_may_take_does_not_grow_with_repeats():
+    ledger = Ledger()
+    ledger.seconds(8)
+    planner, cold = ledger.manager.planner, ledger.manager.worker("w9")
+    ledger.step(0.1, ledger.list_of([entry("w9", started=ledger.now)]))
+    before = planner.sure(cold)
+    ledger.seconds(6, heat=lambda n: 4.0, heard={f"w{k}": {"tries": 12, "unanswered": 9, "load": {"busy": 1.0}}
+                                                 for k in range(4)})
+    assert planner.total > 40 and planner.sure(cold) < 2 * before  # older by 6 s, but not four times as able
+
+
+def test_a_strained_cold_worker_takes_no_more():
+    ledger = Ledger()
+    ledger.seconds(6)
+    ledger.step(0.1, ledger.list_of([entry("w9", started=ledger.now - 2)]))
+    cold, planner = ledger.manager.worker("w9"), ledger.manager.planner
+    assert planner.has_room(cold, 0.1)
+    cold.cut = True
+    assert not planner.has_room(cold, 0.1)
+
+
+def test_a_surge_of_all_heat_cuts_levels_before_any_answer_is_slow():
+    ledger = Ledger(messages_allowed=0)
+    ledger.seconds(8, heat=lambda n: 1.5)
+    ledger.step(0.5)
+    ledger.step(0.5, *[door.SliceHeat(n, "look", 80, 0, 20.0) for n in ledger.tables])
+    ledger.seconds(1, heat=lambda n: 4.0)
+    assert any(level < 1 for (_, k), (level, _) in ledger.rules.items() if k == 0)
