--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -239,9 +239,9 @@
     planner, cold = ledger.manager.planner, ledger.manager.worker("w9")
     ledger.step(0.1, ledger.list_of([entry("w9", started=ledger.now)]))
     before = planner.sure(cold)
-    ledger.seconds(6, heat=lambda n: 4.0, heard={f"w{k}": {"tries": 12, "unanswered": 9, "load": {"busy": 1.0}}
-                                                 for k in range(4)})
-    assert planner.total > 40 and planner.sure(cold) < 2 * before  # older by 6 s, but not four times as able
+    full = {"tries": 12, "unanswered": 9, "load": {"busy": 1.0}}
+    ledger.seconds(6, heat=lambda n: 4.0, heard={f"w{k}": full for k in range(4)})
+    assert planner.total > 40 and planner.sure(cold) < 2 * before  # older, but not four times as able
 
 
 def test_a_strained_cold_worker_takes_no_more():
