--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -100,7 +100,7 @@
         return 1.0 if age >= warm_after else least + (1 - least) * max(age, 0.0) / warm_after
 
     def listed(self, entry):
-        started = entry.started if entry.started is not None else LONG_AGO
+        started = entry.started if sound(entry.started) else LONG_AGO
         if started != (LONG_AGO if self.started is None else self.started):
             self.forget()  # a new process: cold, whatever the old one did
             self.trusted, self.doubted_until, self.doubts = started, LONG_AGO, 0
@@ -261,6 +261,7 @@
     def __init__(self, manager):
         super().__init__(manager)
         self.following, self.ask_at, self.failures = not manager.facts.get("must_ask_for_list"), LONG_AGO, 0
+        self.called = False  # whether a call is out; a failure of none must not put the next one off
 
     def listed(self, event):
         named = {self.manager.worker(entry.worker): entry for entry in event.workers}
@@ -270,11 +271,11 @@
             elif event.complete:
                 worker.tell("dropped")
         if not event.cached:
-            self.following, self.failures = True, 0
+            self.following, self.called, self.failures = True, False, 0
 
     def failed(self):
-        if self.manager.facts.get("must_ask_for_list"):
-            self.following = False
+        if self.manager.facts.get("must_ask_for_list") and (self.following or self.called):
+            self.following = self.called = False
             self.failures += 1
             wait = min(0.5 * 2 ** self.failures, self.manager.facts.get("ask_within", PATIENCE) / 2)
             self.ask_at = self.manager.now + wait * (0.5 + self.manager.chance())
@@ -283,7 +284,7 @@
     def turn(self):
         if not self.following and self.manager.now >= self.ask_at:
             self.manager.orders.append(door.FollowList(True))
-            self.ask_at = self.manager.now + PATIENCE
+            self.ask_at, self.called = self.manager.now + PATIENCE, True
 
 
 class Planner(Part):
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -32,6 +32,7 @@
         self.timers, self.marks, self.messages, self.orders, self.rules = [], [], [], [], {}
         self.waiting, self.most, self.free_at = [], 0, 0.0  # messages in the channel: (leaves at, lines)
         self.joined, self.states, self.told = set(range(self.facts["proxies"])), {}, {}
+        self.started, self.taken = {}, []  # by worker; (when, worker) of each slice that went there
         given = [event for number, table in self.tables.items() for event in [
             door.SliceGiven(number, True), *(door.LineHeld(number, w, part) for w, part in table.items())]]
         self.step(0.0, self.list_of([entry(f"w{k}", zone="ab"[k % 2]) for k in range(workers)], True),
@@ -42,6 +43,7 @@
             if item.state != self.states.get(item.worker):
                 self.told[item.worker] = self.now
             self.states[item.worker] = item.state
+            self.started[item.worker] = item.started or 0.0
         return door.WorkersListed(tuple(entries), complete)
 
     def step(self, seconds, *events):
@@ -68,6 +70,8 @@
                     self.tables[table].pop(worker, None)
                     if weight:
                         self.tables[table][worker] = weight
+                    if weight == 1.0:
+                        self.taken.append((self.now, worker))
                 case door.Admit(table, operations, level, retry):
                     lines += 1
                     for k in operations or range(len(self.facts["operations"])):
@@ -117,6 +121,12 @@
                 late = self.now - self.told.get(name, self.now)
                 kept = self.states.get(name) == door.READY or late < self.facts["drain_grace"]
                 assert kept or not open_workers, f"slice {number} names {name}, closed {late:.1f} s ago"
+        warm_since = self.now - self.facts["warm_after"]
+        for name in open_workers:
+            lately = sum(worker == name and at > self.now - 0.85 for at, worker in self.taken)
+            others = any(self.started[other] <= warm_since for other in open_workers if other != name)
+            cold = self.started[name] > warm_since
+            assert lately <= 1 or not cold or not others, f"cold {name} took {lately} slices at once"
         for (_, k), (level, retry) in self.rules.items():
             kind = self.facts["operations"][k]["kind"]
             assert 0 <= level <= 1
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -157,12 +157,16 @@
 def test_a_list_is_asked_for_again_without_flooding():
     ledger = Ledger(must_ask_for_list=True, ask_within=10.0)
     ledger.manager.roster.following = False
-    asks = []
-    for _ in range(40):
-        asks += [o for o in ledger.step(0.5, door.ListFailed()) if isinstance(o, door.FollowList)]
-    assert len(asks) == 0 or len(asks) < 10
-    quiet = [o for _ in range(24) for o in ledger.step(0.5) if isinstance(o, door.FollowList)]
-    assert 1 <= len(quiet) <= 4
+    asked = []
+    for _ in range(80):  # each call fails, and failures of no call of ours come as well
+        if any(isinstance(o, door.FollowList) for o in ledger.step(0.5, door.ListFailed())):
+            asked.append(ledger.now)
+    gaps = [later - at for at, later in zip(asked, asked[1:], strict=False)]
+    assert 5 <= len(asked) <= 20 and max(gaps) < 10.0 and gaps[-1] > gaps[0]
+    silent = [o for _ in range(24) for o in ledger.step(0.5) if isinstance(o, door.FollowList)]
+    assert 2 <= len(silent) <= 4  # no answer at all: again after some patience
+    ledger.step(0.1, ledger.list_of([entry("w0")]))
+    assert not any(isinstance(o, door.FollowList) for _ in range(20) for o in ledger.step(0.5))
 
 
 def test_a_crash_is_recovered_from_the_stores_tables():
