--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -265,3 +265,14 @@
     ledger.step(0.5, *[door.SliceHeat(n, "look", 80, 0, 20.0) for n in ledger.tables])
     ledger.seconds(1, heat=lambda n: 4.0)
     assert any(level < 1 for (_, k), (level, _) in ledger.rules.items() if k == 0)
+
+
+def test_messages_to_a_proxy_stay_under_the_allowance_however_often_tables_change():
+    ledger = Ledger()
+    for count in range(300):
+        piece = ledger.manager.slices[count % 12]
+        piece.rules = [(round(0.1 + count % 9 / 10, 1), door.NO_RETRY)] * 3  # a level that must be put right
+        ledger.manager.publisher.changed(piece, True)
+        ledger.step(0.1)
+        ledger.check()
+    assert len(ledger.messages) > 30
