--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -458,8 +458,9 @@
             if piece.closed():
                 self.manager.publisher.tell("changed", piece, True)
         for main, count in left.items():
-            why = "without a worker" if main is None else f"of {main.name} ({main.state}, or out of use)"
-            self.manager.log(f"{count} slices {why} moved at once")
+            state = "out of use" if main and main.state == door.READY else main and main.state
+            name = main.name if main else "no worker"
+            self.manager.log(f"{count} slices of {name} ({state}) moved at once")
 
     def trim(self, worker):
         """A worker that restarted under its slices keeps only what a cold one may be sent."""
