--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -83,8 +83,7 @@
     def forget(self):
         """What was measured of an earlier process says nothing of this one."""
         self.levels, self.times = deque(maxlen=REPORTS), deque(maxlen=REPORTS)
-        self.outcomes = [0.0, 0.0]  # answered, unanswered; halved every cycle
-        self.carried = [0.0, 0.0]  # what of them is from earlier cycles
+        self.outcomes, self.carried = [0.0, 0.0], [0.0, 0.0]  # answered, unanswered, halved; the old part
         self.latest, self.met, self.silent = [], [], STALE
         self.cut, self.again_at, self.braced_until = False, LONG_AGO, LONG_AGO  # cut: no further tries
         self.admitted = [1.0] * len(self.manager.facts.get("operations", []))
@@ -204,12 +203,15 @@
     def __init__(self, manager, number):
         super().__init__(manager)
         self.number, self.ours = number, False
-        self.main = self.standby = None
+        self.main = self.standby = self.rules = None  # rules: what the store's table lets in, or None
         self.stored, self.latest, self.estimates, self.before = {}, {}, deque(maxlen=REPORTS), None
-        self.rules = None  # what the store's table lets in, None: as it comes
 
     def given(self, ours):
         self.ours, self.stored, self.main, self.standby, self.rules = ours, {}, None, None, None
+        self.manager.publisher.tell("renew")
+
+    def sent(self, stored, rules):
+        self.stored, self.rules = stored, rules
 
     def held(self, worker, weight):
         self.stored[worker] = weight
@@ -305,9 +307,8 @@
                              / manager.facts.get("cycle", 1.0))
         self.judge()
         self.common = usual(mean(w.latest) for w in manager.workers.values() if w.latest)
-        others = 1 - 1 / manager.managers
         for worker in manager.workers.values():
-            worker.cycle(self.common, self.common * others * worker.ramp())
+            worker.cycle(self.common, self.common * (1 - 1 / manager.managers) * worker.ramp())
         self.books()
         self.surge()
         self.rule()
@@ -384,9 +385,8 @@
 
     def second(self, main):
         """A warm worker for the slice's second line, of another zone where there is one."""
-        if self.manager.facts.get("single_owner"):
-            return None
-        able = [w for w in self.manager.usable() if w is not main and w.ramp() >= 1.0]
+        many = not self.manager.facts.get("single_owner")
+        able = [w for w in self.manager.usable() if many and w is not main and w.ramp() >= 1.0]
         second = min(able, default=None, key=lambda w: (
             w.zone == main.zone, self.seconds[w] / w.weight, w.name))
         self.seconds[second] += 1
@@ -496,6 +496,9 @@
             for earlier in range(place):
                 self.sent[earlier]["awaited"].clear()
 
+    def renew(self):
+        self.rules_due = True  # a slice given has lost its levels
+
     def left(self, proxy):
         for message in self.sent:
             message["awaited"].discard(proxy)
@@ -532,7 +535,7 @@
             self.others.pop(piece, None)
             if changes:
                 orders, lines = orders + changes, lines + len(changes) * proxies
-                piece.stored, piece.rules = wanted, rules
+                piece.tell("sent", wanted, rules)
         if orders:
             self.number = (self.number + 1) % 65536
             self.sent.append({"number": self.number, "lines": lines, "at": now, "until": now,
@@ -646,6 +649,5 @@
             case door.SliceGiven():
                 piece = self.slices.setdefault(event.slice, piece or Slice(self, event.slice))
                 piece.tell("given", event.ours)
-                self.publisher.rules_due = True
             case door.LineHeld() if piece and piece.ours and sound(event.weight) and event.weight > 0:
                 piece.tell("held", self.worker(event.worker), event.weight)
