Trim a restarted worker after second lines are given out

Cause: in one pass a slice could get two notes, and the one with its new second line put it back on the cold worker.

--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -440,9 +440,6 @@
         A line to a closed worker is urgent however it came there, also by a store read at a joining."""
         self.seconds = Counter(piece.standby for piece in self.manager.ours())  # counts on while it hands out
         left = Counter()
-        for worker in self.manager.usable():
-            if worker.ramp() < 1.0:
-                self.trim(worker)
         for piece in self.manager.ours():
             main, standby, target = piece.main, piece.standby, None
             if main is None or not main.usable:
@@ -457,6 +454,9 @@
                     piece.tell("go", main, second, False)
             if piece.closed():
                 self.manager.publisher.tell("changed", piece, True)
+        for worker in self.manager.usable():  # after the rest, so that its notes are the last word
+            if worker.ramp() < 1.0:
+                self.trim(worker)
         for main, count in left.items():
             state = "out of use" if main and main.state == door.READY else main and main.state
             name = main.name if main else "no worker"
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -104,6 +104,17 @@
     assert len(ledger.on("w1")) < 3
 
 
+def test_a_new_second_line_does_not_keep_a_slice_on_a_worker_that_restarted():
+    ledger = Ledger(workers=5, slices=15, warm_after=30.0)
+    ledger.seconds(12)
+    pieces = [ledger.manager.slices[n] for n in ledger.on("w1")]
+    seconds = sorted({piece.standby.name for piece in pieces})
+    ledger.step(0.1, ledger.list_of([entry("w1", started=ledger.now)] +
+                                    [entry(name, door.GONE) for name in seconds]))
+    kept = [piece for piece in pieces if piece.main.name == "w1"]
+    assert len(pieces) == 3 and len(kept) < 3
+
+
 def test_a_failing_worker_is_emptied_and_taken_back_step_by_step():
     ledger = Ledger()
     ledger.seconds(4)
