--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -46,6 +46,7 @@
 PATIENCE = 4.0       # s without an answer before a list is asked for again; calls time out sooner
 LONG_AGO = -1e9      # s, a start before any clock
 
+
 def usual(values):
     ranked = sorted(values)
     return ranked[len(ranked) // 2] if ranked else 0.0
@@ -77,7 +78,7 @@
     def __init__(self, manager, name):
         super().__init__(manager)
         self.name, self.state, self.weight, self.zone = name, door.GONE, 1.0, ""
-        self.started, self.trusted, self.doubted_until, self.doubts = None, LONG_AGO, LONG_AGO, 0
+        self.started, self.trusted, self.doubted_until, self.doubts = LONG_AGO, LONG_AGO, LONG_AGO, 0
         self.forget()
 
     def forget(self):
@@ -100,7 +101,7 @@
 
     def listed(self, entry):
         started = entry.started if sound(entry.started) else LONG_AGO
-        if started != (LONG_AGO if self.started is None else self.started):
+        if started != self.started:
             self.forget()  # a new process: cold, whatever the old one did
             self.trusted, self.doubted_until, self.doubts = started, LONG_AGO, 0
         self.started, self.state, self.zone = started, entry.state, entry.zone
@@ -155,13 +156,13 @@
         tries = sum(latest)
         bad = latest[1] / tries if tries >= FEW else 0.0
         time = self.answer_time() / self.manager.objective if self.met and tries >= FEW else 0.0
-        by_value = sorted(range(len(self.admitted)), key=self.manager.value_of)
+        by_value = self.manager.by_value
         before = (self.cut, list(self.admitted))
         if (time > STRAINED[0] or bad > STRAINED[1]) and self.manager.now >= self.again_at:
             low = next((k for k in by_value if self.admitted[k] > FLOOR), None)
-            now = self.cut or self.ramp() < 1  # a cold one would fall over before levels came
-            self.again_at = self.manager.now + (LAG if now else 0.0)
-            if now and low is not None:
+            deeper = self.cut or self.ramp() < 1  # a cold one would fall over before levels came
+            self.again_at = self.manager.now + (LAG if deeper else 0.0)
+            if deeper and low is not None:
                 kept = CUT[1] * (1 - bad) / max(time, 1.0)  # a long queue must drain first
                 self.admitted[low] = max(self.admitted[low] * max(CUT[0], kept), FLOOR)
             self.cut = True
@@ -177,8 +178,8 @@
 
     def brace(self, expected):
         """Urgent slices will take it past what it can do: let in less before its queue grows."""
-        least = min(range(len(self.admitted)), key=self.manager.value_of, default=None)
-        if expected > 1 and least is not None:
+        if expected > 1 and self.admitted:
+            least = self.manager.by_value[0]
             self.admitted[least] = max(min(self.admitted[least], 1 / expected), FLOOR)
             self.cut, self.again_at = True, self.manager.now + LAG
             if self.braced_until < self.manager.now:
@@ -251,7 +252,7 @@
                   if self.stored.get(w) != part]
         orders += [door.SetLine(self.number, w.name, 0) for w in self.stored if w not in wanted]
         usual = self.manager.gate.rules()
-        rules = self.manager.gate.rules(self.main) if self.main else usual
+        rules = self.manager.gate.rules(main)
         orders += [door.Admit(self.number, (k,), *rule) for k, rule in enumerate(rules)
                    if rule != (self.rules or usual)[k]]
         return wanted, rules, orders
@@ -294,7 +295,8 @@
 
     def __init__(self, manager):
         super().__init__(manager)
-        self.held, self.loads, self.own, self.moves, self.last_taken = {}, {}, Counter(), deque(), {}
+        self.held, self.loads, self.own = Counter(), Counter(), Counter()
+        self.moves, self.last_taken = deque(), {}
         self.answered, self.seconds, self.heat, self.total = deque(maxlen=REPORTS), Counter(), 0.0, 0.0
         self.weights, self.common, self.typical = 1.0, 0.0, 1.0
 
@@ -317,22 +319,21 @@
         """Loads in heat: reported levels scaled to add up to the heat of all slices, moves included."""
         manager, pieces = self.manager, self.manager.ours()
         ready = manager.ready()
+        self.typical = mean([piece.estimate() for piece in pieces if piece.estimates]) or self.typical
         self.own = Counter()
         for piece in pieces:
             self.own[piece.main] += piece.estimate()
-        self.typical = mean([piece.estimate() for piece in pieces if piece.estimates]) or self.typical
         self.heat = sum(piece.estimate() for piece in pieces)
         self.total = self.heat * max(manager.facts.get("slices", 0), len(pieces)) / max(len(pieces), 1)
         self.weights = sum(w.weight for w in ready) or 1.0
         scale = self.total / (sum(w.level() * w.weight for w in ready) or 1.0)
-        self.loads = {w: scale * w.weight * w.level() for w in manager.workers.values()}
+        self.loads = Counter({w: scale * w.weight * w.level() for w in manager.workers.values()})
         while self.moves and self.moves[0][0] < manager.now - UNSEEN - REPORTS:
             self.moves.popleft()
         for at, source, target, moved in self.moves:
             unseen = min(1 - (manager.now - at - UNSEEN) / REPORTS, 1.0)  # part of the average from before it
             for worker, sign in ((source, -1), (target, 1)):
-                if worker in self.loads:
-                    self.loads[worker] = max(self.loads[worker] + sign * moved * unseen, 0.0)
+                self.loads[worker] = max(self.loads[worker] + sign * moved * unseen, 0.0)
 
     def capacity(self, worker):
         """The design's stand-in: the worker's weight share of all load, over the paper's working point."""
@@ -356,7 +357,7 @@
         return self.sure(worker) * COLD_PART / self.manager.managers
 
     def rank(self, worker):
-        return self.loads.get(worker, 0.0) / worker.weight
+        return self.loads[worker] / worker.weight
 
     def least_loaded(self, heat, but, must=False):
         """The least loaded worker that may take this heat; where one must, rather doubted than cold."""
@@ -364,7 +365,7 @@
         able = [w for w in ready if w.usable and self.has_room(w, heat)]
         if must and not able:
             warm = self.manager.now - self.manager.facts.get("warm_after", 0.0)
-            able = [w for w in ready if (w.started or LONG_AGO) <= warm] or ready
+            able = [w for w in ready if w.started <= warm] or ready
             able = [w for w in able if w.usable] or able
         return min(able, key=lambda w: (self.rank(w) + heat / w.weight, w.name), default=None)
 
@@ -372,10 +373,10 @@
         heat = piece.estimate()
         self.own[piece.main] -= heat
         self.own[target] += heat
-        self.loads[piece.main] = max(self.loads.get(piece.main, 0.0) - heat, 0.0)
+        self.loads[piece.main] = max(self.loads[piece.main] - heat, 0.0)
         if urgent:  # the other managers, unseen, are likely to send as much the same way
             heat *= self.manager.managers
-        self.loads[target] = self.loads.get(target, 0.0) + heat
+        self.loads[target] += heat
         self.moves.append((self.manager.now, piece.main, target, heat))
         self.last_taken[target] = self.manager.now
         if urgent:
@@ -399,14 +400,14 @@
         over = [w for w in ranked if w.slices() and self.rank(w) > BOUND * self.rank(ranked[0]) and (
             self.loads[w] > LIMIT * self.capacity(w)
             or len(w.times) >= HELD and mean(w.times) > SLOW * median)]
-        self.held = {w: self.held.get(w, 0) + 1 for w in over}
+        self.held = Counter({w: self.held[w] + 1 for w in over})
         over = [w for w in over if self.held[w] >= HELD]
         if not over:
             return
         top = over[-1]
         piece = min(top.slices(), key=lambda p: (p.estimate(), p.number))
         target = self.least_loaded(piece.estimate(), top)
-        if target and self.loads.get(target, 0.0) + piece.estimate() <= LIMIT * self.capacity(target):
+        if target and self.loads[target] + piece.estimate() <= LIMIT * self.capacity(target):
             self.manager.log(f"slice {piece.number} from {top.name} (over) to {target.name}")
             self.move(piece, target, False)
             self.held[top] = 0  # the next move from it needs three reports that have seen this one
@@ -569,15 +570,14 @@
         self.roster, self.planner = Roster(self), Planner(self)
         self.publisher, self.gate = Publisher(self), Gate(self)
         self.turn_at, self.cycle_at = None, LONG_AGO
-        self.objective = min((o["latency_objective"] for o in facts.get("operations", [])), default=1.0)
+        operations = facts.get("operations", [])
+        self.objective = min((o["latency_objective"] for o in operations), default=1.0)
+        self.by_value = sorted(range(len(operations)), key=lambda k: operations[k]["billed_value"])
 
     def chance(self):
         self.counter += 1
         return zlib.crc32(f"{self.seed}:{self.counter}".encode()) / 2 ** 32
 
-    def value_of(self, k):
-        return self.facts["operations"][k]["billed_value"], k
-
     def worker(self, name):
         """The worker of this name; one that no list has named, only the store, counts as gone."""
         if name not in self.workers:
