Withdraw closed workers in one line each; cut levels by slow answers of busy workers only

Cause of the broken drain, by message: at 32 proxies and 3,700 lines a second the tables of eleven closed workers take 1.7 s to leave, behind levels that flapped. Now one line a worker keeps proxies off it first; it is let back with its first line, and told again to who joined. What waits in the channel counts by the proxies that have not answered. Cause of most of the loss: levels fell for unanswered tries (no connections, one operation unanswered), where cutting helps nobody, and for answers slow by the way alone. Now a worker must answer slowly and report itself busy. It should hold against any fault that is not overload; it could harm where a report of busyness is wrong.

--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -1,9 +1,8 @@
 """Every decision of a manager: which worker serves which slice, which orders go out and when.
 
-How it is called: make one Manager(seed, facts) at a start, facts being the plain map that the manager is
-started with; then call manager.handle(now, events) and send the orders it returns, in their order. Events,
-orders and words are in bramblewood/interface.py. docs/design.md tells what the design page settles and where
-this departs from it. Pure: no input or output, no clock; equal events give equal orders.
+How it is called: one Manager(seed, facts) at a start, facts being the plain map that the manager is started
+with; then manager.handle(now, events) gives the orders to send, in their order. Events, orders and words:
+bramblewood/interface.py; what the design page settles: docs/design.md. Pure: no input, output or clock.
 """
 
 import math
@@ -35,8 +34,8 @@
 WAITING_PART = 0.6   # part used of the lines that may wait; the rest is for what answers do not tell
 MESSAGES_PART = 0.8  # part of the messages allowed which is used; the rest is for what still travels
 JAMMED = 2.0         # times the usual load level, the most that a report counts
-STRAINED = (0.35, 0.1)  # answer time over objective, unanswered share: above either, less is let in
-RELAXED = (0.25, 0.05)  # below both, more is let in again; the gap keeps levels from swinging
+STRAINED = 0.35      # answer time over latency objective above which less is let in
+RELAXED = 0.25       # the same, below which more is let in again; the gap keeps levels from swinging
 CUT = (0.25, 0.9)    # least and most that a level keeps at one cut; between, by share answered and time
 FLOOR = 0.1          # level below which the next operation is cut; a little shows how things stand
 RAISE = 0.2          # part of an operation let in again each cycle; five cycles from nothing to all
@@ -83,10 +82,11 @@
 
     def forget(self):
         """What was measured of an earlier process says nothing of this one."""
-        self.levels, self.times = deque(maxlen=REPORTS), deque(maxlen=REPORTS)
+        self.levels, self.times, self.latest = deque(maxlen=REPORTS), deque(maxlen=REPORTS), []
         self.outcomes, self.carried = [0.0, 0.0], [0.0, 0.0]  # answered, unanswered, halved; the old part
-        self.latest, self.met, self.silent = [], [], STALE
+        self.met, self.silent = [], STALE
         self.cut, self.again_at, self.braced_until = False, LONG_AGO, LONG_AGO  # cut: no further tries
+        self.strain = self.load = 0.0  # answer time over objective; load as last reported
         self.admitted = [1.0] * len(self.manager.facts.get("operations", []))
 
     @property
@@ -104,18 +104,19 @@
         if started != self.started:
             self.forget()  # a new process: cold, whatever the old one did
             self.trusted, self.doubted_until, self.doubts = started, LONG_AGO, 0
+        for piece in self.manager.ours() if entry.state != self.state else ():
+            if self in piece.stored:  # its withdrawal is due, or over
+                self.manager.publisher.tell("changed", piece, True)
         self.started, self.state, self.zone = started, entry.state, entry.zone
         self.weight = entry.weight if sound(entry.weight) and entry.weight > 0 else 1.0
 
-    def dropped(self):
-        self.state = door.GONE
-
     def heard(self, report):
         good = max(report.tries - report.unanswered, 0)
-        self.outcomes[0] += good
-        self.outcomes[1] += report.unanswered
-        if good and report.mean_time > 0:
-            self.met.append((report.mean_time, good))
+        if self.manager.now - report.over >= self.doubted_until:  # older sums say nothing of it as it is
+            self.outcomes[0] += good
+            self.outcomes[1] += report.unanswered
+            if good and report.mean_time > 0:
+                self.met.append((report.mean_time, good))
         load = {k: v for k, v in report.load.items() if sound(v)}
         if "busy" in load:
             self.latest.append(load["busy"] + QUEUED * load.get("queued", 0.0))
@@ -136,15 +137,12 @@
         """Close this cycle's report; a worker that few try is assumed to carry what is expected of it."""
         self.silent = 0 if self.latest else self.silent + 1
         if self.latest:  # a jammed worker's queue must not make all others look idle
-            self.levels.append(min(mean(self.latest), JAMMED * usual_level or math.inf))
+            self.load = mean(self.latest)
+            self.levels.append(min(self.load, JAMMED * usual_level or math.inf))
         elif self.silent >= STALE:
             self.levels.append(expected)
+        self.latest = []
         self.feel()
-        if self.met:
-            self.times.append(self.answer_time())
-        self.latest, self.met = [], []
-        self.outcomes = [part / 2 for part in self.outcomes]
-        self.carried = list(self.outcomes)
 
     def answer_time(self):
         good = sum(n for _, n in self.met)
@@ -152,29 +150,29 @@
 
     def feel(self):
         """Overload, whatever its cause: further tries are cut first, then levels, by billed value."""
-        latest = [now - before for now, before in zip(self.outcomes, self.carried, strict=True)]
-        tries = sum(latest)
-        bad = latest[1] / tries if tries >= FEW else 0.0
-        time = self.answer_time() / self.manager.objective if self.met and tries >= FEW else 0.0
-        by_value = self.manager.by_value
-        before = (self.cut, list(self.admitted))
-        if (time > STRAINED[0] or bad > STRAINED[1]) and self.manager.now >= self.again_at:
+        good, bad = (now - old for now, old in zip(self.outcomes, self.carried, strict=True))
+        fresh = good + bad >= FEW  # fewer say nothing: they wait for more
+        if fresh:
+            self.strain = self.answer_time() / self.manager.objective
+            self.times.append(self.answer_time())
+            self.met, self.outcomes = [], [part / 2 for part in self.outcomes]
+            self.carried = list(self.outcomes)
+        time, by_value, before = self.strain, self.manager.by_value, (self.cut, list(self.admitted))
+        loaded = self.load >= LIMIT or "busy" not in self.manager.facts.get("load_fields", ())
+        if fresh and time > STRAINED and loaded and self.manager.now >= self.again_at:
             low = next((k for k in by_value if self.admitted[k] > FLOOR), None)
             deeper = self.cut or self.ramp() < 1  # a cold one would fall over before levels came
             self.again_at = self.manager.now + (LAG if deeper else 0.0)
             if deeper and low is not None:
-                kept = CUT[1] * (1 - bad) / max(time, 1.0)  # a long queue must drain first
+                kept = CUT[1] * good / (good + bad) / max(time, 1.0)  # a long queue must drain first
                 self.admitted[low] = max(self.admitted[low] * max(CUT[0], kept), FLOOR)
             self.cut = True
-        elif time < RELAXED[0] and bad < RELAXED[1] and self.manager.now >= self.braced_until:
+        elif (time < RELAXED or not loaded) and self.manager.now >= self.braced_until:
             shut = next((k for k in reversed(by_value) if self.admitted[k] < 1), None)
             self.cut = self.cut and shut is not None
             if shut is not None:
                 self.admitted[shut] = min(self.admitted[shut] + RAISE, 1.0)
         self.publish((self.cut, self.admitted) != before)
-        if self.cut != before[0]:
-            how = f"strained ({self.answer_time():.1f} s, {bad:.0%} unanswered): tries, then levels cut"
-            self.manager.log(f"worker {self.name} {how if self.cut else 'at ease: all is let in'}")
 
     def brace(self, expected):
         """Urgent slices will take it past what it can do: let in less before its queue grows."""
@@ -182,11 +180,14 @@
             least = self.manager.by_value[0]
             self.admitted[least] = max(min(self.admitted[least], 1 / expected), FLOOR)
             self.cut, self.again_at = True, self.manager.now + LAG
-            if self.braced_until < self.manager.now:
-                self.manager.log(f"worker {self.name} faces {expected:.1f} times what it can do: less let in")
             self.braced_until = self.again_at
             self.publish(True)
 
+    def rules(self):
+        """Level and further tries of each operation; what may take effect twice is never repeated."""
+        retry = door.NO_RETRY if self.cut else door.RETRY_UNSTARTED
+        return [(round(level, 3), retry) for level in self.admitted]
+
     def slices(self):
         return [piece for piece in self.manager.ours() if piece.main is self]
 
@@ -194,9 +195,6 @@
         for piece in self.slices() if changed else ():
             self.manager.publisher.tell("changed", piece, True)
 
-    def level(self):
-        return mean(self.levels)
-
 
 class Slice(Part):
     """A slice: its heat, the lines its table should have, and the lines that the store holds."""
@@ -248,13 +246,13 @@
         spare = spare and self.manager.facts.get("pick") == "pair"  # elsewhere a fixed part goes, at a price
         second = OVERFLOW if spare else STANDBY
         wanted = {w: part for w, part in ((standby, second), (main, 1.0)) if w is not None}
-        orders = [door.SetLine(self.number, w.name, part) for w, part in wanted.items()
-                  if self.stored.get(w) != part]
+        orders = [door.SetLine(self.number, w.name, n) for w, n in wanted.items() if self.stored.get(w) != n]
         orders += [door.SetLine(self.number, w.name, 0) for w in self.stored if w not in wanted]
-        usual = self.manager.gate.rules()
-        rules = self.manager.gate.rules(main)
-        orders += [door.Admit(self.number, (k,), *rule) for k, rule in enumerate(rules)
-                   if rule != (self.rules or usual)[k]]
+        usual = [(1.0, door.RETRY_UNSTARTED)] * len(self.manager.by_value)
+        rules = main.rules() if main else usual
+        changed = [k for k, rule in enumerate(rules) if rule != (self.rules or usual)[k]]
+        orders += [door.Admit(self.number, tuple(k for k in changed if rules[k] == rule), *rule)
+                   for rule in dict.fromkeys(rules[k] for k in changed)]  # equal rules share a line
         return wanted, rules, orders
 
 
@@ -268,11 +266,8 @@
 
     def listed(self, event):
         named = {self.manager.worker(entry.worker): entry for entry in event.workers}
-        for worker in self.manager.workers.values():
-            if worker in named:
-                worker.tell("listed", named[worker])
-            elif event.complete:
-                worker.tell("dropped")
+        for worker in self.manager.workers.values() if event.complete else named:
+            worker.tell("listed", named.get(worker) or door.ListedWorker(worker.name, door.GONE))
         if not event.cached:
             self.following, self.called, self.failures = True, False, 0
 
@@ -298,23 +293,30 @@
         self.held, self.loads, self.own = Counter(), Counter(), Counter()
         self.moves, self.last_taken = deque(), {}
         self.answered, self.seconds, self.heat, self.total = deque(maxlen=REPORTS), Counter(), 0.0, 0.0
-        self.weights, self.common, self.typical = 1.0, 0.0, 1.0
+        self.weights, self.common, self.typical, self.good, self.strained = 1.0, 0.0, 1.0, 0.0, 0
 
     def cycle(self):
         """On each report: books, then health, then the rule."""
         manager = self.manager
         for piece in manager.ours():
             piece.cycle()
-        self.answered.append(sum(w.outcomes[0] - w.carried[0] for w in manager.workers.values())
-                             / manager.facts.get("cycle", 1.0))
+        self.answered.append(self.good / manager.facts.get("cycle", 1.0))
+        self.good = 0.0
         self.judge()
         self.common = usual(mean(w.latest) for w in manager.workers.values() if w.latest)
         for worker in manager.workers.values():
             worker.cycle(self.common, self.common * (1 - 1 / manager.managers) * worker.ramp())
+        strained = sorted((w.strain * manager.objective, w.name) for w in manager.usable() if w.cut)
+        if len(strained) != self.strained:
+            manager.log(f"{len(strained)} workers strained: tries, then levels cut; worst {strained[-1:]}")
+        self.strained = len(strained)
         self.books()
         self.surge()
         self.rule()
 
+    def count(self, report):
+        self.good += max(report.tries - report.unanswered, 0)
+
     def books(self):
         """Loads in heat: reported levels scaled to add up to the heat of all slices, moves included."""
         manager, pieces = self.manager, self.manager.ours()
@@ -326,8 +328,8 @@
         self.heat = sum(piece.estimate() for piece in pieces)
         self.total = self.heat * max(manager.facts.get("slices", 0), len(pieces)) / max(len(pieces), 1)
         self.weights = sum(w.weight for w in ready) or 1.0
-        scale = self.total / (sum(w.level() * w.weight for w in ready) or 1.0)
-        self.loads = Counter({w: scale * w.weight * w.level() for w in manager.workers.values()})
+        scale = self.total / (sum(mean(w.levels) * w.weight for w in ready) or 1.0)
+        self.loads = Counter({w: scale * w.weight * mean(w.levels) for w in manager.workers.values()})
         while self.moves and self.moves[0][0] < manager.now - UNSEEN - REPORTS:
             self.moves.popleft()
         for at, source, target, moved in self.moves:
@@ -341,11 +343,9 @@
 
     def has_room(self, worker, heat):
         """Guards cold workers: all managers share one budget, each uses its part, one slice a cycle."""
-        if worker.ramp() >= 1.0:
-            return True
-        cycle = self.manager.facts.get("cycle", 1.0)
-        return (not worker.cut and self.last_taken.get(worker, LONG_AGO) <= self.manager.now - 0.9 * cycle
-                and self.own[worker] + heat <= self.budget(worker))
+        rested = self.manager.now - 0.9 * self.manager.facts.get("cycle", 1.0)
+        return worker.ramp() >= 1.0 or (not worker.cut and self.last_taken.get(worker, LONG_AGO) <= rested
+                                        and self.own[worker] + heat <= self.budget(worker))
 
     def sure(self, worker):
         """What a worker surely can do now: its share of what is answered, which overload does not inflate."""
@@ -388,8 +388,8 @@
         """A warm worker for the slice's second line, of another zone where there is one."""
         many = not self.manager.facts.get("single_owner")
         able = [w for w in self.manager.usable() if many and w is not main and w.ramp() >= 1.0]
-        second = min(able, default=None, key=lambda w: (
-            w.zone == main.zone, self.seconds[w] / w.weight, w.name))
+        ranked = sorted(able, key=lambda w: (w.zone == main.zone, self.seconds[w] / w.weight, w.name))
+        second = ranked[0] if ranked else None
         self.seconds[second] += 1
         return second
 
@@ -418,16 +418,15 @@
         growth = sum(p.estimates[-1] for p in pieces) / (sum(p.estimate() for p in pieces) or math.inf)
         if growth > SURGE and "busy" in self.manager.facts.get("load_fields", ()):
             for worker in {piece.main: None for piece in pieces if piece.main}:
-                worker.tell("brace", worker.level() * growth)
+                worker.tell("brace", mean(worker.levels) * growth)
 
     def judge(self):
-        """Doubt a worker by its symptom, tries unanswered, whatever the cause; never most of the fleet.
-
-        One whose answers were slow already is overloaded: emptying it would push the next one over."""
+        """Doubt a worker by its symptom, tries unanswered, if its answers were quick until then: emptying an
+        overloaded one would push the next one over. Never most of the fleet."""
         ready = self.manager.ready()
         room = MOST_DOUBTED * len(ready) - sum(not w.usable for w in ready)
         share = {w: w.outcomes[1] / sum(w.outcomes) for w in ready if sum(w.outcomes) >= FEW}
-        common, slow = usual(share.values()), STRAINED[0] * self.manager.objective
+        common, slow = usual(share.values()), STRAINED * self.manager.objective
         bad = [(part, w.name, w) for w, part in share.items()
                if w.usable and part >= FAILING + common and w.answer_time() < slow]
         if len(bad) > room:
@@ -436,9 +435,7 @@
             worker.tell("doubt", f"{part:.0%} of its tries unanswered")
 
     def settle(self):
-        """Slices without a usable worker go at once to the least loaded; second lines follow.
-
-        A line to a closed worker is urgent however it came there, also by a store read at a joining."""
+        """Slices without a usable worker go at once to the least loaded; lines to closed ones are urgent."""
         self.seconds = Counter(piece.standby for piece in self.manager.ours())  # counts on while it hands out
         left = Counter()
         for piece in self.manager.ours():
@@ -460,16 +457,14 @@
                 self.trim(worker)
         for main, count in left.items():
             state = "out of use" if main and main.state == door.READY else main and main.state
-            name = main.name if main else "no worker"
-            self.manager.log(f"{count} slices of {name} ({state}) moved at once")
+            self.manager.log(f"{count} slices of {main and main.name} ({state}) moved at once")
 
     def trim(self, worker):
         """A worker that restarted under its slices keeps only what a cold one may be sent."""
         held = sorted(worker.slices(), key=lambda p: (-p.estimate(), p.number))
         excess = sum(p.estimate() for p in held) - self.budget(worker)
         for piece in held if self.total else ():
-            target = self.least_loaded(piece.estimate(), worker) if excess > 0 else None
-            if target:
+            if excess > 0 and (target := self.least_loaded(piece.estimate(), worker)):
                 excess -= piece.estimate()
                 self.move(piece, target, True)
 
@@ -480,6 +475,7 @@
     def __init__(self, manager):
         super().__init__(manager)
         self.urgent, self.others, self.sent, self.number, self.rules_due = {}, {}, deque(), 0, False
+        self.open = {}  # by worker: whether the proxies let it be used; None where some may not know
 
     def changed(self, piece, urgent):
         if urgent or piece in self.urgent:
@@ -498,7 +494,10 @@
                 self.sent[earlier]["awaited"].clear()
 
     def renew(self):
-        self.rules_due = True  # a slice given has lost its levels
+        self.rules_due = True  # a slice given has lost its levels, and a proxy joined the withdrawals
+        self.open = dict.fromkeys(self.open)
+        for piece in self.manager.ours() if self.open else ():
+            self.changed(piece, piece in self.urgent)
 
     def left(self, proxy):
         for message in self.sent:
@@ -516,22 +515,32 @@
         pace = span / (allowed * MESSAGES_PART) if allowed else 0.0
         if pace and self.sent and (len(self.sent) * pace >= span or now < self.sent[-1]["at"] + pace):
             return
-        standing = self.manager.gate.standing()
-        head = facts.get("message_head", 0) + 1 + len(standing)
-        standing = standing if self.rules_due and self.manager.ours() else []
-        room = WAITING_PART * facts.get("most_waiting", math.inf)
-        room -= sum(message["lines"] for message in self.sent if message["awaited"])
+        differs = facts.get("usual_retry") != door.RETRY_UNSTARTED  # the rules of all slices then say so
+        head = facts.get("message_head", 0) + 1 + differs * len(self.manager.by_value)
+        standing = [door.Admit(door.ALL_SLICES, (), 1.0, door.RETRY_UNSTARTED)]
+        standing = standing if differs and self.rules_due and self.manager.ours() else []
+        rate, most = facts.get("lines_per_second", 0.0), facts.get("most_waiting", math.inf)
+        spare = facts.get("drain_grace", math.inf) - facts.get("longest_delay", 0.0)
+        waits = sum(m["lines"] * len(m["awaited"]) / m["proxies"] for m in self.sent if m["awaited"])
+        waits = max(waits - rate * facts.get("message_delay", 0.0), 0.0)  # the rest travels already
+        room = min(WAITING_PART * most, rate * max(spare, TURN) / 2 or most)  # a drain must still get through
         queue = sorted(self.urgent, key=lambda piece: not piece.closed())  # drains before all else
         if turn:
             queue += list(self.others)[:math.ceil(len(self.others) / TENTH)]
-        orders, lines = list(standing), (head + len(standing)) * proxies
-        if lines > room:
+        shut = [w for p in queue for w in p.stored if w.state != door.READY and self.open.get(w) is not False]
+        orders = [*standing, *(door.Withdraw(w.name, True) for w in dict.fromkeys(shut))]
+        lines = (head + len(orders)) * proxies
+        if lines + waits > (room + most * bool(shut)) / (1 + bool(shut)):
             return
         self.rules_due = self.rules_due and not standing
+        self.open.update(dict.fromkeys(shut, False))  # guards drains: one line each, long before all tables
         for piece in queue:
             wanted, rules, changes = piece.changes() if piece.ours else ({}, None, [])
-            if lines + len(changes) * proxies > room:
+            back = [w for w in wanted if w.usable and not self.open.get(w, w.started == LONG_AGO)]
+            changes += [door.Withdraw(w.name, False) for w in back]  # after its line: only holders are told
+            if lines + len(changes) * proxies + waits > room:
                 break
+            self.open.update(dict.fromkeys(back, True))
             self.urgent.pop(piece, None)
             self.others.pop(piece, None)
             if changes:
@@ -540,26 +549,10 @@
         if orders:
             self.number = (self.number + 1) % 65536
             self.sent.append({"number": self.number, "lines": lines, "at": now, "until": now,
-                              "awaited": set(self.manager.proxies)})
+                              "proxies": proxies, "awaited": set(self.manager.proxies)})
             self.manager.orders += orders + [door.Mark(self.number)]
 
 
-class Gate(Part):
-    """What is let in, and when proxies try again."""
-
-    def rules(self, worker=None):
-        """Level and further tries of each operation; what may take effect twice is never repeated."""
-        retry = door.NO_RETRY if worker and worker.cut else door.RETRY_UNSTARTED
-        admitted = worker.admitted if worker else [1.0] * len(self.manager.facts.get("operations", ()))
-        return [(round(level, 3), retry) for level in admitted]
-
-    def standing(self):
-        """The rules of all slices where the proxies' usual way differs."""
-        usual = self.manager.facts.get("usual_retry")
-        return [door.Admit(door.ALL_SLICES, (k,), level, retry)
-                for k, (level, retry) in enumerate(self.rules()) if retry != usual]
-
-
 class Manager:
     """One manager: hand it what happened, get its orders."""
 
@@ -567,8 +560,7 @@
         self.seed, self.facts, self.counter, self.now = seed, facts, 0, 0.0
         self.managers = max(facts.get("managers", 1), 1)
         self.post, self.orders, self.workers, self.slices, self.proxies = deque(), [], {}, {}, {}
-        self.roster, self.planner = Roster(self), Planner(self)
-        self.publisher, self.gate = Publisher(self), Gate(self)
+        self.roster, self.planner, self.publisher = Roster(self), Planner(self), Publisher(self)
         self.turn_at, self.cycle_at = None, LONG_AGO
         operations = facts.get("operations", [])
         self.objective = min((o["latency_objective"] for o in operations), default=1.0)
@@ -637,12 +629,14 @@
                 self.roster.tell("failed")
             case door.WorkerHeard(_, _, tries, bad, time, over) if worker and sound(tries, bad, time, over):
                 worker.tell("heard", event)
+                self.planner.tell("count", event)
             case door.SliceHeat() if piece and piece.ours and sound(event.invocations, event.over):
                 piece.tell("heat", event)
             case door.MarkAnswered():
                 self.publisher.tell("answered", event)
             case door.ProxyJoined():
                 self.proxies[event.proxy] = event.zone
+                self.publisher.tell("renew")
             case door.ProxyLeft():
                 self.proxies.pop(event.proxy, None)
                 self.publisher.tell("left", event.proxy)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -287,3 +287,35 @@
         ledger.step(0.1)
         ledger.check()
     assert len(ledger.messages) > 30
+
+
+def test_closed_workers_are_withdrawn_in_a_line_each_and_let_back_with_their_first_line():
+    ledger = Ledger(workers=6, slices=90, most_waiting=400, warm_after=2.0)
+    ledger.seconds(6)
+    ledger.step(0.1, ledger.list_of([entry(f"w{k}", door.DRAINING) for k in range(4)]))
+    ledger.seconds(1)
+    assert ledger.out == {"w0", "w1", "w2", "w3"}
+    assert any(name in ledger.out for table in ledger.tables.values() for name in table)
+    ledger.step(0.1, door.ProxyJoined(0, "a", 5.0, True))
+    assert [o for o in ledger.step(1.0) if isinstance(o, door.Withdraw) and o.out]  # it may not know
+    ledger.step(0.1, ledger.list_of([entry(f"w{k}", started=ledger.now) for k in range(4)]))
+    ledger.seconds(30, each=Ledger.check)
+    assert not ledger.out and ledger.on("w0")
+
+
+def test_quick_answers_keep_levels_whatever_stays_unanswered():
+    ledger = Ledger()
+    ledger.seconds(4)
+    mute = {"tries": 20, "unanswered": 9, "mean_time": 0.2, "load": {"busy": 0.9}}
+    slow = {"tries": 20, "mean_time": 0.9, "load": {"busy": 0.4}}  # far to reach, but not busy
+    for report in (mute, slow):
+        ledger.seconds(8, heard={f"w{k}": report for k in range(4)})
+    assert all(level == 1.0 for level, _ in ledger.rules.values())
+
+
+def test_a_few_tries_wait_for_more_before_they_count():
+    worker = Ledger().manager.worker("w0")
+    for count in range(1, 5):
+        worker.heard(door.WorkerHeard("w0", "a", 1, 0, 0.9, 1.0, {"busy": 1.0}))
+        worker.cycle(1.0, 1.0)
+        assert worker.cut == (count >= 4)
