--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -158,7 +158,7 @@
             self.met, self.outcomes = [], [part / 2 for part in self.outcomes]
             self.carried = list(self.outcomes)
         time, by_value, before = self.strain, self.manager.by_value, (self.cut, list(self.admitted))
-        loaded = self.load >= LIMIT or "busy" not in self.manager.facts.get("load_fields", ())
+        loaded = self.load >= LIMIT or not self.manager.tells_busy  # an idle one is only far
         if fresh and time > STRAINED and loaded and self.manager.now >= self.again_at:
             low = next((k for k in by_value if self.admitted[k] > FLOOR), None)
             deeper = self.cut or self.ramp() < 1  # a cold one would fall over before levels came
@@ -179,8 +179,7 @@
         if expected > 1 and self.admitted:
             least = self.manager.by_value[0]
             self.admitted[least] = max(min(self.admitted[least], 1 / expected), FLOOR)
-            self.cut, self.again_at = True, self.manager.now + LAG
-            self.braced_until = self.again_at
+            self.cut, self.again_at, self.braced_until = True, self.manager.now + LAG, self.manager.now + LAG
             self.publish(True)
 
     def rules(self):
@@ -203,8 +202,8 @@
         super().__init__(manager)
         self.number, self.ours = number, False
         self.main = self.standby = self.rules = None  # rules: what the store's table lets in, or None
-        self.stored, self.latest, self.estimates, self.before = {}, {}, deque(maxlen=REPORTS), None
-        self.fresh = False
+        self.stored, self.latest, self.fresh = {}, {}, False
+        self.estimates, self.before = deque(maxlen=REPORTS), None
 
     def given(self, ours):
         self.ours, self.stored, self.main, self.standby, self.rules = ours, {}, None, None, None
@@ -246,8 +245,8 @@
         """Orders that bring the store's table to the wanted one; new lines before old ones go."""
         main, standby = self.main, self.standby
         spare = main and main.cut and standby and standby.usable and not standby.cut and standby.ramp() >= 1.0
-        spare = spare and self.manager.facts.get("pick") == "pair"  # elsewhere a fixed part goes, at a price
-        second = OVERFLOW if spare else STANDBY
+        pair = self.manager.facts.get("pick") == "pair"  # elsewhere a fixed part would go, at a price
+        second = OVERFLOW if spare and pair else STANDBY
         wanted = {w: part for w, part in ((standby, second), (main, 1.0)) if w is not None}
         orders = [door.SetLine(self.number, w.name, n) for w, n in wanted.items() if self.stored.get(w) != n]
         orders += [door.SetLine(self.number, w.name, 0) for w in self.stored if w not in wanted]
@@ -293,10 +292,11 @@
 
     def __init__(self, manager):
         super().__init__(manager)
-        self.held, self.loads, self.own = Counter(), Counter(), Counter()
+        self.held, self.loads, self.own, self.seconds = Counter(), Counter(), Counter(), Counter()
         self.moves, self.last_taken, self.lag = deque(), {}, manager.facts.get("cycle", 1.0)
-        self.answered, self.seconds, self.heat, self.total = deque(maxlen=REPORTS), Counter(), 0.0, 0.0
-        self.weights, self.common, self.typical, self.good, self.strained = 1.0, 0.0, 1.0, 0.0, 0
+        self.answered, self.strained = deque(maxlen=REPORTS), 0
+        self.heat = self.total = self.common = self.good = 0.0
+        self.weights = self.typical = 1.0
 
     def cycle(self):
         """On each report: books, then health, then the rule."""
@@ -309,21 +309,18 @@
         self.common = usual(mean(w.latest) for w in manager.workers.values() if w.latest)
         for worker in manager.workers.values():
             worker.cycle(self.common, self.common * (1 - 1 / manager.managers) * worker.ramp())
-        strained = sorted((w.strain * manager.objective, w.name) for w in manager.usable() if w.cut)
-        if len(strained) != self.strained:
-            manager.log(f"{len(strained)} workers strained: tries, then levels cut; worst {strained[-1:]}")
-        self.strained = len(strained)
+        self.strained, before = len([w for w in manager.usable() if w.cut]), self.strained
+        if self.strained != before:
+            manager.log(f"{self.strained} workers strained: tries, then levels cut")
         self.books()
         self.surge()
         self.rule()
 
-    def lagging(self, over):
-        """Sums that are capped span more than a cycle each, and come as much later; a slow average of it."""
+    def count(self, good, over):
+        """What is answered; and how long sums span: capped ones come seldom, and late by as much."""
+        self.good += good
         self.lag += (max(over, self.manager.facts.get("cycle", 1.0)) - self.lag) / FEW / REPORTS
 
-    def count(self, report):
-        self.good += max(report.tries - report.unanswered, 0)
-
     def books(self):
         """Loads in heat: reported levels scaled to add up to the heat of all slices, moves included."""
         manager, pieces = self.manager, self.manager.ours()
@@ -409,21 +406,19 @@
             or len(w.times) >= HELD and mean(w.times) > SLOW * median)]
         self.held = Counter({w: self.held[w] + 1 for w in over})
         over = [w for w in over if self.held[w] >= HELD]
-        if not over:
-            return
-        top = over[-1]
-        piece = min(top.slices(), key=lambda p: (p.estimate(), p.number))
-        target = self.least_loaded(piece.estimate(), top)
-        if target and self.loads[target] + piece.estimate() <= LIMIT * self.capacity(target):
-            self.manager.log(f"slice {piece.number} from {top.name} (over) to {target.name}")
-            self.move(piece, target, False)
-            self.held[top] = 0  # the next move from it needs three reports that have seen this one
+        for top in over[-1:]:
+            piece = min(top.slices(), key=lambda p: (p.estimate(), p.number))
+            target = self.least_loaded(piece.estimate(), top)
+            if target and self.loads[target] + piece.estimate() <= LIMIT * self.capacity(target):
+                self.manager.log(f"slice {piece.number} from {top.name} (over) to {target.name}")
+                self.move(piece, target, False)
+                self.held[top] = 0  # the next move from it needs three reports that have seen this one
 
     def surge(self):
         """Heat that jumps everywhere leaves nowhere to move to: brace, where busyness is reported."""
         pieces = [piece for piece in self.manager.ours() if piece.estimates]
         growth = sum(p.estimates[-1] for p in pieces) / (sum(p.estimate() for p in pieces) or math.inf)
-        if growth > SURGE and "busy" in self.manager.facts.get("load_fields", ()):
+        if growth > SURGE and self.manager.tells_busy:
             for worker in {piece.main: None for piece in pieces if piece.main}:
                 worker.tell("brace", mean(worker.levels) * growth)
 
@@ -459,12 +454,10 @@
                     piece.tell("go", main, second, False)
             if piece.closed():
                 self.manager.publisher.tell("changed", piece, True)
-        for worker in self.manager.usable():  # after the rest, so that its notes are the last word
-            if worker.ramp() < 1.0:
-                self.trim(worker)
+        for worker in [w for w in self.manager.usable() if w.ramp() < 1.0]:
+            self.trim(worker)  # after the rest, so that its notes are the last word
         for main, count in left.items():
-            state = "out of use" if main and main.state == door.READY else main and main.state
-            self.manager.log(f"{count} slices of {main and main.name} ({state}) moved at once")
+            self.manager.log(f"{count} slices of {main and main.name} ({main and main.state}) moved at once")
 
     def trim(self, worker):
         """A worker that restarted under its slices keeps only what a cold one may be sent."""
@@ -485,11 +478,9 @@
         self.open = {}  # by worker: whether the proxies let it be used; None where some may not know
 
     def changed(self, piece, urgent):
-        if urgent or piece in self.urgent:
-            self.others.pop(piece, None)
-            self.urgent[piece] = None
-        else:
-            self.others[piece] = None
+        urgent = urgent or piece in self.urgent
+        (self.others if urgent else self.urgent).pop(piece, None)
+        (self.urgent if urgent else self.others)[piece] = None
 
     def answered(self, event):
         """Messages leave in order: an answer to one means that all before it have left the channel."""
@@ -522,10 +513,10 @@
         pace = span / (allowed * MESSAGES_PART) if allowed else 0.0
         if pace and self.sent and (len(self.sent) * pace >= span or now < self.sent[-1]["at"] + pace):
             return
-        differs = facts.get("usual_retry") != door.RETRY_UNSTARTED  # the rules of all slices then say so
-        head = facts.get("message_head", 0) + 1 + differs * len(self.manager.by_value)
-        standing = [door.Admit(door.ALL_SLICES, (), 1.0, door.RETRY_UNSTARTED)]
-        standing = standing if differs and self.rules_due and self.manager.ours() else []
+        usual = [door.Admit(door.ALL_SLICES, (), 1.0, door.RETRY_UNSTARTED)] * (
+            facts.get("usual_retry") != door.RETRY_UNSTARTED)  # where the proxies' own way differs
+        head = facts.get("message_head", 0) + 1 + len(usual) * len(self.manager.by_value)
+        standing = usual if self.rules_due and self.manager.ours() else []
         rate, most = facts.get("lines_per_second", 0.0), facts.get("most_waiting", math.inf)
         spare = facts.get("drain_grace", math.inf) - facts.get("longest_delay", 0.0)
         waits = sum(m["lines"] * len(m["awaited"]) / m["proxies"] for m in self.sent if m["awaited"])
@@ -571,6 +562,7 @@
         self.turn_at, self.cycle_at = None, LONG_AGO
         operations = facts.get("operations", [])
         self.objective = min((o["latency_objective"] for o in operations), default=1.0)
+        self.tells_busy = "busy" in facts.get("load_fields", ())
         self.by_value = sorted(range(len(operations)), key=lambda k: operations[k]["billed_value"])
 
     def chance(self):
@@ -579,8 +571,7 @@
 
     def worker(self, name):
         """The worker of this name; one that no list has named, only the store, counts as gone."""
-        if name not in self.workers:
-            self.workers[name] = Worker(self, name)
+        self.workers[name] = self.workers.get(name) or Worker(self, name)
         return self.workers[name]
 
     def log(self, text):
@@ -636,10 +627,10 @@
                 self.roster.tell("failed")
             case door.WorkerHeard(_, _, tries, bad, time, over) if worker and sound(tries, bad, time, over):
                 worker.tell("heard", event)
-                self.planner.tell("count", event)
+                self.planner.tell("count", max(tries - bad, 0), over)
             case door.SliceHeat() if piece and piece.ours and sound(event.invocations, event.over):
                 piece.tell("heat", event)
-                self.planner.tell("lagging", event.over)
+                self.planner.tell("count", 0, event.over)
             case door.MarkAnswered():
                 self.publisher.tell("answered", event)
             case door.ProxyJoined():
