Tables without an open line leave first; lines of withdrawn workers wait; heat counts by its sum's own span

Cause, by message: both its workers were withdrawn in turn, its new table waited 17 s behind others that had lines. Told apart from a worker not let back in: none of its workers had come back. Now a bare table leaves first, and at first its first line alone; lines of withdrawn workers, which nobody uses, leave in ordinary turns, and a worker comes back only after its old lines went. It guards as well against any rush of tables at a slow channel; it could harm where a worker flaps: its lines then hold up its return.

--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -11,7 +11,6 @@
 
 from . import interface as door
 
-# --- constants: unit, and why this size -------------------------------------------------------------------
 REPORTS = 5          # reports averaged; the design page
 HELD = 3             # reports in a row that both tests must hold; the design page
 LIMIT = 0.75         # share of capacity, the middle of the paper's 0.70-0.80
@@ -22,7 +21,7 @@
 TENTH = 10           # turns in which ordinary tables go out; the design page
 TURN = 0.5           # s between turns of publishing, so that ten turns take about the five reports' time
 UNSEEN = 2.0         # s before a report shows a move: longest delay of a report and of an order, roughly
-STALE = 3            # cycles without a report after which the last one no longer counts
+STALE = 3            # cycles, or spans of a sum, without a report after which the last one no longer counts
 QUEUED = 0.1         # busy workers that one waiting invocation stands for; ten waiting are a full worker more
 STANDBY = 0.01       # weight of a slice's second line; enough to retry at, too little to be a move
 OVERFLOW = 0.4       # weight of a second line while the first worker is strained and the second is not
@@ -55,8 +54,7 @@
     return sum(values) / len(values) if values else 0.0
 
 
-def sound(*figures):
-    """Whether figures of a report can be used: finite and not negative."""
+def sound(*figures):  # usable in a report: finite and not negative
     return all(isinstance(f, (int, float)) and math.isfinite(f) and f >= 0 for f in figures)
 
 
@@ -86,7 +84,7 @@
         self.outcomes, self.carried = [0.0, 0.0], [0.0, 0.0]  # answered, unanswered, halved; the old part
         self.met, self.silent = [], STALE
         self.cut, self.again_at, self.braced_until = False, LONG_AGO, LONG_AGO  # cut: no further tries
-        self.strain = self.load = 0.0  # answer time over objective; load as last reported
+        self.strain = self.load = self.good = 0.0  # answer time over objective; last load; answers this cycle
         self.admitted = [1.0] * len(self.manager.facts.get("operations", []))
 
     @property
@@ -112,6 +110,7 @@
 
     def heard(self, report):
         good = max(report.tries - report.unanswered, 0)
+        self.good += good
         if self.manager.now - report.over >= self.doubted_until:  # older sums say nothing of it as it is
             self.outcomes[0] += good
             self.outcomes[1] += report.unanswered
@@ -127,8 +126,7 @@
 
     def doubt(self, why):
         """Out of use for a while, longer each time; taken back as if new, one slice at a time."""
-        hold = DOUBT * 2 ** self.doubts
-        self.doubts = min(self.doubts + 1, 2)
+        hold, self.doubts = DOUBT * 2 ** self.doubts, min(self.doubts + 1, 2)
         self.doubted_until = self.trusted = self.manager.now + hold
         self.outcomes, self.carried = [0.0, 0.0], [0.0, 0.0]
         self.manager.log(f"worker {self.name} out of use for {hold:.0f} s: {why}")
@@ -141,7 +139,7 @@
             self.levels.append(min(self.load, JAMMED * usual_level or math.inf))
         elif self.silent >= STALE:
             self.levels.append(expected)
-        self.latest = []
+        self.latest, self.good = [], 0.0
         self.feel()
 
     def answer_time(self):
@@ -218,13 +216,13 @@
         self.main, self.standby = ranked[0], ranked[1] if len(ranked) > 1 else None
 
     def heat(self, report):
-        self.latest[report.operation] = (report.invocations / max(report.over, 0.1), self.manager.now)
+        over = max(report.over, TURN)  # where sums are capped they span seconds, and come as seldom
+        self.latest[report.operation] = (report.invocations / over, self.manager.now + STALE * over)
         self.fresh = True
 
     def cycle(self):
         """One report of heat, with the design's trend: heat now x (1 + growth), the factor held in bounds."""
-        since = self.manager.now - STALE * self.manager.planner.lag
-        now = sum(rate for rate, at in self.latest.values() if at >= since)
+        now = sum(rate for rate, until in self.latest.values() if until > self.manager.now)
         if self.fresh or not now:
             trend = now / self.before if self.before else 1.0  # nothing before: no trend
             self.estimates.append(now * min(max(trend, TREND[0]), TREND[1]))
@@ -239,16 +237,23 @@
         self.manager.publisher.tell("changed", self, urgent)
 
     def closed(self):
-        return any(w.state != door.READY for w in self.stored)
+        return any(w.state != door.READY and not self.manager.publisher.off(w) for w in self.stored)
+
+    def bare(self):
+        return not any(w.usable for w in self.stored)
 
-    def changes(self):
-        """Orders that bring the store's table to the wanted one; new lines before old ones go."""
+    def changes(self, urgent):
+        """To the wanted table, new lines first; in haste a bare one's first alone, withdrawn ones wait."""
         main, standby = self.main, self.standby
+        if urgent and self.stored and self.bare() and main and main.usable:
+            return {**self.stored, main: 1.0}, self.rules, [door.SetLine(self.number, main.name, 1.0)]
         spare = main and main.cut and standby and standby.usable and not standby.cut and standby.ramp() >= 1.0
         pair = self.manager.facts.get("pick") == "pair"  # elsewhere a fixed part would go, at a price
         second = OVERFLOW if spare and pair else STANDBY
         wanted = {w: part for w, part in ((standby, second), (main, 1.0)) if w is not None}
         orders = [door.SetLine(self.number, w.name, n) for w, n in wanted.items() if self.stored.get(w) != n]
+        waits = {w: n for w, n in self.stored.items() if urgent and self.manager.publisher.off(w)}
+        wanted = {**waits, **wanted}
         orders += [door.SetLine(self.number, w.name, 0) for w in self.stored if w not in wanted]
         usual = [(1.0, door.RETRY_UNSTARTED)] * len(self.manager.by_value)
         rules = main.rules() if main else usual
@@ -293,18 +298,15 @@
     def __init__(self, manager):
         super().__init__(manager)
         self.held, self.loads, self.own, self.seconds = Counter(), Counter(), Counter(), Counter()
-        self.moves, self.last_taken, self.lag = deque(), {}, manager.facts.get("cycle", 1.0)
-        self.answered, self.strained = deque(maxlen=REPORTS), 0
-        self.heat = self.total = self.common = self.good = 0.0
+        self.moves, self.last_taken, self.answered = deque(), {}, deque(maxlen=REPORTS)
+        self.heat = self.total = self.common = self.strained = 0.0
         self.weights = self.typical = 1.0
 
     def cycle(self):
-        """On each report: books, then health, then the rule."""
         manager = self.manager
         for piece in manager.ours():
             piece.cycle()
-        self.answered.append(self.good / manager.facts.get("cycle", 1.0))
-        self.good = 0.0
+        self.answered.append(sum(w.good for w in manager.workers.values()) / manager.facts.get("cycle", 1.0))
         self.judge()
         self.common = usual(mean(w.latest) for w in manager.workers.values() if w.latest)
         for worker in manager.workers.values():
@@ -316,11 +318,6 @@
         self.surge()
         self.rule()
 
-    def count(self, good, over):
-        """What is answered; and how long sums span: capped ones come seldom, and late by as much."""
-        self.good += good
-        self.lag += (max(over, self.manager.facts.get("cycle", 1.0)) - self.lag) / FEW / REPORTS
-
     def books(self):
         """Loads in heat: reported levels scaled to add up to the heat of all slices, moves included."""
         manager, pieces = self.manager, self.manager.ours()
@@ -378,8 +375,7 @@
         self.own[piece.main] -= heat
         self.own[target] += heat
         self.loads[piece.main] = max(self.loads[piece.main] - heat, 0.0)
-        if urgent:  # the other managers, unseen, are likely to send as much the same way
-            heat *= self.manager.managers
+        heat *= self.manager.managers if urgent else 1  # the others, unseen, likely send as much the same way
         self.loads[target] += heat
         self.moves.append((self.manager.now, piece.main, target, heat))
         self.last_taken[target] = self.manager.now
@@ -423,8 +419,7 @@
                 worker.tell("brace", mean(worker.levels) * growth)
 
     def judge(self):
-        """Doubt a worker by its symptom, tries unanswered, if its answers were quick until then: emptying an
-        overloaded one would push the next one over. Never most of the fleet."""
+        """Doubt a worker for unanswered tries if not slow before: emptying a full one would fill the next."""
         ready = self.manager.ready()
         room = MOST_DOUBTED * len(ready) - sum(not w.usable for w in ready)
         share = {w: w.outcomes[1] / sum(w.outcomes) for w in ready if sum(w.outcomes) >= FEW}
@@ -443,10 +438,9 @@
         for piece in self.manager.ours():
             main, standby, target = piece.main, piece.standby, None
             if main is None or not main.usable:
-                must = main is None or main.state != door.READY  # a doubted one may keep its slices
-                target = self.least_loaded(piece.estimate(), main, must)
+                target = self.least_loaded(piece.estimate(), main, not main or main.state != door.READY)
             if target:
-                left[main] += 1
+                left[main and f"{main.name} ({main.state})"] += 1
                 self.move(piece, target, True)
             elif main and (standby is None or not standby.usable or standby is main):
                 second = self.second(main)
@@ -456,8 +450,8 @@
                 self.manager.publisher.tell("changed", piece, True)
         for worker in [w for w in self.manager.usable() if w.ramp() < 1.0]:
             self.trim(worker)  # after the rest, so that its notes are the last word
-        for main, count in left.items():
-            self.manager.log(f"{count} slices of {main and main.name} ({main and main.state}) moved at once")
+        for whose, count in left.items():
+            self.manager.log(f"{count} slices of {whose} moved at once")
 
     def trim(self, worker):
         """A worker that restarted under its slices keeps only what a cold one may be sent."""
@@ -484,12 +478,11 @@
 
     def answered(self, event):
         """Messages leave in order: an answer to one means that all before it have left the channel."""
-        numbers = [message["number"] for message in self.sent]
-        if event.mark in numbers:
-            place = numbers.index(event.mark)
-            self.sent[place]["awaited"].discard(event.proxy)
-            for earlier in range(place):
-                self.sent[earlier]["awaited"].clear()
+        for place, message in enumerate(self.sent):
+            if message["number"] == event.mark:
+                message["awaited"].discard(event.proxy)
+                for earlier in range(place):
+                    self.sent[earlier]["awaited"].clear()
 
     def renew(self):
         self.rules_due = True  # a slice given has lost its levels, and a proxy joined the withdrawals
@@ -497,6 +490,10 @@
         for piece in self.manager.ours() if self.open else ():
             self.changed(piece, piece in self.urgent)
 
+    def off(self, worker):
+        """Whether all proxies are told to keep off a closed worker."""
+        return worker.state != door.READY and self.open.get(worker) is False
+
     def left(self, proxy):
         for message in self.sent:
             message["awaited"].discard(proxy)
@@ -522,10 +519,11 @@
         waits = sum(m["lines"] * len(m["awaited"]) / m["proxies"] for m in self.sent if m["awaited"])
         waits = max(waits - rate * facts.get("message_delay", 0.0), 0.0)  # the rest travels already
         room = min(WAITING_PART * most, rate * max(spare, TURN) / 2 or most)  # a drain must still get through
-        queue = sorted(self.urgent, key=lambda piece: not piece.closed())  # drains before all else
+        queue = sorted(self.urgent, key=lambda piece: (not piece.bare(), not piece.closed()))
         if turn:
             queue += list(self.others)[:math.ceil(len(self.others) / TENTH)]
-        shut = [w for p in queue for w in p.stored if w.state != door.READY and self.open.get(w) is not False]
+        # above: tables without an open line before all else, or they are bare while others fill the channel
+        shut = [w for p in queue for w in p.stored if w.state != door.READY and not self.off(w)]
         orders = [*standing, *(door.Withdraw(w.name, True) for w in dict.fromkeys(shut))]
         lines = (head + len(orders)) * proxies
         if lines + waits > (room + most * bool(shut)) / (1 + bool(shut)):
@@ -533,14 +531,20 @@
         self.rules_due = self.rules_due and not standing
         self.open.update(dict.fromkeys(shut, False))  # guards drains: one line each, long before all tables
         for piece in queue:
-            wanted, rules, changes = piece.changes() if piece.ours else ({}, None, [])
+            wanted, rules, changes = piece.changes(piece in self.urgent) if piece.ours else ({}, None, [])
             back = [w for w in wanted if w.usable and not self.open.get(w, w.started == LONG_AGO)]
-            changes += [door.Withdraw(w.name, False) for w in back]  # after its line: only holders are told
+            let = [w for w in back if not any(w in p.stored and w not in (p.main, p.standby)
+                                              for p in self.manager.ours())]  # old lines of it go before
+            changes += [door.Withdraw(w.name, False) for w in let]  # after its line: only holders are told
             if lines + len(changes) * proxies + waits > room:
                 break
-            self.open.update(dict.fromkeys(back, True))
+            self.open.update(dict.fromkeys(let, True))
             self.urgent.pop(piece, None)
             self.others.pop(piece, None)
+            if back != let or piece.standby and piece.standby not in wanted:
+                self.urgent[piece] = None
+            elif set(wanted) - {piece.main, piece.standby}:
+                self.others[piece] = None
             if changes:
                 orders, lines = orders + changes, lines + len(changes) * proxies
                 piece.tell("sent", wanted, rules)
@@ -627,10 +631,8 @@
                 self.roster.tell("failed")
             case door.WorkerHeard(_, _, tries, bad, time, over) if worker and sound(tries, bad, time, over):
                 worker.tell("heard", event)
-                self.planner.tell("count", max(tries - bad, 0), over)
             case door.SliceHeat() if piece and piece.ours and sound(event.invocations, event.over):
                 piece.tell("heat", event)
-                self.planner.tell("count", 0, event.over)
             case door.MarkAnswered():
                 self.publisher.tell("answered", event)
             case door.ProxyJoined():
