Where workers have come, each may take a slice a cycle until it carries its part

Cause, by message: 56 workers become 131 in fourteen seconds; at one move a manager a cycle the newcomers stood at 0.15 busy with 84 of 362 slices while the others queued at 0.9. Told apart from the cold budget: warm newcomers stayed as empty. The exception: while workers that came carry less than the average over the bound, every over worker may give one slice to one of them in a cycle, beyond the one move; tests, smallest slice and cold budget stay the design's.

--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -402,10 +402,12 @@
             or len(w.times) >= HELD and mean(w.times) > SLOW * median)]
         self.held = Counter({w: self.held[w] + 1 for w in over})
         over = [w for w in over if self.held[w] >= HELD]
-        for top in over[-1:]:
+        new = [w for w in ranked if w.trusted > LONG_AGO and self.rank(w) * BOUND < self.total / self.weights]
+        for top in over[::-1][:1 + len(new)]:  # a growth: each newcomer may take one till it has its part
             piece = min(top.slices(), key=lambda p: (p.estimate(), p.number))
             target = self.least_loaded(piece.estimate(), top)
-            if target and self.loads[target] + piece.estimate() <= LIMIT * self.capacity(target):
+            fits = target and (top is over[-1] or target in new)
+            if fits and self.loads[target] + piece.estimate() <= LIMIT * self.capacity(target):
                 self.manager.log(f"slice {piece.number} from {top.name} (over) to {target.name}")
                 self.move(piece, target, False)
                 self.held[top] = 0  # the next move from it needs three reports that have seen this one
@@ -490,8 +492,7 @@
         for piece in self.manager.ours() if self.open else ():
             self.changed(piece, piece in self.urgent)
 
-    def off(self, worker):
-        """Whether all proxies are told to keep off a closed worker."""
+    def off(self, worker):  # whether all proxies are told to keep off a closed one
         return worker.state != door.READY and self.open.get(worker) is False
 
     def left(self, proxy):
@@ -613,8 +614,7 @@
         self.run()
         return self.orders
 
-    def run(self):
-        """The loop that empties the inboxes."""
+    def run(self):  # the loop that empties the inboxes
         while self.post:
             part = self.post.popleft()
             note, what = part.inbox.popleft()
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -334,3 +334,15 @@
     bare = {number for number, names in pairs.items() if names <= set(gone)}
     first = [o.table for o in ledger.step(1.0) + ledger.step(1.0) if isinstance(o, door.SetLine)]
     assert bare and set(first[:len(bare)]) <= bare
+
+
+def test_where_many_workers_come_at_once_each_may_take_a_slice_a_cycle():
+    for come, most in ((0, 1), (6, 6)):
+        ledger = Ledger(workers=6, slices=60, warm_after=4.0)
+        heat = {n: 3.0 if n % 6 < 3 else 0.5 for n in range(60)}  # three of six carry the most
+        ledger.seconds(3, heat=heat.get)
+        ledger.step(0.1, ledger.list_of([entry(f"x{k}", started=ledger.now) for k in range(come)]))
+        ledger.seconds(4, heat=heat.get)
+        moved = [sum("(over)" in o.text for o in ledger.step(0.5, *ledger.reports(heat.get, {}))
+                     if isinstance(o, door.Log)) for _ in range(12)]
+        assert 0 < max(moved) <= most and (not come or max(moved) > 1)
