Idle newcomers no longer lower what the others are held to do; cold workers take by busyness

Cause, by message: in a release 46% was refused while the old workers stood at 0.75 busy without a queue and the newcomers at 0.2. What a worker surely can do was its weight's part of what is answered, newcomers counted whole though they answered nothing; so braces cut, less was answered, and braces cut deeper. Told apart from overload: no queue, 4% late. Now workers count by how warm they surely are, and where busyness is told a cold worker's budget goes by it. It should hold as well for growth and mass restarts; it could let a cold worker take too much where busyness is told wrong.

--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -102,9 +102,8 @@
         if started != self.started:
             self.forget()  # a new process: cold, whatever the old one did
             self.trusted, self.doubted_until, self.doubts = started, LONG_AGO, 0
-        for piece in self.manager.ours() if entry.state != self.state else ():
-            if self in piece.stored:  # its withdrawal is due, or over
-                self.manager.publisher.tell("changed", piece, True)
+        for piece in [p for p in self.manager.ours() if entry.state != self.state and self in p.stored]:
+            self.manager.publisher.tell("changed", piece, True)  # its withdrawal is due, or over
         self.started, self.state, self.zone = started, entry.state, entry.zone
         self.weight = entry.weight if sound(entry.weight) and entry.weight > 0 else 1.0
 
@@ -132,12 +131,11 @@
         self.manager.log(f"worker {self.name} out of use for {hold:.0f} s: {why}")
 
     def cycle(self, usual_level, expected):
-        """Close this cycle's report; a worker that few try is assumed to carry what is expected of it."""
         self.silent = 0 if self.latest else self.silent + 1
         if self.latest:  # a jammed worker's queue must not make all others look idle
             self.load = mean(self.latest)
             self.levels.append(min(self.load, JAMMED * usual_level or math.inf))
-        elif self.silent >= STALE:
+        elif self.silent >= STALE:  # few try it: assume that it carries what is expected of it
             self.levels.append(expected)
         self.latest, self.good = [], 0.0
         self.feel()
@@ -151,8 +149,8 @@
         good, bad = (now - old for now, old in zip(self.outcomes, self.carried, strict=True))
         fresh = good + bad >= FEW  # fewer say nothing: they wait for more
         if fresh:
-            self.strain = self.answer_time() / self.manager.objective
             self.times.append(self.answer_time())
+            self.strain = self.times[-1] / self.manager.objective
             self.met, self.outcomes = [], [part / 2 for part in self.outcomes]
             self.carried = list(self.outcomes)
         time, by_value, before = self.strain, self.manager.by_value, (self.cut, list(self.admitted))
@@ -268,8 +266,8 @@
 
     def __init__(self, manager):
         super().__init__(manager)
-        self.following, self.ask_at, self.failures = not manager.facts.get("must_ask_for_list"), LONG_AGO, 0
-        self.called = False  # whether a call is out; a failure of none must not put the next one off
+        self.following, self.ask_at = not manager.facts.get("must_ask_for_list"), LONG_AGO
+        self.called, self.failures = False, 0  # called: a call is out; a failure of none puts no next one off
 
     def listed(self, event):
         named = {self.manager.worker(entry.worker): entry for entry in event.workers}
@@ -299,8 +297,8 @@
         super().__init__(manager)
         self.held, self.loads, self.own, self.seconds = Counter(), Counter(), Counter(), Counter()
         self.moves, self.last_taken, self.answered = deque(), {}, deque(maxlen=REPORTS)
-        self.heat = self.total = self.common = self.strained = 0.0
-        self.weights = self.typical = 1.0
+        self.heat = self.total = self.busy = self.common = self.strained = 0.0
+        self.weights = self.full = self.typical = 1.0
 
     def cycle(self):
         manager = self.manager
@@ -329,7 +327,10 @@
         self.heat = sum(piece.estimate() for piece in pieces)
         self.total = self.heat * max(manager.facts.get("slices", 0), len(pieces)) / max(len(pieces), 1)
         self.weights = sum(w.weight for w in ready) or 1.0
-        scale = self.total / (sum(mean(w.levels) * w.weight for w in ready) or 1.0)
+        usual_busy = min(max(self.common, WORKING_POINT), JAMMED)
+        self.full = usual_busy * sum(w.weight * w.ramp() for w in ready) or 1.0
+        self.busy = sum(mean(w.levels) * w.weight for w in ready)
+        scale = self.total / (self.busy or 1.0)
         self.loads = Counter({w: scale * w.weight * mean(w.levels) for w in manager.workers.values()})
         while self.moves and self.moves[0][0] < manager.now - UNSEEN - REPORTS:
             self.moves.popleft()
@@ -349,13 +350,13 @@
                                         and self.own[worker] + heat <= self.budget(worker))
 
     def sure(self, worker):
-        """What a worker surely can do now: its share of what is answered, which overload does not inflate."""
-        answered = mean(self.answered) * self.total / (self.heat or 1.0)
-        busy = min(max(self.common, WORKING_POINT), JAMMED)
-        return worker.ramp() * worker.weight / self.weights * min(answered, self.total) / busy
+        """What a worker surely can do now: its part by warmth of what is answered, not of repeats."""
+        answered = min(mean(self.answered) * self.total / (self.heat or 1.0), self.total)
+        return worker.ramp() * worker.weight * answered / self.full
 
-    def budget(self, worker):
-        return self.sure(worker) * COLD_PART / self.manager.managers
+    def budget(self, worker):  # where busyness is told it is better than the guess in full
+        told = self.full / self.busy if self.manager.tells_busy and self.busy else 1.0
+        return self.sure(worker) * told * COLD_PART / self.manager.managers
 
     def rank(self, worker):
         return self.loads[worker] / worker.weight
@@ -557,8 +558,6 @@
 
 
 class Manager:
-    """One manager: hand it what happened, get its orders."""
-
     def __init__(self, seed, facts):
         self.seed, self.facts, self.counter, self.now = seed, facts, 0, 0.0
         self.managers = max(facts.get("managers", 1), 1)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -346,3 +346,13 @@
         moved = [sum("(over)" in o.text for o in ledger.step(0.5, *ledger.reports(heat.get, {}))
                      if isinstance(o, door.Log)) for _ in range(12)]
         assert 0 < max(moved) <= most and (not come or max(moved) > 1)
+
+
+def test_idle_newcomers_do_not_lower_what_others_are_held_to_do():
+    ledger = Ledger(workers=4, warm_after=20.0)
+    ledger.seconds(6)
+    planner = ledger.manager.planner
+    before, worker = planner.sure(ledger.manager.workers["w0"]), ledger.manager.workers["w0"]
+    ledger.step(0.1, ledger.list_of([entry(f"x{k}", started=ledger.now) for k in range(8)]))
+    ledger.seconds(2)
+    assert planner.sure(worker) > 0.6 * before  # with their whole weights it would be a third
