No slice goes to a worker still withdrawn; a message each half second unless a withdrawal is due

Cause, by message: both its workers died, its new first line named a worker that had just come back and was still withdrawn, since old lines of it stood in other tables and those waited behind bare tables. Told apart from the bare table of before: its line had left at once. Now such a worker gets nothing until its old lines are gone. On the way: ten messages a second, whose heads took half of the channel, since parts of a message's proxies that answered made room for little ones; now one each half second, a withdrawal at once. It could harm where an urgent table waits half a second behind a small message.

--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -298,7 +298,7 @@
         self.held, self.loads, self.own, self.seconds = Counter(), Counter(), Counter(), Counter()
         self.moves, self.last_taken, self.answered = deque(), {}, deque(maxlen=REPORTS)
         self.heat = self.total = self.busy = self.common = self.strained = 0.0
-        self.weights = self.full = self.typical = 1.0
+        self.weights, self.full, self.typical, self.stale = 1.0, 1.0, 1.0, set()
 
     def cycle(self):
         manager = self.manager
@@ -363,7 +363,7 @@
 
     def least_loaded(self, heat, but, must=False):
         """The least loaded worker that may take this heat; where one must, rather doubted than cold."""
-        ready = [w for w in self.manager.ready() if w is not but]
+        ready = [w for w in self.manager.ready() if w is not but and w not in self.stale]
         able = [w for w in ready if w.usable and self.has_room(w, heat)]
         if must and not able:
             warm = self.manager.now - self.manager.facts.get("warm_after", 0.0)
@@ -437,6 +437,8 @@
     def settle(self):
         """Slices without a usable worker go at once to the least loaded; lines to closed ones are urgent."""
         self.seconds = Counter(piece.standby for piece in self.manager.ours())  # counts on while it hands out
+        self.stale = {w for p in self.manager.ours() for w in p.stored if w not in (p.main, p.standby)
+                      and self.manager.publisher.open.get(w) is False}  # still withdrawn: old lines go first
         left = Counter()
         for piece in self.manager.ours():
             main, standby, target = piece.main, piece.standby, None
@@ -446,9 +448,7 @@
                 left[main and f"{main.name} ({main.state})"] += 1
                 self.move(piece, target, True)
             elif main and (standby is None or not standby.usable or standby is main):
-                second = self.second(main)
-                if second is not standby:
-                    piece.tell("go", main, second, False)
+                piece.tell("go", main, self.second(main), False)
             if piece.closed():
                 self.manager.publisher.tell("changed", piece, True)
         for worker in [w for w in self.manager.usable() if w.ramp() < 1.0]:
@@ -521,22 +521,21 @@
         waits = sum(m["lines"] * len(m["awaited"]) / m["proxies"] for m in self.sent if m["awaited"])
         waits = max(waits - rate * facts.get("message_delay", 0.0), 0.0)  # the rest travels already
         room = min(WAITING_PART * most, rate * max(spare, TURN) / 2 or most)  # a drain must still get through
-        queue = sorted(self.urgent, key=lambda piece: (not piece.bare(), not piece.closed()))
+        queue = sorted(self.urgent, key=lambda p: (not p.bare(), not p.closed()))  # guards against bare ones
         if turn:
             queue += list(self.others)[:math.ceil(len(self.others) / TENTH)]
-        # above: tables without an open line before all else, or they are bare while others fill the channel
         shut = [w for p in queue for w in p.stored if w.state != door.READY and not self.off(w)]
         orders = [*standing, *(door.Withdraw(w.name, True) for w in dict.fromkeys(shut))]
         lines = (head + len(orders)) * proxies
-        if lines + waits > (room + most * bool(shut)) / (1 + bool(shut)):
+        soon = self.sent and now < self.sent[-1]["at"] + TURN  # heads of many small messages fill a channel
+        if soon and not shut or lines + waits > (room + most * bool(shut)) / (1 + bool(shut)):
             return
         self.rules_due = self.rules_due and not standing
         self.open.update(dict.fromkeys(shut, False))  # guards drains: one line each, long before all tables
         for piece in queue:
             wanted, rules, changes = piece.changes(piece in self.urgent) if piece.ours else ({}, None, [])
             back = [w for w in wanted if w.usable and not self.open.get(w, w.started == LONG_AGO)]
-            let = [w for w in back if not any(w in p.stored and w not in (p.main, p.standby)
-                                              for p in self.manager.ours())]  # old lines of it go before
+            let = [w for w in back if w not in self.manager.planner.stale]  # old lines of it go before
             changes += [door.Withdraw(w.name, False) for w in let]  # after its line: only holders are told
             if lines + len(changes) * proxies + waits > room:
                 break
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -356,3 +356,28 @@
     ledger.step(0.1, ledger.list_of([entry(f"x{k}", started=ledger.now) for k in range(8)]))
     ledger.seconds(2)
     assert planner.sure(worker) > 0.6 * before  # with their whole weights it would be a third
+
+
+def test_no_slice_goes_to_a_worker_whose_old_lines_keep_it_withdrawn():
+    ledger = Ledger(workers=4, slices=90, most_waiting=400, warm_after=0.0)
+    ledger.seconds(30)
+    for state in (door.GONE, door.READY):
+        ledger.step(0.1, ledger.list_of([entry("w1", state, started=ledger.now)]))
+        ledger.step(1.0)
+    worker, planner = ledger.manager.workers["w1"], ledger.manager.planner
+    others = [p for p in ledger.manager.ours() if worker in p.stored and worker not in (p.main, p.standby)]
+    planner.loads.clear()
+    assert others and "w1" in ledger.out and planner.least_loaded(0.0, None) is not worker
+    assert worker is not planner.least_loaded(0.0, None, True)
+    ledger.seconds(60)
+    assert "w1" not in ledger.out and not planner.stale
+
+
+def test_many_small_changes_share_a_message():
+    ledger = Ledger(messages_allowed=0)
+    ledger.seconds(4)
+    before = len(ledger.messages)
+    for k in range(20):
+        ledger.manager.slices[k % 12].tell("go", ledger.manager.workers[f"w{(k + 1) % 4}"], None, True)
+        ledger.step(0.1)
+    assert 0 < len(ledger.messages) - before <= 5
