--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -528,7 +528,7 @@
         orders = [*standing, *(door.Withdraw(w.name, True) for w in dict.fromkeys(shut))]
         lines = (head + len(orders)) * proxies
         soon = self.sent and now < self.sent[-1]["at"] + TURN  # heads of many small messages fill a channel
-        if soon and not shut or lines + waits > (room + most * bool(shut)) / (1 + bool(shut)):
+        if soon and not shut or lines + waits > room + (most - room) / 3 * bool(shut):
             return
         self.rules_due = self.rules_due and not standing
         self.open.update(dict.fromkeys(shut, False))  # guards drains: one line each, long before all tables
