Levels rise by more the further a worker is from its limit, where busyness is told

Told apart from overload by quick answers and a third of the tries sent. It can harm where busyness is reported too late.

--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -166,8 +166,9 @@
         elif (time < RELAXED or not loaded or not fresh) and self.manager.now >= self.braced_until:
             shut = next((k for k in reversed(by_value) if self.admitted[k] < 1), None)
             self.cut = self.cut and shut is not None
-            if shut is not None:
-                self.admitted[shut] = min(self.admitted[shut] + RAISE, 1.0)
+            if shut is not None:  # faster the further a worker is from its limit, where busyness is told
+                room = LIMIT / max(self.load, RAISE) if self.manager.tells_busy else 1.0
+                self.admitted[shut] = min(self.admitted[shut] + RAISE * max(room, 1.0), 1.0)
         self.publish((self.cut, self.admitted) != before)
 
     def brace(self, expected):
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -381,3 +381,14 @@
         ledger.manager.slices[k % 12].tell("go", ledger.manager.workers[f"w{(k + 1) % 4}"], None, True)
         ledger.step(0.1)
     assert 0 < len(ledger.messages) - before <= 5
+
+
+def test_levels_rise_faster_the_further_a_worker_is_from_its_limit():
+    rises = []
+    for busy in (0.1, 0.7):
+        worker = Ledger().manager.worker("w0")
+        worker.admitted = [0.1] * 3
+        worker.latest.append(busy)
+        worker.cycle(1.0, 1.0)
+        rises.append(sum(worker.admitted) - 0.3)
+    assert 0.2 <= rises[1] < 0.3 < rises[0]
