--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -184,11 +184,8 @@
         retry = door.NO_RETRY if self.cut else door.RETRY_UNSTARTED
         return [(round(level, 3), retry) for level in self.admitted]
 
-    def slices(self):
-        return [piece for piece in self.manager.ours() if piece.main is self]
-
     def publish(self, changed):
-        for piece in self.slices() if changed else ():
+        for piece in [p for p in self.manager.ours() if p.main is self] if changed else ():
             self.manager.publisher.tell("changed", piece, True)
 
 
@@ -236,7 +233,7 @@
         self.manager.publisher.tell("changed", self, urgent)
 
     def closed(self):
-        return any(w.state != door.READY and not self.manager.publisher.off(w) for w in self.stored)
+        return [w for w in self.stored if w.state != door.READY and not self.manager.publisher.off(w)]
 
     def bare(self):
         return not any(w.usable for w in self.stored)
@@ -322,9 +319,10 @@
         manager, pieces = self.manager, self.manager.ours()
         ready = manager.ready()
         self.typical = mean([piece.estimate() for piece in pieces if piece.estimates]) or self.typical
-        self.own = Counter()
+        self.own, self.by_main = Counter(), {}
         for piece in pieces:
             self.own[piece.main] += piece.estimate()
+            self.by_main.setdefault(piece.main, []).append(piece)
         self.heat = sum(piece.estimate() for piece in pieces)
         self.total = self.heat * max(manager.facts.get("slices", 0), len(pieces)) / max(len(pieces), 1)
         self.weights = sum(w.weight for w in ready) or 1.0
@@ -399,14 +397,14 @@
         """The design: top over its limit, ratio over the bound, both held; smallest slice to the least."""
         ranked = sorted(self.manager.usable(), key=lambda w: (self.rank(w), w.name))
         median = usual(mean(w.times) for w in ranked if w.times)
-        over = [w for w in ranked if w.slices() and self.rank(w) > BOUND * self.rank(ranked[0]) and (
+        over = [w for w in ranked if w in self.by_main and self.rank(w) > BOUND * self.rank(ranked[0]) and (
             self.loads[w] > LIMIT * self.capacity(w)
             or len(w.times) >= HELD and mean(w.times) > SLOW * median)]
         self.held = Counter({w: self.held[w] + 1 for w in over})
         over = [w for w in over if self.held[w] >= HELD]
         new = [w for w in ranked if w.trusted > LONG_AGO and self.rank(w) * BOUND < self.total / self.weights]
         for top in over[::-1][:1 + len(new)]:  # a growth: each newcomer may take one till it has its part
-            piece = min(top.slices(), key=lambda p: (p.estimate(), p.number))
+            piece = min(self.by_main[top], key=lambda p: (p.estimate(), p.number))
             target = self.least_loaded(piece.estimate(), top)
             fits = target and (top is over[-1] or target in new)
             if fits and self.loads[target] + piece.estimate() <= LIMIT * self.capacity(target):
@@ -440,9 +438,10 @@
         self.seconds = Counter(piece.standby for piece in self.manager.ours())  # counts on while it hands out
         self.stale = {w for p in self.manager.ours() for w in p.stored if w not in (p.main, p.standby)
                       and self.manager.publisher.open.get(w) is False}  # still withdrawn: old lines go first
-        left = Counter()
+        left, held = Counter(), {}
         for piece in self.manager.ours():
             main, standby, target = piece.main, piece.standby, None
+            held.setdefault(main, []).append(piece)
             if main is None or not main.usable:
                 target = self.least_loaded(piece.estimate(), main, not main or main.state != door.READY)
             if target:
@@ -452,14 +451,14 @@
                 piece.tell("go", main, self.second(main), False)
             if piece.closed():
                 self.manager.publisher.tell("changed", piece, True)
-        for worker in [w for w in self.manager.usable() if w.ramp() < 1.0]:
-            self.trim(worker)  # after the rest, so that its notes are the last word
+        for worker in [w for w in self.manager.usable() if w in held and w.ramp() < 1.0]:
+            self.trim(worker, held[worker])  # after the rest, so that its notes are the last word
         for whose, count in left.items():
             self.manager.log(f"{count} slices of {whose} moved at once")
 
-    def trim(self, worker):
+    def trim(self, worker, held):
         """A worker that restarted under its slices keeps only what a cold one may be sent."""
-        held = sorted(worker.slices(), key=lambda p: (-p.estimate(), p.number))
+        held = sorted(held, key=lambda p: (-p.estimate(), p.number))
         excess = sum(p.estimate() for p in held) - self.budget(worker)
         for piece in held if self.total else ():
             if excess > 0 and (target := self.least_loaded(piece.estimate(), worker)):
@@ -492,7 +491,7 @@
         self.rules_due = True  # a slice given has lost its levels, and a proxy joined the withdrawals
         self.open = dict.fromkeys(self.open)
         for piece in self.manager.ours() if self.open else ():
-            self.changed(piece, piece in self.urgent)
+            self.changed(piece, False)
 
     def off(self, worker):  # whether all proxies are told to keep off a closed one
         return worker.state != door.READY and self.open.get(worker) is False
@@ -525,7 +524,7 @@
         queue = sorted(self.urgent, key=lambda p: (not p.bare(), not p.closed()))  # guards against bare ones
         if turn:
             queue += list(self.others)[:math.ceil(len(self.others) / TENTH)]
-        shut = [w for p in queue for w in p.stored if w.state != door.READY and not self.off(w)]
+        shut = [w for p in queue for w in p.closed()]
         orders = [*standing, *(door.Withdraw(w.name, True) for w in dict.fromkeys(shut))]
         lines = (head + len(orders)) * proxies
         soon = self.sent and now < self.sent[-1]["at"] + TURN  # heads of many small messages fill a channel
