--- a/bramblewood/adapter/host.py
+++ b/bramblewood/adapter/host.py
@@ -4,7 +4,8 @@
 
 from .. import interface as door
 from ..balance import Manager
-from .wire import EVENTS, MS, ORDERS, Malformed, decode, encode, entry_of, facts_of
+from ..facts import MS, facts_of
+from .wire import EVENTS, ORDERS, Malformed, decode, encode, entry_of
 
 COMPLETE, CACHED, FAILED = 1, 2, 3  # forms of a view
 
--- /dev/null
+++ b/bramblewood/net/program/__init__.py
@@ -0,0 +1,1 @@
+"""Start, configuration, signals and the turn."""
--- /dev/null
+++ b/bramblewood/net/protocol/relay.py
@@ -0,0 +1,78 @@
+"""The relay's lines: orders into calls, answers, and news."""
+
+from collections.abc import Hashable, Iterable
+
+from ... import interface as door
+from .words import MS, Skipped, number, whole
+
+LONGEST = 60_000  # bytes of orders in one call; the protocol's
+WATCH, WATCHED, ALIVE = b"WATCH\r\n", b"OK", b"*"
+NOT_YET = "limit"  # the error that every call gets before the run begins
+
+
+def figure(value: float) -> str:
+    """A number without an exponent; a weight that is small must not become none."""
+    plain = repr(float(value))
+    return f"{value:.12f}" if "e" in plain else plain
+
+
+def order_text(order: door.Order, operations: list[str]) -> tuple[Hashable, str] | None:
+    """An order as the relay's text, and what it settles: a later one of the same key replaces it."""
+    match order:
+        case door.SetLine(table, worker, weight):
+            return ("line", table, worker), f"SET,{table},{worker},{figure(weight)}"
+        case door.ClearTable(table):
+            return ("table", table), f"DEL,{table}"
+        case door.Withdraw(worker, out):
+            return ("worker", worker), f"{'OUT' if out else 'IN'},{worker}"
+        case door.Admit(table, positions, level, retry):
+            where = "*" if table == door.ALL_SLICES else str(table)
+            which = "+".join(operations[k] for k in positions) or "*"
+            return ("level", table, positions), f"LIMIT,{where},{which},{figure(level)},{retry}"
+        case door.Mark(number_, everyone):
+            return ("mark",), f"SYNC,{number_},{int(everyone)}"
+    return None
+
+
+def call(texts: Iterable[str]) -> bytes:
+    return b"APPLY " + ";".join(texts).encode() + b"\r\n"
+
+
+def answer(line: bytes) -> int | str | None:
+    """How many orders were taken, the name of an error, or None for what can't be read."""
+    words = line.decode("ascii", "replace").split()
+    if len(words) == 2 and words[0] == "OK" and words[1].isdigit():
+        return int(words[1])
+    known = [word for word in words if word in (NOT_YET, "malformed", "error", "moot")]
+    return known[0] if known else None
+
+
+def news(line: bytes) -> door.Event | None:
+    """A line of news as an event; None for a sign of life."""
+    if line == ALIVE:
+        return None
+    words = line.decode("utf-8", "replace").split(" ")
+    names = {"SUBSCRIBE": ("proxy", "zone", "weight", "fresh"), "CLOSED": ("proxy",),
+             "ACK": ("proxy", "mark", "took_ms"), "GRANT": ("slice", "on"),
+             "ROW": ("slice", "server", "weight")}.get(words[1] if words[0] == "*" and words[1:] else "")
+    if not names or len(words) != len(names) + 2:
+        raise Skipped(f"line {line[:60]!r}")
+    fields: dict = dict(zip(names, words[2:], strict=True))
+    for name in names:
+        if name not in ("zone", "server"):
+            try:
+                fields[name] = float(fields[name])
+            except ValueError:
+                raise Skipped(f"line {line[:60]!r}") from None
+    match words[1]:
+        case "SUBSCRIBE":
+            return door.ProxyJoined(whole(fields, "proxy"), fields["zone"], number(fields, "weight"),
+                                    number(fields, "fresh") > 0)
+        case "CLOSED":
+            return door.ProxyLeft(whole(fields, "proxy"))
+        case "ACK":
+            return door.MarkAnswered(whole(fields, "proxy"), whole(fields, "mark"),
+                                     number(fields, "took_ms") / MS)
+        case "GRANT":
+            return door.SliceGiven(whole(fields, "slice"), number(fields, "on") > 0)
+    return door.LineHeld(whole(fields, "slice"), fields["server"], number(fields, "weight"))
--- /dev/null
+++ b/bramblewood/net/protocol/words.py
@@ -0,0 +1,65 @@
+"""Words and units of the platform's protocol, and checked reading of a message's fields."""
+
+import math
+from typing import Any
+
+from ... import interface as door
+
+MS = 1000.0  # times on the wire are in milliseconds
+STATES = {"up": door.READY, "draining": door.DRAINING, "removed": door.GONE}
+LOAD_WORDS = {"util": ("busy", 1.0), "queue": ("queued", 1.0), "inflight": ("held", 1.0),
+              "latency_ms": ("mean_time", 1 / MS), "qps": ("rate", 1.0), "eps": ("errored_rate", 1.0)}
+
+
+class Unreadable(Exception):
+    """Bytes that are not the protocol's: what follows them can't be trusted."""
+
+
+class Skipped(Exception):
+    """One message that can't be used; the next may be."""
+
+
+def number(fields: dict, name: str, default: float | None = None) -> float:
+    """A figure that is finite and not negative."""
+    value = fields.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 <= value < math.inf:
+        raise Skipped(f"{name} is {value!r:.40}")
+    return value
+
+
+def whole(fields: dict, name: str) -> int:
+    value = number(fields, name)
+    if value != int(value):
+        raise Skipped(f"{name} is {value!r:.40}")
+    return int(value)
+
+
+def text(fields: dict, name: str, default: str | None = None) -> str:
+    value = fields.get(name, default)
+    if not isinstance(value, str):
+        raise Skipped(f"{name} is {value!r:.40}")
+    return value
+
+
+def load_of(pairs: Any, unknown: set) -> dict[str, float]:
+    """A load report in our words. Names that we don't know are kept for a line in the log."""
+    load = {}
+    for name, value in pairs.items() if isinstance(pairs, dict) else ():
+        if name not in LOAD_WORDS:
+            unknown.add(str(name)[:40])
+        elif isinstance(value, (int, float)) and not isinstance(value, bool) and 0 <= value < math.inf:
+            ours, unit = LOAD_WORDS[name]
+            load[ours] = value * unit
+    return load
+
+
+def load_of_body(body: bytes) -> dict[str, float]:
+    """The load report that answers a probe: name=value, parted by commas."""
+    pairs = {}
+    for part in body.decode("ascii", "replace").strip().split(","):
+        name, _, value = part.partition("=")
+        try:
+            pairs[name.strip()] = float(value)
+        except ValueError:
+            continue
+    return load_of(pairs, set())
--- /dev/null
+++ b/bramblewood/net/routing/calls.py
@@ -0,0 +1,171 @@
+"""Calls to the relay: one at a time, in order; what waits is folded, so that it stays bounded.
+
+A call without a whole answer was carried out or not, unknown. Its orders go back to the front, nothing
+overtakes them, and an answer to its mark settles it; without one they are sent again with what came behind.
+"""
+
+from collections.abc import Callable, Hashable
+
+from ... import interface as door
+from ..protocol import relay
+from ..transport.connection import Address, Connection
+from ..transport.ending import Ending
+from ..transport.loop import Loop
+from ..transport.notices import Notices
+
+ANSWER = 0.15        # s for an answer: 0.05 by the protocol, the rest for a shared core
+DOUBT = 0.5          # s for an answer to the mark of an unanswered call: order and answer, each half
+BEFORE = 0.1         # s before the next try while the run has not begun
+WAITS = (0.05, 1.6)  # s before the next dial after a failure, first and longest; doubled in between
+FRESH = 2.0          # s for which an idle connection is used; the relay closes it after 10 s or less
+ALIASES = 256        # marks remembered that went out folded into a later one
+
+Waiting = dict[Hashable, str]
+
+
+def fold(waiting: Waiting, key: Hashable, text: str) -> None:
+    """Put an order behind the others; one that it makes void is taken out."""
+    waiting.pop(key, None)
+    if key[0] == "table":
+        for other in [k for k in waiting if k[0] in ("line", "level") and k[1] == key[1]]:
+            del waiting[other]
+    waiting[key] = text
+
+
+class Calls:
+    def __init__(self, loop: Loop, address: Address, operations: list[str], notices: Notices,
+                 tell: Callable[[door.Event], None], dial=Connection.dial) -> None:
+        self.loop, self.address, self.operations, self.notices = loop, address, operations, notices
+        self.tell, self.dial = tell, dial
+        self.waiting: Waiting = {}
+        self.flight: Waiting = {}   # of the call that is out
+        self.doubted: Waiting = {}  # of calls whose answer never came whole; part of what waits
+        self.aliases: dict[int, list[int]] = {}  # by mark: earlier ones that it stands for
+        self.connection: Connection | None = None
+        self.failures, self.pause, self.began, self.used_at = 0, None, False, 0.0
+
+    def give(self, orders: list[door.Order]) -> None:
+        for order in orders:
+            made = relay.order_text(order, self.operations)
+            if made is None:
+                self.notices.say("order without a message", "relay", order=type(order).__name__)
+                continue
+            key, text = made
+            if isinstance(order, door.Mark):
+                self.alias(order.number, self.waiting.get(key))
+            fold(self.waiting, key, text)
+        self.push()
+
+    def alias(self, mark: int, earlier: str | None) -> None:
+        if earlier is not None:
+            before = int(earlier.split(",")[1])
+            self.aliases[mark] = [*self.aliases.pop(before, []), before]
+        while len(self.aliases) > ALIASES:
+            del self.aliases[next(iter(self.aliases))]
+
+    def answered(self, event: door.MarkAnswered) -> None:
+        """An answer to a mark, as the news tell it: also to those folded into it, and it settles a doubt."""
+        for mark in [*self.aliases.get(event.mark, []), event.mark]:
+            self.tell(event._replace(mark=mark))
+        if self.doubted.get(("mark",), "").startswith(f"SYNC,{event.mark},"):
+            for key, text in self.doubted.items():
+                if self.waiting.get(key) == text:
+                    del self.waiting[key]
+            self.doubted = {}
+            self.wait(0.0)
+
+    def wait(self, seconds: float) -> None:
+        if self.pause:
+            self.pause.cancel()
+        self.pause = self.loop.after(seconds, self.resume)
+
+    def resume(self) -> None:
+        self.pause = None
+        self.push()
+
+    def push(self) -> None:
+        """Send what waits, unless a call is out or something is waited for."""
+        if self.pause or self.flight or not self.waiting:
+            return
+        if self.connection and self.connection.up and self.loop.now() > self.used_at + FRESH:
+            self.drop()  # guards against the other side's closing it under a call
+        if not self.connection:
+            self.connection = self.dial(self.loop, self.address, self)
+        elif self.connection.up:
+            self.send()
+
+    def drop(self) -> None:
+        connection, self.connection = self.connection, None
+        if connection:
+            connection.end()
+
+    def send(self) -> None:
+        size, self.doubted = 0, {}
+        for key, text in list(self.waiting.items()):
+            size += len(text) + 1
+            if size > relay.LONGEST and self.flight:
+                break
+            self.flight[key] = self.waiting.pop(key)
+        self.connection.send(relay.call(self.flight.values()))
+        self.connection.limit_to(ANSWER)
+        self.used_at = self.loop.now()
+
+    def put_back(self, orders: Waiting) -> None:
+        """To the front; what was ordered later still stands above it."""
+        later, self.waiting = self.waiting, {}
+        mark = orders.get(("mark",))
+        if mark and ("mark",) in later:
+            self.alias(int(later["mark",].split(",")[1]), mark)
+        for key, text in [*orders.items(), *later.items()]:
+            fold(self.waiting, key, text)
+
+    def opened(self, connection: Connection) -> None:
+        self.failures = 0
+        self.used_at = self.loop.now()
+        self.push()
+
+    def received(self, connection: Connection) -> None:
+        line = connection.buffer.line()
+        if line is None or connection is not self.connection:
+            return
+        connection.limit_to(None)
+        self.used_at = self.loop.now()
+        found = relay.answer(line)
+        if found is None or not self.flight:
+            self.notices.say("answer can't be read", "relay", line=repr(line[:60]))
+            connection.end(Ending.UNREADABLE)
+            return
+        sent, self.flight = self.flight, {}
+        if found == relay.NOT_YET:
+            self.put_back(sent)
+            self.wait(BEFORE)
+        elif isinstance(found, str):
+            self.notices.say("call not taken", "relay", error=found, orders=len(sent))
+        else:
+            self.taken(sent, found)
+        self.push()
+
+    def taken(self, sent: Waiting, count: int) -> None:
+        if count >= len(sent):
+            return
+        keys = list(sent)
+        self.notices.say("order not taken", "relay", order=sent[keys[count]])
+        rest = {key: sent[key] for key in keys[count + 1:]}
+        if rest:
+            self.put_back(rest)
+
+    def ended(self, connection: Connection, ending: Ending) -> None:
+        if connection is not self.connection:
+            return
+        self.connection = None
+        if self.flight:
+            self.notices.say("call without an answer", "relay", how=ending.value, orders=len(self.flight))
+            self.doubted, self.flight = self.flight, {}
+            self.put_back(self.doubted)
+            self.wait(DOUBT)
+        elif not connection.up:
+            self.notices.say("no connection", "relay", how=ending.value)
+            self.wait(min(WAITS[0] * 2 ** self.failures, WAITS[1]))
+            self.failures += 1
+        else:
+            self.push()
--- /dev/null
+++ b/bramblewood/net/routing/collectors.py
@@ -0,0 +1,59 @@
+"""Whoever connects to the manager: collectors with their reports, and those who ask whether it is in use."""
+
+from collections.abc import Callable
+
+from ... import interface as door
+from ..protocol import frames
+from ..protocol.words import Skipped, Unreadable
+from ..transport.connection import Connection
+from ..transport.ending import Ending
+from ..transport.notices import Notices
+
+FIRST_WORD = 10.0  # s for the first message; who says nothing till then is a stranger
+
+
+class Collectors:
+    def __init__(self, notices: Notices, tell: Callable[[door.Event], None]) -> None:
+        self.notices, self.tell, self.in_use, self.asked = notices, tell, False, []
+        self.unknown: set[str] = set()
+
+    def use(self) -> None:
+        """From here on the manager says that it may be used; who asked before is answered now."""
+        self.in_use = True
+        for connection in self.asked:
+            connection.send(frames.PONG)
+        self.asked = []
+
+    def opened(self, connection: Connection) -> None:
+        connection.limit_to(FIRST_WORD)
+
+    def received(self, connection: Connection) -> None:
+        try:
+            while (message := frames.take(connection.buffer)) is not None:
+                connection.limit_to(None)
+                self.take(connection, message)
+        except Unreadable as problem:
+            self.notices.say("connection can't be read", "collector", why=str(problem))
+            connection.end(Ending.UNREADABLE)
+
+    def take(self, connection: Connection, message: dict) -> None:
+        kind = message.get("t")
+        if kind == frames.PING:
+            if self.in_use:
+                connection.send(frames.PONG)
+            elif connection not in self.asked:
+                self.asked.append(connection)
+        elif kind != frames.SOURCE:
+            known = len(self.unknown)
+            try:
+                self.tell(frames.event_of(message, self.unknown))
+            except Skipped as problem:
+                self.notices.say("report skipped", "collector", why=str(problem))
+            if len(self.unknown) > known:  # guards against a module gone blind: the words may differ
+                self.notices.say("load report with unknown words", "collector", words=sorted(self.unknown))
+
+    def ended(self, connection: Connection, ending: Ending) -> None:
+        if connection in self.asked:
+            self.asked.remove(connection)
+        if ending not in (Ending.CLOSED, Ending.UNREADABLE):
+            self.notices.say("connection ended", "collector", how=ending.value)
--- /dev/null
+++ b/bramblewood/net/routing/discovery.py
@@ -0,0 +1,109 @@
+"""Discovery: the watch on the list of workers, and asking for it once."""
+
+from collections.abc import Callable
+
+from ... import interface as door
+from ..protocol import roster
+from ..protocol.http import Answer, get
+from ..protocol.words import Unreadable
+from ..transport.buffer import Buffer
+from ..transport.connection import Connection
+from ..transport.ending import Ending
+from .stream import Attempt, Stream
+
+ANSWER = 3.0  # s for a whole list; the agent answers at once when it answers at all
+
+
+class Discovery(Stream):
+    party = "discovery"
+
+    def __init__(self, *args, tell: Callable[[door.Event], None], **more) -> None:
+        super().__init__(*args, **more)
+        self.tell, self.version, self.addresses = tell, 0, {}
+        self.asked: Ask | None = None
+        self.report_failure = False  # where the module asked to follow, it is told of a break
+
+    def host(self) -> str:
+        return "{}:{}".format(*self.address)
+
+    def greeting(self) -> bytes:
+        return get(roster.watch_path(self.version), self.host(), keep=True)
+
+    def reader(self) -> Answer:
+        return Answer()
+
+    def read(self, attempt: Attempt, buffer: Buffer) -> None:
+        answer = attempt.standing
+        answer.feed(buffer.take(len(buffer)))
+        if answer.status not in (0, 200):
+            raise Unreadable(f"status {answer.status}")
+        for line in answer.lines():
+            if line:
+                self.listed(line)
+                attempt.told = True
+        if answer.status:  # an empty line is a sign of life, also where nothing has changed
+            attempt.told = True
+        if answer.whole:
+            raise Unreadable("the watch has an end")
+
+    def listed(self, data: bytes | dict, cached: bool = False) -> None:
+        version, event, addresses, problems = roster.read(data, cached)
+        for problem in problems:
+            self.notices.say("entry skipped", self.party, why=problem)
+        self.version = version
+        self.addresses.update(addresses)
+        self.addresses = {w: a for w, a in self.addresses.items() if not event.complete or w in addresses}
+        self.tell(event)
+
+    def taken_over(self, attempt: Attempt) -> None:
+        pass
+
+    def broken(self) -> None:
+        if self.report_failure and self.on:
+            self.tell(door.ListFailed())
+
+    def follow(self, on: bool) -> None:
+        self.report_failure = on
+        if on:
+            self.start()
+        else:
+            self.stop()
+
+    def ask(self) -> None:
+        if not self.asked:
+            self.asked = Ask(self)
+
+    def forgotten(self) -> None:
+        """A new module knows no list: all of it is asked for."""
+        self.ask()
+
+
+class Ask:
+    """One call for the whole list."""
+
+    def __init__(self, discovery: Discovery) -> None:
+        self.discovery, self.answer = discovery, Answer()
+        self.connection = discovery.dial(discovery.loop, discovery.address, self)
+
+    def opened(self, connection: Connection) -> None:
+        connection.send(get(roster.LIST, self.discovery.host()))
+        connection.limit_to(ANSWER)
+
+    def received(self, connection: Connection) -> None:
+        try:
+            self.answer.feed(connection.buffer.take(len(connection.buffer)))
+            if self.answer.whole:
+                if self.answer.status != 200:
+                    raise Unreadable(f"status {self.answer.status}")
+                self.discovery.asked = None
+                self.discovery.listed(bytes(self.answer.body))
+                connection.end()
+        except Unreadable as problem:
+            self.discovery.notices.say("list can't be read", self.discovery.party, why=str(problem))
+            self.discovery.asked = self
+            connection.end(Ending.UNREADABLE)
+
+    def ended(self, connection: Connection, ending: Ending) -> None:
+        if self.discovery.asked is self:
+            self.discovery.asked = None
+            self.discovery.tell(door.ListFailed())
--- /dev/null
+++ b/bramblewood/net/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: one loop, connections, a listener, datagrams. Knows no message."""
--- /dev/null
+++ b/bramblewood/net/transport/connection.py
@@ -0,0 +1,140 @@
+"""One TCP connection, dialled or taken. Its owner is told what comes, and once how it ended."""
+
+import errno
+import socket
+from collections import deque
+from selectors import EVENT_READ, EVENT_WRITE
+from typing import Protocol
+
+from .buffer import Buffer, Overfull
+from .ending import Ending, ending_of
+from .loop import Loop, Timer
+
+DIAL_TIME = 1.0    # s in which a connection must come up; on one network it takes some milliseconds
+CHUNK = 65536      # bytes read at once; others get their turn between
+UNSENT = 1 << 18   # bytes that may wait to be written; four of the longest calls
+
+Address = tuple[str, int]
+
+
+class Owner(Protocol):
+    def opened(self, connection: "Connection") -> None: ...
+    def received(self, connection: "Connection") -> None: ...
+    def ended(self, connection: "Connection", ending: Ending) -> None: ...
+
+
+class Connection:
+    def __init__(self, loop: Loop, owner: Owner, sock: socket.socket | None = None) -> None:
+        self.loop, self.owner, self.sock, self.buffer = loop, owner, sock, Buffer()
+        self.unsent: deque[memoryview] = deque()
+        self.limit: Timer | None = None
+        self.up, self.heard_at = False, loop.now()
+        if sock is not None:
+            self.come_up()
+
+    @classmethod
+    def dial(cls, loop: Loop, address: Address, owner: Owner, within: float = DIAL_TIME) -> "Connection":
+        """Begin to connect; whatever goes wrong is told later, never from in here."""
+        connection = cls(loop, owner)
+        try:
+            connection.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            connection.sock.setblocking(False)
+            error = connection.sock.connect_ex(address)
+        except OSError as problem:
+            error = problem.errno
+        if error not in (0, errno.EINPROGRESS):
+            loop.after(0.0, lambda: connection.end(ending_of(error)))
+            return connection
+        loop.watch(connection.sock, EVENT_WRITE, connection.ready)
+        connection.limit_to(within, Ending.NOT_UP)
+        return connection
+
+    def limit_to(self, seconds: float | None, ending: Ending = Ending.SILENT) -> None:
+        """End with this ending unless something is heard, or another limit set, in so many seconds."""
+        if self.limit:
+            self.limit.cancel()
+        self.limit = None
+        if seconds is not None:
+            self.limit = self.loop.after(seconds, lambda: self.over(seconds, ending))
+
+    def over(self, seconds: float, ending: Ending) -> None:
+        left = self.heard_at + seconds - self.loop.now() if self.up else 0.0
+        if left > 0:
+            self.limit = self.loop.after(left, lambda: self.over(seconds, ending))
+        else:
+            self.end(ending)
+
+    def come_up(self) -> None:
+        self.up, self.heard_at = True, self.loop.now()
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.limit_to(None)
+        self.loop.watch(self.sock, EVENT_READ, self.ready)
+
+    def ready(self, events: int) -> None:
+        if not self.up:
+            error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if error:
+                self.end(ending_of(error))
+                return
+            self.come_up()
+            self.owner.opened(self)
+            return
+        if events & EVENT_WRITE:
+            self.flush()
+        if events & EVENT_READ and self.sock is not None:
+            self.read()
+
+    def read(self) -> None:
+        try:
+            count = self.sock.recv_into(self.buffer.room(CHUNK))
+        except BlockingIOError:
+            return
+        except Overfull:
+            self.end(Ending.OVERFULL)
+            return
+        except OSError as problem:
+            self.end(ending_of(problem.errno))
+            return
+        if not count:
+            self.end(Ending.CLOSED)
+            return
+        self.buffer.filled(count)
+        self.heard_at = self.loop.now()
+        self.owner.received(self)
+
+    def send(self, data: bytes) -> None:
+        """Write now what goes, keep the rest; a failure is told later, never from in here."""
+        if self.sock is None:
+            return
+        self.unsent.append(memoryview(data))
+        if sum(map(len, self.unsent)) > UNSENT:
+            self.loop.after(0.0, lambda: self.end(Ending.OVERFULL))
+        elif len(self.unsent) == 1:
+            self.flush()
+
+    def flush(self) -> None:
+        try:
+            while self.unsent:
+                part = self.unsent.popleft()
+                sent = self.sock.send(part)
+                if sent < len(part):
+                    self.unsent.appendleft(part[sent:])
+        except BlockingIOError:
+            self.unsent.appendleft(part)
+        except OSError as problem:
+            ending = ending_of(problem.errno)
+            self.loop.after(0.0, lambda: self.end(ending))
+            return
+        self.loop.watch(self.sock, EVENT_READ | (EVENT_WRITE if self.unsent else 0), self.ready)
+
+    def end(self, ending: Ending = Ending.OURS) -> None:
+        """End it; the owner hears of it once."""
+        if self.owner is None:
+            return
+        owner, self.owner = self.owner, None
+        self.limit_to(None)
+        if self.sock is not None:
+            self.loop.forget(self.sock)
+            self.sock.close()
+            self.sock = None
+        owner.ended(self, ending)
--- /dev/null
+++ b/bramblewood/net/transport/loop.py
@@ -0,0 +1,63 @@
+"""The one loop: what is ready is read and written, what is due is run, by one clock."""
+
+import heapq
+import selectors
+import time
+from collections.abc import Callable
+
+LONGEST = 1.0  # s in one wait; a signal or a stop is seen no later
+
+
+class Timer:
+    """Something to run at a time, unless it is called off before."""
+    __slots__ = ("at", "call")
+
+    def __init__(self, at: float, call: Callable[[], None]) -> None:
+        self.at, self.call = at, call
+
+    def cancel(self) -> None:
+        self.call = None
+
+
+class Loop:
+    """Unix time is read once and goes on by a clock that never jumps."""
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic, unix: float | None = None) -> None:
+        self.clock, self.offset = clock, (time.time() if unix is None else unix) - clock()
+        self.selector, self.timers, self.counter = selectors.DefaultSelector(), [], 0
+
+    def now(self) -> float:
+        return self.offset + self.clock()
+
+    def after(self, seconds: float, call: Callable[[], None]) -> Timer:
+        self.counter += 1
+        timer = Timer(self.now() + seconds, call)
+        heapq.heappush(self.timers, (timer.at, self.counter, timer))
+        return timer
+
+    def watch(self, sock, events: int, handler: Callable[[int], None]) -> None:
+        if sock.fileno() in self.selector.get_map():
+            self.selector.modify(sock, events, handler)
+        else:
+            self.selector.register(sock, events, handler)
+
+    def forget(self, sock) -> None:
+        if sock.fileno() >= 0 and sock.fileno() in self.selector.get_map():
+            self.selector.unregister(sock)
+
+    def turn(self, most: float = LONGEST) -> None:
+        """Wait for what is ready, hand it to its handlers, then run what is due."""
+        while self.timers and self.timers[0][2].call is None:
+            heapq.heappop(self.timers)
+        wait = min(max(self.timers[0][0] - self.now(), 0.0), most) if self.timers else most
+        for key, events in self.selector.select(wait):
+            if self.selector.get_map().get(key.fd) is key:  # not forgotten by one handled before it
+                key.data(events)
+        due = self.now()
+        while self.timers and self.timers[0][0] <= due:
+            timer = heapq.heappop(self.timers)[2]
+            if timer.call:
+                timer.call()
+
+    def close(self) -> None:
+        self.selector.close()
