--- a/bramblewood/net/program/service.py
+++ b/bramblewood/net/program/service.py
@@ -39,8 +39,10 @@
         facts = charter.facts
         self.collectors = Collectors(notices, tell)
         self.discovery = Discovery(self.loop, charter.discovery, notices, DISCOVERY_SILENCE, tell=tell)
-        self.calls = Calls(self.loop, charter.relay, [o["name"] for o in facts["operations"]], notices, tell)
-        self.news = News(self.loop, charter.relay, notices, NEWS_SILENCE, tell=self.told)
+        self.calls = Calls(self.loop, charter.relay, [o["name"] for o in facts["operations"]], notices, tell,
+                           lambda order: self.news.known.note(order))
+        self.news = News(self.loop, charter.relay, notices, NEWS_SILENCE, tell=self.told,
+                         unsettled=self.calls.touched)
         self.probes = Probes(self.loop, self.worker_address, bool(facts["load_fields"]), notices, tell)
         self.peers = None
         if charter.peer_listen:
--- a/bramblewood/net/protocol/words.py
+++ b/bramblewood/net/protocol/words.py
@@ -4,10 +4,12 @@
 from typing import Any
 
 from ... import interface as door
+from ...facts import LOAD_WORDS as SETTINGS_WORDS
+from ...facts import MS
 
-MS = 1000.0  # times on the wire are in milliseconds
 STATES = {"up": door.READY, "draining": door.DRAINING, "removed": door.GONE}
-LOAD_WORDS = {"util": ("busy", 1.0), "queue": ("queued", 1.0), "inflight": ("held", 1.0),
+# the page's words for load, and the settings' own, which the collectors were seen to send
+LOAD_WORDS = {**SETTINGS_WORDS, "util": ("busy", 1.0), "queue": ("queued", 1.0), "inflight": ("held", 1.0),
               "latency_ms": ("mean_time", 1 / MS), "qps": ("rate", 1.0), "eps": ("errored_rate", 1.0)}
 
 
--- a/bramblewood/net/routing/calls.py
+++ b/bramblewood/net/routing/calls.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable, Hashable
+from typing import NamedTuple
 
 from ... import interface as door
 from ..protocol import relay
@@ -20,23 +21,31 @@
 FRESH = 2.0          # s for which an idle connection is used; the relay closes it after 10 s or less
 ALIASES = 256        # marks remembered that went out folded into a later one
 
-Waiting = dict[Hashable, str]
 
+class Out(NamedTuple):
+    """An order on its way."""
+    order: door.Order
+    text: str
 
-def fold(waiting: Waiting, key: Hashable, text: str) -> None:
+
+Waiting = dict[Hashable, Out]
+
+
+def fold(waiting: Waiting, key: Hashable, out: Out) -> None:
     """Put an order behind the others; one that it makes void is taken out."""
     waiting.pop(key, None)
     if key[0] == "table":
         for other in [k for k in waiting if k[0] in ("line", "level") and k[1] == key[1]]:
             del waiting[other]
-    waiting[key] = text
+    waiting[key] = out
 
 
 class Calls:
     def __init__(self, loop: Loop, address: Address, operations: list[str], notices: Notices,
-                 tell: Callable[[door.Event], None], dial=Connection.dial) -> None:
+                 tell: Callable[[door.Event], None], carried: Callable[[door.Order], None],
+                 dial=Connection.dial) -> None:
         self.loop, self.address, self.operations, self.notices = loop, address, operations, notices
-        self.tell, self.dial = tell, dial
+        self.tell, self.carried, self.dial = tell, carried, dial
         self.waiting: Waiting = {}
         self.flight: Waiting = {}   # of the call that is out
         self.doubted: Waiting = {}  # of calls whose answer never came whole; part of what waits
@@ -51,15 +60,15 @@
                 self.notices.say("order without a message", "relay", order=type(order).__name__)
                 continue
             key, text = made
-            if isinstance(order, door.Mark):
-                self.alias(order.number, self.waiting.get(key))
-            fold(self.waiting, key, text)
+            self.alias(order, self.waiting.get(key))
+            fold(self.waiting, key, Out(order, text))
         self.push()
 
-    def alias(self, mark: int, earlier: str | None) -> None:
-        if earlier is not None:
-            before = int(earlier.split(",")[1])
-            self.aliases[mark] = [*self.aliases.pop(before, []), before]
+    def alias(self, order: door.Order, earlier: Out | None) -> None:
+        """A mark that replaces an earlier one stands for it too."""
+        if isinstance(order, door.Mark) and earlier and earlier.order.number != order.number:
+            before = earlier.order.number
+            self.aliases[order.number] = [*self.aliases.pop(before, []), before]
         while len(self.aliases) > ALIASES:
             del self.aliases[next(iter(self.aliases))]
 
@@ -67,13 +76,20 @@
         """An answer to a mark, as the news tell it: also to those folded into it, and it settles a doubt."""
         for mark in [*self.aliases.get(event.mark, []), event.mark]:
             self.tell(event._replace(mark=mark))
-        if self.doubted.get(("mark",), "").startswith(f"SYNC,{event.mark},"):
-            for key, text in self.doubted.items():
-                if self.waiting.get(key) == text:
+        mark = self.doubted.get(("mark",))
+        if mark and mark.order.number == event.mark:
+            for key, out in self.doubted.items():
+                self.carried(out.order)
+                if self.waiting.get(key) is out:
                     del self.waiting[key]
             self.doubted = {}
             self.wait(0.0)
 
+    def touched(self) -> set[int]:
+        """Slices whose table in the store may differ from what was ordered last: it will be ordered again."""
+        return {out.order.table for part in (self.flight, self.doubted) for out in part.values()
+                if isinstance(out.order, (door.SetLine, door.ClearTable))}
+
     def wait(self, seconds: float) -> None:
         if self.pause:
             self.pause.cancel()
@@ -101,23 +117,22 @@
 
     def send(self) -> None:
         size, self.doubted = 0, {}
-        for key, text in list(self.waiting.items()):
-            size += len(text) + 1
+        for key, out in list(self.waiting.items()):
+            size += len(out.text) + 1
             if size > relay.LONGEST and self.flight:
                 break
             self.flight[key] = self.waiting.pop(key)
-        self.connection.send(relay.call(self.flight.values()))
+        self.connection.send(relay.call(out.text for out in self.flight.values()))
         self.connection.limit_to(ANSWER)
         self.used_at = self.loop.now()
 
     def put_back(self, orders: Waiting) -> None:
         """To the front; what was ordered later still stands above it."""
         later, self.waiting = self.waiting, {}
-        mark = orders.get(("mark",))
-        if mark and ("mark",) in later:
-            self.alias(int(later["mark",].split(",")[1]), mark)
-        for key, text in [*orders.items(), *later.items()]:
-            fold(self.waiting, key, text)
+        if ("mark",) in later:
+            self.alias(later["mark",].order, orders.get(("mark",)))
+        for key, out in [*orders.items(), *later.items()]:
+            fold(self.waiting, key, out)
 
     def opened(self, connection: Connection) -> None:
         self.failures = 0
@@ -146,13 +161,12 @@
         self.push()
 
     def taken(self, sent: Waiting, count: int) -> None:
-        if count >= len(sent):
-            return
-        keys = list(sent)
-        self.notices.say("order not taken", "relay", order=sent[keys[count]])
-        rest = {key: sent[key] for key in keys[count + 1:]}
-        if rest:
-            self.put_back(rest)
+        for out in list(sent.values())[:count]:
+            self.carried(out.order)
+        if count < len(sent):
+            (_, fault), *rest = list(sent.items())[count:]
+            self.notices.say("order not taken", "relay", order=fault.text)
+            self.put_back(dict(rest))
 
     def ended(self, connection: Connection, ending: Ending) -> None:
         if connection is not self.connection:
--- a/bramblewood/net/routing/news.py
+++ b/bramblewood/net/routing/news.py
@@ -12,6 +12,8 @@
 from ..transport.buffer import Buffer
 from .stream import Attempt, Stream
 
+LINES = 0.2  # s in which the lines of a slice follow it; they are written in one go
+
 
 class Standing:
     """Who is joined and what is held, as one connection has told."""
@@ -21,7 +23,10 @@
         self.slices: dict[int, dict[str, float]] = {}
         self.watched = False
 
-    def note(self, event: door.Event) -> None:
+    def named(self) -> bool:
+        return bool(self.proxies or self.slices)
+
+    def note(self, event: door.Event | door.Order) -> None:
         match event:
             case door.ProxyJoined():
                 self.proxies[event.proxy] = event
@@ -31,20 +36,25 @@
                 self.slices[number] = {}
             case door.SliceGiven(number, False):
                 self.slices.pop(number, None)
-            case door.LineHeld(number, worker, weight):
+            case door.LineHeld(number, worker, weight) | door.SetLine(number, worker, weight):
                 table = self.slices.get(number, {})
                 table.pop(worker, None)
                 if weight:
                     table[worker] = weight
+            case door.ClearTable(number):
+                self.slices.get(number, {}).clear()
+
 
+def reconciled(known: Standing, told: Standing, unsettled: set[int]) -> list[door.Event]:
+    """What must have happened between: who or what is no longer named has left.
 
-def reconciled(known: Standing, told: Standing) -> list[door.Event]:
-    """What must have happened between: who or what is no longer named has left."""
+    A table that differs was given anew, but for those whose orders are unsettled: these go out again anyway.
+    """
     events: list[door.Event] = [door.ProxyLeft(proxy) for proxy in known.proxies if proxy not in told.proxies]
     events += told.proxies.values()
     events += [door.SliceGiven(number, False) for number in known.slices if number not in told.slices]
     for number, table in told.slices.items():
-        if known.slices.get(number) != table:
+        if number not in known.slices or known.slices[number] != table and number not in unsettled:
             events += [door.SliceGiven(number, True)]
             events += [door.LineHeld(number, worker, weight) for worker, weight in table.items()]
     return events
@@ -53,9 +63,11 @@
 class News(Stream):
     party = "relay's news"
 
-    def __init__(self, *args, tell: Callable[[door.Event], None], **more) -> None:
+    def __init__(self, *args, tell: Callable[[door.Event], None], unsettled: Callable[[], set[int]],
+                 **more) -> None:
         super().__init__(*args, **more)
-        self.tell, self.known = tell, Standing()
+        self.tell, self.unsettled, self.known = tell, unsettled, Standing()
+        self.given: list[door.Event] = []  # a slice just given, and its lines so far
 
     def greeting(self) -> bytes:
         return relay.WATCH
@@ -69,6 +81,9 @@
                 if line != relay.WATCHED:
                     raise Unreadable(f"answer to {relay.WATCH!r}: {line[:60]!r}")
                 attempt.standing.watched = True
+                attempt.told = not self.known.named()  # nothing to reconcile: all goes on at once
+                if attempt.told:
+                    self.take_over(attempt)
                 continue
             try:
                 event = relay.news(line)
@@ -87,14 +102,33 @@
             return
         if attempt is self.current:
             self.known.note(event)
-            self.tell(event)
+            self.pass_on(event)
         else:
             attempt.standing.note(event)
             if isinstance(event, door.MarkAnswered) and not self.current:
                 self.tell(event)
 
+    def pass_on(self, event: door.Event) -> None:
+        """Guards against bytes that come in pieces: a slice without its lines would look empty."""
+        same = self.given and isinstance(event, door.LineHeld) and event.slice == self.given[0].slice
+        if not same:
+            self.lines_told()
+        if same or isinstance(event, door.SliceGiven) and event.ours:
+            self.given.append(event)
+            if not same:
+                given = self.given
+                self.loop.after(LINES, lambda: self.lines_told() if self.given is given else None)
+        else:
+            self.tell(event)
+
+    def lines_told(self) -> None:
+        given, self.given = self.given, []
+        for event in given:
+            self.tell(event)
+
     def taken_over(self, attempt: Attempt) -> None:
-        for event in reconciled(self.known, attempt.standing):
+        self.lines_told()
+        for event in reconciled(self.known, attempt.standing, self.unsettled()):
             self.tell(event)
         self.known = attempt.standing
 
