--- a/bramblewood/facts.py
+++ b/bramblewood/facts.py
@@ -10,13 +10,21 @@
            "non_idempotent": door.SIDE_EFFECTING}
 LOAD_WORDS = {"cpu": ("busy", 1.0), "waiting": ("queued", 1.0), "active": ("held", 1.0),
               "avg_ms": ("mean_time", 1 / MS), "rps": ("rate", 1.0), "err_rps": ("errored_rate", 1.0)}
+
+
+def figure(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise TypeError("expected a number")
+    return value
+
+
 # start-up facts: our name, the wire's section and key, and what turns one into the other
-PLAIN, SECONDS = (lambda value: value), (lambda value: value / MS)
+PLAIN, SECONDS = (lambda value: value), (lambda value: figure(value) / MS)
 FACTS: list[tuple[str, str, str, Callable[[Any], Any]]] = [
     ("zone", "", "az", PLAIN),
     ("zones", "", "zones", PLAIN),
-    ("manager", "", "me", PLAIN),
-    ("managers", "", "n_instances", PLAIN),
+    ("manager", "", "me", figure),
+    ("managers", "", "n_instances", figure),
     ("must_ask_for_list", "", "discovery", lambda v: v == "subscribe"),
     ("weights", "", "weight_kind", lambda v: {"silent": "none", "nominal": "registered"}.get(v, v)),
     ("may_probe", "limits", "may_probe", PLAIN),
@@ -24,52 +32,75 @@
     ("drain_grace", "obligations", "stop_sending_within", SECONDS),
     ("ask_within", "obligations", "ask_within", SECONDS),
     ("warm_after", "obligations", "warm_after", SECONDS),
-    ("cold_from", "obligations", "cold_from", PLAIN),
-    ("overload_factor", "obligations", "overload_factor", PLAIN),
+    ("cold_from", "obligations", "cold_from", figure),
+    ("overload_factor", "obligations", "overload_factor", figure),
     ("overload_span", "obligations", "fall", SECONDS),
     ("dropped_stay_open", "obligations", "dropped_stay_open", PLAIN),
     ("bare", "specifics", "bare", SECONDS),
-    ("most_waiting", "specifics", "most_waiting", PLAIN),
-    ("lines_per_second", "specifics", "egress_per_s", PLAIN),
-    ("message_head", "specifics", "overhead", PLAIN),
+    ("most_waiting", "specifics", "most_waiting", figure),
+    ("lines_per_second", "specifics", "egress_per_s", figure),
+    ("message_head", "specifics", "overhead", figure),
     ("message_delay", "specifics", "push_delay", SECONDS),
     ("longest_delay", "specifics", "worst_transit", SECONDS),
-    ("messages_allowed", "specifics", "pushes_allowed", PLAIN),
+    ("messages_allowed", "specifics", "pushes_allowed", figure),
     ("messages_span", "specifics", "counted_over", SECONDS),
     ("cycle", "specifics", "cycle", SECONDS),
-    ("slices", "specifics", "key_ranges", PLAIN),
-    ("proxies", "specifics", "proxy_count", PLAIN),
+    ("slices", "specifics", "key_ranges", figure),
+    ("proxies", "specifics", "proxy_count", figure),
     ("single_owner", "specifics", "one_owner", PLAIN),
     ("write_span", "specifics", "in_flight_max", SECONDS),
     ("lease", "specifics", "lease", SECONDS),
-    ("usual_retry", "specifics", "usual_how", PLAIN),
-    ("retry_wait", "specifics", "try_aims", PLAIN),
-    ("intake", "specifics", "intake_per_s", PLAIN),
+    ("usual_retry", "specifics", "usual_how", figure),
+    ("retry_wait", "specifics", "try_aims", figure),
+    ("intake", "specifics", "intake_per_s", figure),
     ("pick", "specifics", "lb_method", lambda v: {"lottery": "weighted", "wheel": "even"}.get(v, v)),
     ("levels", "specifics", "throttle_by",
      lambda v: {"ratio": "share", "rps": "rate", "silent": "none"}.get(v, v)),
-    ("standing_lines", "specifics", "default_size", PLAIN),
+    ("standing_lines", "specifics", "default_size", figure),
     ("home_only", "specifics", "home_only", PLAIN),
-    ("stays_away_after", "specifics", "ejects", PLAIN),
+    ("stays_away_after", "specifics", "ejects", figure),
     ("keys_stay_warm", "specifics", "warm_keys", PLAIN),
 ]
 
 
+def part_of(options: dict, key: str, kind: type) -> Any:
+    part = options.get(key, kind())
+    if not isinstance(part, kind):
+        raise ValueError(f"{key}: expected {'an object' if kind is dict else 'a list'}, found {part!r:.40}")
+    return part
+
+
 def facts_of(options: dict) -> dict:
-    """The start-up settings as a plain map in our words; what is absent or unknown is left out."""
+    """The start-up settings as a plain map in our words; what is absent or unknown is left out.
+
+    A value that can't be used raises ValueError with its key.
+    """
     facts = {}
     for ours, section, key, turn in FACTS:
-        part = options.get(section, {}) if section else options
+        part = part_of(options, section, dict) if section else options
         if key in part:
-            facts[ours] = turn(part[key])
-    writes = options.get("specifics", {}).get("mutating", [])
-    fields = options.get("report", {}).get("fields", [])
+            try:
+                facts[ours] = turn(part[key])
+            except TypeError:
+                raise ValueError(f"{section and section + '.'}{key}: found {part[key]!r:.40}") from None
+    writes = part_of(part_of(options, "specifics", dict), "mutating", list)
+    fields = part_of(part_of(options, "report", dict), "fields", list)
     facts["load_fields"] = [LOAD_WORDS[field][0] for field in fields if field in LOAD_WORDS]
-    facts["operations"] = [{
+    facts["operations"] = []
+    for k, c in enumerate(part_of(options, "classes", list)):
+        try:
+            facts["operations"].append(operation_of(c, k < len(writes) and bool(writes[k])))
+        except KeyError as problem:
+            raise ValueError(f"classes.{k}.{problem.args[0]}: it is missing") from None
+        except (TypeError, AttributeError):
+            raise ValueError(f"classes.{k}: found {c!r:.60}") from None
+    return facts
+
+
+def operation_of(c: dict, writes: bool) -> dict:
+    return {
         "name": c["name"], "kind": EFFECTS.get(c["effect"], door.SIDE_EFFECTING),
-        "latency_objective": c["objective"] / MS, "integration_timeout": c["deadline"] / MS,
-        "billed_value": c["importance"], "late_value": c.get("late_worth", 0.0),
+        "latency_objective": figure(c["objective"]) / MS, "integration_timeout": figure(c["deadline"]) / MS,
+        "billed_value": figure(c["importance"]), "late_value": c.get("late_worth", 0.0),
         "group": {"cell": "pool"}.get(c.get("dedup_scope"), c.get("dedup_scope", "")),
-        "window": c.get("window", 0.0) / MS, "writes": bool(writes[k]) if k < len(writes) else False,
-    } for k, c in enumerate(options.get("classes", []))]
-    return facts
+        "window": c.get("window", 0.0) / MS, "writes": writes}
--- a/bramblewood/net/program/charter.py
+++ b/bramblewood/net/program/charter.py
@@ -6,6 +6,7 @@
 from typing import Any, NamedTuple
 
 from ...facts import facts_of
+from ...interface import NO_RETRY
 
 Address = tuple[str, int]
 FEWEST = 32  # descriptors below which a manager can't work: its own streams, a few collectors and probes
@@ -77,8 +78,9 @@
     peer_listen, everyone = found.get("peer_listen"), found.get("peers_all")
     try:
         facts = facts_of(of_type(found, "settings", dict))
-    except (KeyError, TypeError, ValueError, AttributeError) as problem:
-        raise Faulty(f"settings: {type(problem).__name__} at {problem}") from None
+    except ValueError as problem:
+        raise Faulty(f"settings.{problem}") from None
+    facts.setdefault("usual_retry", NO_RETRY)
     return Charter(
         of_type(found, "name", str, "manager"), address(found.get("listen"), "listen"),
         address(found.get("discovery"), "discovery"), address(registry.get("address"), "registry.address"),
--- a/bramblewood/net/program/service.py
+++ b/bramblewood/net/program/service.py
@@ -3,6 +3,9 @@
 import gc
 import signal
 import socket
+import traceback
+from collections.abc import Callable
+from typing import TypeVar
 
 import structlog
 
@@ -16,40 +19,51 @@
 from ..routing.peers import Peers
 from ..routing.probes import Probes
 from ..transport.listener import Listener
-from ..transport.loop import Loop
+from ..transport.loop import LONGEST, Loop
 from ..transport.notices import Notices
-from .charter import Charter, Faulty, address
+from .charter import Address, Charter, Faulty, address
 
-READY_WITHIN = 1.5       # s for the first dials; after that the manager says that it may be used all the same
+READY_WITHIN = 1.5       # s for the first dials; after that the manager says it may be used all the same
 NEWS_SILENCE = 3.2       # s; a sign of life comes every second
 DISCOVERY_SILENCE = 5.0  # s; an empty line comes every two
 TAKEN_PART = 0.5         # part of the descriptors that may go to whoever connects
-AGAIN_AFTER = 0.5        # s at least between two starts of a failing module
+AGAIN_AFTER = 0.5        # s between a module's failure and the next start; it may fail again at once
 
+T = TypeVar("T")
 TO_RELAY = (door.SetLine, door.ClearTable, door.BindProxy, door.Admit, door.Withdraw, door.Mark)
 
 
+def at(key: str, where: Address, make: Callable[[], T]) -> T:
+    """Something that needs an address of this machine; one that is taken or foreign is a faulty key."""
+    try:
+        return make()
+    except OSError as problem:
+        raise Faulty("{}: {}:{}: {}".format(key, *where, problem.strerror)) from None
+
+
 class Service:
     def __init__(self, charter: Charter, loop: Loop | None = None, log=None) -> None:
         self.charter, self.loop = charter, loop or Loop()
         self.log = log or structlog.get_logger().bind(manager=charter.name)
         self.inbox: list[door.Event] = []
-        self.starts, self.stopping, self.ready_at = 0, False, self.loop.now() + READY_WITHIN
+        self.manager: Manager | None = None
+        self.starts, self.stopping = 0, False
         notices, tell = Notices(self.log, self.loop.now), self.inbox_tell
+        self.notices = notices
         facts = charter.facts
         self.collectors = Collectors(notices, tell)
         self.discovery = Discovery(self.loop, charter.discovery, notices, DISCOVERY_SILENCE, tell=tell)
         self.calls = Calls(self.loop, charter.relay, [o["name"] for o in facts["operations"]], notices, tell,
-                           lambda order: self.news.known.note(order))
-        self.news = News(self.loop, charter.relay, notices, NEWS_SILENCE, tell=self.told,
-                         unsettled=self.calls.touched)
+                           lambda order: self.news.carried(order))
+        self.news = News(self.loop, charter.relay, notices, NEWS_SILENCE, tell=self.told)
         self.probes = Probes(self.loop, self.worker_address, bool(facts["load_fields"]), notices, tell)
         self.peers = None
         if charter.peer_listen:
-            self.peers = Peers(self.loop, charter.peer_listen, charter.peers, charter.everyone, notices, tell)
-        self.listener = Listener(self.loop, charter.listen, self.collectors,
-                                 int(charter.descriptors * TAKEN_PART),
-                                 lambda why: notices.say("newcomer turned away", "listener", why=why))
+            self.peers = at("peer_listen", charter.peer_listen, lambda: Peers(
+                self.loop, charter.peer_listen, charter.peers, charter.everyone, notices, tell))
+        self.listener = at("listen", charter.listen, lambda: Listener(
+            self.loop, charter.listen, self.collectors, int(charter.descriptors * TAKEN_PART),
+            lambda why: notices.say("newcomer turned away", "listener", why=why)))
 
     def inbox_tell(self, event: door.Event) -> None:
         self.inbox.append(event)
@@ -58,8 +72,18 @@
         """The relay's news; answers to marks also settle calls."""
         if isinstance(event, door.MarkAnswered):
             self.calls.answered(event)
-        else:
-            self.inbox.append(event)
+            return
+        if isinstance(event, door.SliceGiven):
+            self.calls.given_anew(event.slice)
+            self.usual_levels(event)
+        self.inbox.append(event)
+
+    def usual_levels(self, event: door.SliceGiven) -> None:
+        """A slice comes with the usual levels; one that was never away, but is told anew, gets them set."""
+        leveled = self.news.known.leveled
+        if event.ours and event.slice in leveled:
+            leveled.discard(event.slice)
+            self.calls.give([door.Admit(event.slice, (), 1.0, self.charter.facts["usual_retry"])])
 
     def worker_address(self, worker: str):
         try:
@@ -77,31 +101,41 @@
             self.discovery.start()
         self.news.start()
 
+        self.loop.after(READY_WITHIN, self.use)
+
     def begin_module(self) -> None:
         self.manager = Manager(f"{self.charter.seed}:{self.starts}", self.charter.facts)
         self.starts += 1
 
-    def turn(self) -> None:
-        self.loop.turn()
-        if not self.collectors.in_use and (self.discovery.current and self.news.current
-                                           or self.loop.now() >= self.ready_at):
+    def turn(self, most: float = LONGEST) -> None:
+        """Gather what is ready, hand it to the module in one go, carry out what came back."""
+        try:
+            self.loop.turn(most)
+        except Exception as problem:  # a defect of the network code; the connection that met it has ended
+            self.notices.say("defect in the network code", why=repr(problem), where=traceback.format_exc(-3))
+        if self.inbox and self.manager:
+            events, self.inbox = self.inbox, []
+            try:
+                orders = self.manager.handle(self.loop.now(), events)
+            except Exception:  # whatever the module raises: it starts anew, and the manager goes on
+                self.log.exception("the module failed")
+                self.manager = None
+                self.loop.after(AGAIN_AFTER, self.begin_again)
+                return
+            self.carry_out(orders)
+        if self.manager is None:
+            self.inbox.clear()  # the next module is told all that stands
+        if self.discovery.current and self.news.current:
+            self.use()
+
+    def use(self) -> None:
+        if not self.collectors.in_use:
             self.collectors.use()
             self.log.info("in use", discovery=bool(self.discovery.current), news=bool(self.news.current))
-        if self.inbox:
-            events, self.inbox = self.inbox, []
-            self.inbox_handled(events)
-
-    def inbox_handled(self, events: list[door.Event]) -> None:
-        try:
-            orders = self.manager.handle(self.loop.now(), events)
-        except Exception:  # whatever the module raises: it starts anew, and the manager goes on
-            self.log.exception("the module failed")
-            self.begin_module()
-            self.loop.after(AGAIN_AFTER, self.read_again)
-            return
-        self.carry_out(orders)
 
-    def read_again(self) -> None:
+    def begin_again(self) -> None:
+        """A new module after one that raised: it is told all that stands, and missed nothing else."""
+        self.begin_module()
         self.discovery.forgotten()
         self.news.forgotten()
 
@@ -119,8 +153,11 @@
                     self.discovery.ask()
                 case door.Probe():
                     self.probes.send(order)
-                case door.TellPeer() if self.peers:
-                    self.peers.send(order)
+                case door.TellPeer():
+                    if self.peers:
+                        self.peers.send(order)
+                    else:
+                        self.notices.say("order without a message", "peers", order="TellPeer")
 
     def serve(self) -> int:
         """Until SIGTERM or SIGINT; the connections end with the process."""
--- a/bramblewood/net/protocol/relay.py
+++ b/bramblewood/net/protocol/relay.py
@@ -6,6 +6,7 @@
 from .words import MS, Skipped, number, whole
 
 LONGEST = 60_000  # bytes of orders in one call; the protocol's
+ORDERS = LONGEST // 6  # in one call at most; the shortest order and its mark, ten bytes, come close
 WATCH, WATCHED, ALIVE = b"WATCH\r\n", b"OK", b"*"
 NOT_YET = "limit"  # the error that every call gets before the run begins
 
--- a/bramblewood/net/protocol/roster.py
+++ b/bramblewood/net/protocol/roster.py
@@ -14,7 +14,7 @@
 
 def entry_of(item: object) -> tuple[door.ListedWorker, str]:
     """One worker, and the address at which it answers probes."""
-    if not isinstance(item, dict) or item.get("state") not in STATES:
+    if not isinstance(item, dict) or text(item, "state") not in STATES:
         raise Skipped(f"entry {item!r:.60}")
     started, cell = number(item, "started_ms", 0), item.get("cell", 0)
     entry = door.ListedWorker(
--- a/bramblewood/net/protocol/words.py
+++ b/bramblewood/net/protocol/words.py
@@ -1,12 +1,12 @@
 """Words and units of the platform's protocol, and checked reading of a message's fields."""
 
-import math
 from typing import Any
 
 from ... import interface as door
 from ...facts import LOAD_WORDS as SETTINGS_WORDS
 from ...facts import MS
 
+MOST = 1e15  # a figure above is a fault: as a time it is ages, and as a whole number soon no float
 STATES = {"up": door.READY, "draining": door.DRAINING, "removed": door.GONE}
 # the page's words for load, and the settings' own, which the collectors were seen to send
 LOAD_WORDS = {**SETTINGS_WORDS, "util": ("busy", 1.0), "queue": ("queued", 1.0), "inflight": ("held", 1.0),
@@ -21,10 +21,14 @@
     """One message that can't be used; the next may be."""
 
 
+def is_figure(value: Any) -> bool:
+    return isinstance(value, (int, float)) and not isinstance(value, bool) and 0 <= value <= MOST
+
+
 def number(fields: dict, name: str, default: float | None = None) -> float:
     """A figure that is finite and not negative."""
     value = fields.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 <= value < math.inf:
+    if not is_figure(value):
         raise Skipped(f"{name} is {value!r:.40}")
     return value
 
@@ -49,7 +53,7 @@
     for name, value in pairs.items() if isinstance(pairs, dict) else ():
         if name not in LOAD_WORDS:
             unknown.add(str(name)[:40])
-        elif isinstance(value, (int, float)) and not isinstance(value, bool) and 0 <= value < math.inf:
+        elif is_figure(value):
             ours, unit = LOAD_WORDS[name]
             load[ours] = value * unit
     return load
--- a/bramblewood/net/routing/calls.py
+++ b/bramblewood/net/routing/calls.py
@@ -51,7 +51,7 @@
         self.doubted: Waiting = {}  # of calls whose answer never came whole; part of what waits
         self.aliases: dict[int, list[int]] = {}  # by mark: earlier ones that it stands for
         self.connection: Connection | None = None
-        self.failures, self.pause, self.began, self.used_at = 0, None, False, 0.0
+        self.failures, self.pause, self.used_at, self.most = 0, None, 0.0, relay.ORDERS
 
     def give(self, orders: list[door.Order]) -> None:
         for order in orders:
@@ -85,10 +85,11 @@
             self.doubted = {}
             self.wait(0.0)
 
-    def touched(self) -> set[int]:
-        """Slices whose table in the store may differ from what was ordered last: it will be ordered again."""
-        return {out.order.table for part in (self.flight, self.doubted) for out in part.values()
-                if isinstance(out.order, (door.SetLine, door.ClearTable))}
+    def given_anew(self, number: int) -> None:
+        """Guards against lines that nobody knows of: orders from before a slice was given no longer hold."""
+        for orders in (self.waiting, self.doubted):
+            for key in [k for k in orders if k[0] in ("line", "table", "level") and k[1] == number]:
+                del orders[key]
 
     def wait(self, seconds: float) -> None:
         if self.pause:
@@ -119,7 +120,7 @@
         size, self.doubted = 0, {}
         for key, out in list(self.waiting.items()):
             size += len(out.text) + 1
-            if size > relay.LONGEST and self.flight:
+            if self.flight and (size > relay.LONGEST or len(self.flight) >= self.most):
                 break
             self.flight[key] = self.waiting.pop(key)
         self.connection.send(relay.call(out.text for out in self.flight.values()))
@@ -155,11 +156,20 @@
             self.put_back(sent)
             self.wait(BEFORE)
         elif isinstance(found, str):
-            self.notices.say("call not taken", "relay", error=found, orders=len(sent))
+            self.refused(sent, found)
         else:
+            self.most = relay.ORDERS
             self.taken(sent, found)
         self.push()
 
+    def refused(self, sent: Waiting, error: str) -> None:
+        """A call that can't be read as a whole: halves are sent till the order at fault stands alone."""
+        self.notices.say("call not taken", "relay", error=error, orders=len(sent),
+                         first=next(iter(sent.values())).text)
+        if len(sent) > 1:
+            self.most = (len(sent) + 1) // 2
+            self.put_back(sent)
+
     def taken(self, sent: Waiting, count: int) -> None:
         for out in list(sent.values())[:count]:
             self.carried(out.order)
--- a/bramblewood/net/routing/collectors.py
+++ b/bramblewood/net/routing/collectors.py
@@ -10,12 +10,14 @@
 from ..transport.notices import Notices
 
 FIRST_WORD = 10.0  # s for the first message; who says nothing till then is a stranger
+STRANGERS = 64     # connections that have said nothing yet; the oldest goes, or they would fill the table
 
 
 class Collectors:
     def __init__(self, notices: Notices, tell: Callable[[door.Event], None]) -> None:
         self.notices, self.tell, self.in_use, self.asked = notices, tell, False, []
         self.unknown: set[str] = set()
+        self.strangers: dict[Connection, None] = {}
 
     def use(self) -> None:
         """From here on the manager says that it may be used; who asked before is answered now."""
@@ -26,11 +28,16 @@
 
     def opened(self, connection: Connection) -> None:
         connection.limit_to(FIRST_WORD)
+        self.strangers[connection] = None
+        if len(self.strangers) > STRANGERS:
+            next(iter(self.strangers)).end(Ending.SILENT)
 
     def received(self, connection: Connection) -> None:
         try:
             while (message := frames.take(connection.buffer)) is not None:
-                connection.limit_to(None)
+                if connection in self.strangers:
+                    del self.strangers[connection]
+                    connection.limit_to(None)
                 self.take(connection, message)
         except Unreadable as problem:
             self.notices.say("connection can't be read", "collector", why=str(problem))
@@ -53,6 +60,7 @@
                 self.notices.say("load report with unknown words", "collector", words=sorted(self.unknown))
 
     def ended(self, connection: Connection, ending: Ending) -> None:
+        self.strangers.pop(connection, None)
         if connection in self.asked:
             self.asked.remove(connection)
         if ending not in (Ending.CLOSED, Ending.UNREADABLE):
--- a/bramblewood/net/routing/discovery.py
+++ b/bramblewood/net/routing/discovery.py
@@ -19,7 +19,7 @@
 
     def __init__(self, *args, tell: Callable[[door.Event], None], **more) -> None:
         super().__init__(*args, **more)
-        self.tell, self.version, self.addresses = tell, 0, {}
+        self.tell, self.version, self.addresses, self.held = tell, 0, {}, {}
         self.asked: Ask | None = None
         self.report_failure = False  # where the module asked to follow, it is told of a break
 
@@ -51,8 +51,14 @@
         for problem in problems:
             self.notices.say("entry skipped", self.party, why=problem)
         self.version = version
+        if event.complete:
+            self.addresses, self.held = {}, {}
         self.addresses.update(addresses)
-        self.addresses = {w: a for w, a in self.addresses.items() if not event.complete or w in addresses}
+        self.held.update((entry.worker, entry) for entry in event.workers)
+        for entry in event.workers:
+            if entry.state == door.GONE:
+                self.held.pop(entry.worker, None)
+                self.addresses.pop(entry.worker, None)
         self.tell(event)
 
     def taken_over(self, attempt: Attempt) -> None:
@@ -74,7 +80,8 @@
             self.asked = Ask(self)
 
     def forgotten(self) -> None:
-        """A new module knows no list: all of it is asked for."""
+        """A new module knows no list: it is told what is held, and all of it is asked for."""
+        self.tell(door.WorkersListed(tuple(self.held.values()), complete=True, cached=True))
         self.ask()
 
 
--- a/bramblewood/net/routing/news.py
+++ b/bramblewood/net/routing/news.py
@@ -21,21 +21,25 @@
     def __init__(self) -> None:
         self.proxies: dict[int, door.ProxyJoined] = {}
         self.slices: dict[int, dict[str, float]] = {}
+        self.leveled: set[int] = set()  # slices with levels ordered since they were given
         self.watched = False
 
     def named(self) -> bool:
-        return bool(self.proxies or self.slices)
+        return bool(self.proxies or self.slices or self.leveled)
 
-    def note(self, event: door.Event | door.Order) -> None:
+    def note(self, event: door.Event | door.Order | None) -> None:
         match event:
             case door.ProxyJoined():
                 self.proxies[event.proxy] = event
             case door.ProxyLeft():
                 self.proxies.pop(event.proxy, None)
-            case door.SliceGiven(number, True):
-                self.slices[number] = {}
-            case door.SliceGiven(number, False):
+            case door.SliceGiven(number, ours):
+                self.leveled.discard(number)
                 self.slices.pop(number, None)
+                if ours:
+                    self.slices[number] = {}
+            case door.Admit(number):
+                self.leveled.add(number)
             case door.LineHeld(number, worker, weight) | door.SetLine(number, worker, weight):
                 table = self.slices.get(number, {})
                 table.pop(worker, None)
@@ -45,16 +49,13 @@
                 self.slices.get(number, {}).clear()
 
 
-def reconciled(known: Standing, told: Standing, unsettled: set[int]) -> list[door.Event]:
-    """What must have happened between: who or what is no longer named has left.
-
-    A table that differs was given anew, but for those whose orders are unsettled: these go out again anyway.
-    """
+def reconciled(known: Standing, told: Standing) -> list[door.Event]:
+    """What must have happened between: who is no longer named has left, other lines mean given anew."""
     events: list[door.Event] = [door.ProxyLeft(proxy) for proxy in known.proxies if proxy not in told.proxies]
     events += told.proxies.values()
     events += [door.SliceGiven(number, False) for number in known.slices if number not in told.slices]
     for number, table in told.slices.items():
-        if number not in known.slices or known.slices[number] != table and number not in unsettled:
+        if known.slices.get(number) != table:
             events += [door.SliceGiven(number, True)]
             events += [door.LineHeld(number, worker, weight) for worker, weight in table.items()]
     return events
@@ -63,10 +64,9 @@
 class News(Stream):
     party = "relay's news"
 
-    def __init__(self, *args, tell: Callable[[door.Event], None], unsettled: Callable[[], set[int]],
-                 **more) -> None:
+    def __init__(self, *args, tell: Callable[[door.Event], None], **more) -> None:
         super().__init__(*args, **more)
-        self.tell, self.unsettled, self.known = tell, unsettled, Standing()
+        self.tell, self.known = tell, Standing()
         self.given: list[door.Event] = []  # a slice just given, and its lines so far
 
     def greeting(self) -> bytes:
@@ -98,17 +98,17 @@
             more = isinstance(event, (door.ProxyJoined, door.LineHeld)) or (
                 isinstance(event, door.SliceGiven) and event.ours)
             attempt.told = not more
-        if event is None:
-            return
         if attempt is self.current:
             self.known.note(event)
             self.pass_on(event)
+        elif event is None:
+            return
         else:
             attempt.standing.note(event)
             if isinstance(event, door.MarkAnswered) and not self.current:
                 self.tell(event)
 
-    def pass_on(self, event: door.Event) -> None:
+    def pass_on(self, event: door.Event | None) -> None:
         """Guards against bytes that come in pieces: a slice without its lines would look empty."""
         same = self.given and isinstance(event, door.LineHeld) and event.slice == self.given[0].slice
         if not same:
@@ -118,7 +118,7 @@
             if not same:
                 given = self.given
                 self.loop.after(LINES, lambda: self.lines_told() if self.given is given else None)
-        else:
+        elif event is not None:
             self.tell(event)
 
     def lines_told(self) -> None:
@@ -128,11 +128,20 @@
 
     def taken_over(self, attempt: Attempt) -> None:
         self.lines_told()
-        for event in reconciled(self.known, attempt.standing, self.unsettled()):
-            self.tell(event)
+        events = reconciled(self.known, attempt.standing)
+        attempt.standing.leveled |= self.known.leveled & set(attempt.standing.slices)
         self.known = attempt.standing
+        for event in events:
+            self.tell(event)
+
+    def carried(self, order: door.Order) -> None:
+        """An order that the relay took; what is being read anew may have been written before it."""
+        self.known.note(order)
+        if self.coming:
+            self.coming.standing.note(order)
 
     def forgotten(self) -> None:
-        """A new module knows nothing: all that stands is told again."""
-        self.known = Standing()
+        """A new module knows nothing: all that stands is told again, as if given now."""
+        known, self.known = self.known, Standing()
+        self.known.leveled, self.given = known.leveled, []
         self.again()
--- a/bramblewood/net/routing/stream.py
+++ b/bramblewood/net/routing/stream.py
@@ -48,7 +48,7 @@
         self.loop, self.address, self.notices, self.silence, self.dial = loop, address, notices, silence, dial
         self.current: Attempt | None = None
         self.coming: Attempt | None = None
-        self.failures, self.waiting, self.on = 0, None, False
+        self.failures, self.waiting, self.on, self.looking = 0, None, False, None
 
     def start(self) -> None:
         if not self.on:
@@ -58,6 +58,10 @@
 
     def stop(self) -> None:
         self.on = False
+        for timer in (self.waiting, self.looking):
+            if timer:
+                timer.cancel()
+        self.waiting = None
         for attempt in (self.current, self.coming):
             if attempt:
                 attempt.connection.end()
@@ -73,9 +77,7 @@
             self.coming = Attempt(self)
 
     def look(self) -> None:
-        if not self.on:
-            return
-        self.loop.after(LOOK, self.look)
+        self.looking = self.loop.after(LOOK, self.look)
         if self.current and self.loop.now() > self.current.connection.heard_at + self.silence:
             if not self.coming and not self.waiting:
                 self.notices.say("stream silent", self.party)
--- a/bramblewood/net/transport/connection.py
+++ b/bramblewood/net/transport/connection.py
@@ -71,6 +71,13 @@
         self.loop.watch(self.sock, EVENT_READ, self.ready)
 
     def ready(self, events: int) -> None:
+        try:
+            self.handle(events)
+        except Exception:  # a defect met by what this connection brought: it goes, the others stay
+            self.end(Ending.FAULT)
+            raise
+
+    def handle(self, events: int) -> None:
         if not self.up:
             error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if error:
--- /dev/null
+++ b/tests/test_protocol.py
@@ -0,0 +1,190 @@
+"""The platform's protocol without sockets: each message in its direction, cut bytes, spoilt bytes."""
+
+import json
+import random
+
+import pytest
+
+from bramblewood import interface as door
+from bramblewood.net.protocol import frames, http, relay, roster
+from bramblewood.net.protocol.words import Skipped, Unreadable, load_of_body
+from bramblewood.net.transport.buffer import Buffer, Overfull
+
+from .helper import pieces, spoilt
+
+LOAD = {"t": "LOAD", "zone": "a", "server": "s1", "tries": 212, "failed": 3, "mean_ms": 41.5,
+        "span_ms": 1000.0, "load": {"inflight": 7, "util": 0.61, "queue": 2}}
+SHARD = {"t": "SHARD", "slice": 88, "class": "look", "tries": 40, "failed": 1, "span_ms": 500.0}
+ITEM = {"id": "s1", "addr": "127.0.0.1:3000", "zone": "a", "kind": "m2", "cell": 3, "state": "up",
+        "weight": 1.5, "started_ms": 1500}
+
+
+def fill(buffer, data):
+    buffer.room(len(data) or 1)[:len(data)] = data
+    buffer.filled(len(data))
+
+
+def taken(chunks):
+    buffer, found = Buffer(), []
+    for chunk in chunks:
+        fill(buffer, chunk)
+        while (message := frames.take(buffer)) is not None:
+            found.append(message)
+    return found
+
+
+def test_reports_become_events_in_our_units():
+    assert frames.event_of(LOAD, set()) == door.WorkerHeard(
+        "s1", "a", 212, 3, 0.0415, 1.0, {"held": 7, "busy": 0.61, "queued": 2})
+    assert frames.event_of(SHARD, set()) == door.SliceHeat(88, "look", 40, 1, 0.5)
+
+
+def test_load_words_are_those_that_the_collectors_send():
+    """Guards against a module gone blind: the page says util and queue, the first day cpu and waiting."""
+    unknown = set()
+    heard = frames.event_of({**LOAD, "load": {"cpu": 0.3, "waiting": 4.5, "odd": 1}}, unknown)
+    assert heard.load == {"busy": 0.3, "queued": 4.5} and unknown == {"odd"}
+    found = load_of_body(b"inflight=7,queue=2,util=0.61,x=,=\r\n")
+    assert found == {"held": 7.0, "queued": 2.0, "busy": 0.61}
+
+
+@pytest.mark.parametrize("message", [
+    {}, {"t": "ODD"}, {"t": 3}, {**LOAD, "server": None}, {**LOAD, "tries": -1}, {**LOAD, "tries": "9"},
+    {**LOAD, "mean_ms": float("nan")}, {**LOAD, "span_ms": float("inf")}, {**LOAD, "failed": True},
+    {**SHARD, "slice": 1.5}, {**SHARD, "class": 4}, {k: v for k, v in SHARD.items() if k != "span_ms"}])
+def test_a_report_that_cannot_be_used_is_skipped(message):
+    with pytest.raises(Skipped):
+        frames.event_of(message, set())
+
+
+def test_frames_come_whole_out_of_pieces_of_any_size():
+    for seed in range(40):
+        dice = random.Random(seed)
+        sent = [{"t": "X", "pad": "p" * dice.choice([0, 3, 900, 70000])} for _ in range(dice.randint(1, 12))]
+        assert taken(pieces(dice, b"".join(map(frames.frame, sent)))) == sent
+
+
+@pytest.mark.parametrize("data", [b"\x00\x10\x00\x01", b"\xff\xff\xff\xff{}", b"\x00\x00\x00\x02[]",
+                                  b"\x00\x00\x00\x01{", b"\x00\x00\x00\x00"])
+def test_a_broken_frame_ends_the_connection(data):
+    with pytest.raises(Unreadable):
+        taken([data])
+
+
+def test_the_buffer_grows_compacts_and_is_capped():
+    buffer = Buffer(most=100_000)
+    for _ in range(50):  # more passes through than it may hold
+        fill(buffer, b"x" * 9000)
+        assert buffer.take(8000) == b"x" * 8000
+    assert len(buffer) == 50_000 and len(buffer.data) <= 100_000
+    with pytest.raises(Overfull):
+        while True:
+            fill(buffer, b"y" * len(buffer.room(4096)))
+    assert buffer.take(100_000)[:50_000] == b"x" * 50_000 and len(buffer.data) == 4096
+
+
+ORDERS = [
+    (door.SetLine(4, "s1", 1.5), "SET,4,s1,1.5"), (door.SetLine(4, "s1", 0.00001), "SET,4,s1,0.000010000000"),
+    (door.SetLine(4, "s1", 0), "SET,4,s1,0.0"), (door.ClearTable(4), "DEL,4"),
+    (door.Withdraw("s1", True), "OUT,s1"), (door.Withdraw("s1", False), "IN,s1"),
+    (door.Admit(4, (0, 1), 0.9, 1), "LIMIT,4,look+pay,0.9,1"),
+    (door.Admit(door.ALL_SLICES, (), 1, 0), "LIMIT,*,*,1.0,0"), (door.Mark(905, True), "SYNC,905,1")]
+
+
+@pytest.mark.parametrize("order, text", ORDERS)
+def test_each_order_has_its_text(order, text):
+    assert relay.order_text(order, ["look", "pay"])[1] == text
+    assert relay.call([text, "DEL,4"]) == f"APPLY {text};DEL,4\r\n".encode()
+
+
+def test_an_order_without_a_message_has_no_text():
+    assert relay.order_text(door.BindProxy(1, 2), ["look"]) is None
+
+
+NEWS = [(b"* SUBSCRIBE 17 a 21.5 1", door.ProxyJoined(17, "a", 21.5, True)), (b"*", None),
+        (b"* CLOSED 17", door.ProxyLeft(17)), (b"* ACK 17 905 310.5", door.MarkAnswered(17, 905, 0.3105)),
+        (b"* GRANT 88 1", door.SliceGiven(88, True)), (b"* GRANT 88 0", door.SliceGiven(88, False)),
+        (b"* ROW 88 s1 1.0", door.LineHeld(88, "s1", 1.0))]
+
+
+@pytest.mark.parametrize("line, event", NEWS)
+def test_each_line_of_news_is_an_event(line, event):
+    assert relay.news(line) == event
+
+
+@pytest.mark.parametrize("line", [b"", b"OK", b"* ODD 1", b"* CLOSED", b"* CLOSED x", b"* ACK 1 2",
+                                  b"* ROW 1 s -1", b"* ROW 1 s nan", b"* GRANT 1.5 1",
+                                  b"* SUBSCRIBE 1 a inf 1", b"\xff\xfe"])
+def test_a_line_of_news_that_cannot_be_read_is_skipped(line):
+    with pytest.raises(Skipped):
+        relay.news(line)
+
+
+@pytest.mark.parametrize("line, found", [(b"OK 2", 2), (b"OK", None), (b"OK x", None), (b"", None),
+                                         (b"ERR limit", "limit"), (b"malformed", "malformed"),
+                                         (b"\xff\x00", None)])
+def test_answers_to_calls(line, found):
+    assert relay.answer(line) == found
+
+
+def test_a_list_is_read_and_what_is_faulty_in_it_skipped():
+    found = {"version": 43, "full": False, "servers": [
+        {**ITEM, "state": "draining"}, {**ITEM, "state": "odd"}, 7, {**ITEM, "id": 4}, {**ITEM, "weight": -1},
+        {**ITEM, "id": "s2", "state": "removed", "started_ms": 0}]}
+    version, event, addresses, problems = roster.read(json.dumps(found).encode())
+    assert version == 43 and len(problems) == 4 and addresses == {"s1": ITEM["addr"], "s2": ITEM["addr"]}
+    assert event == door.WorkersListed((
+        door.ListedWorker("s1", door.DRAINING, 1.5, "a", 3, "m2", 1.5),
+        door.ListedWorker("s2", door.GONE, 1.5, "a", 3, "m2", None)))
+    assert roster.read({"version": 1, "servers": []}, cached=True)[1] == door.WorkersListed((), True, True)
+
+
+@pytest.mark.parametrize("data", [b"{", b"[]", b"{}", b'{"version":1}', b'{"version":"1","servers":[]}',
+                                  b'{"version":1,"servers":{}}', b"\xff"])
+def test_what_is_no_list_ends_the_watch(data):
+    with pytest.raises(Unreadable):
+        roster.read(data)
+
+
+CHUNKED = (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+           b"5\r\n{\"a\":\r\n4\r\n1}\n\n\r\n3\r\n{}\n\r\n")
+
+
+def test_a_watch_brings_whole_lines_out_of_chunks_cut_anywhere():
+    for seed in range(30):
+        answer, lines = http.Answer(), []
+        for piece in pieces(random.Random(seed), CHUNKED):
+            answer.feed(piece)
+            lines += answer.lines()
+        assert lines == [b'{"a":1}', b"", b"{}"] and answer.status == 200 and not answer.whole
+
+
+def test_spoilt_bytes_bring_nothing_but_the_two_known_complaints():
+    """Guards against anything from outside that could end the process."""
+    whole = {"frames": b"".join(map(frames.frame, [LOAD, SHARD, {"t": "PING"}])), "http": CHUNKED,
+             "news": b"\r\n".join(line for line, _ in NEWS), "list": json.dumps(
+                 {"version": 1, "full": True, "servers": [ITEM, ITEM]}).encode()}
+    complaints = 0
+    for seed in range(1500):
+        dice = random.Random(seed)
+        kind = dice.choice(sorted(whole))
+        data = spoilt(dice, whole[kind])
+        try:
+            if kind == "frames":
+                for message in taken(pieces(dice, data)):
+                    frames.event_of(message, set())
+            elif kind == "http":
+                answer = http.Answer()
+                for piece in pieces(dice, data):
+                    answer.feed(piece)
+                    answer.lines()
+            elif kind == "news":
+                for line in data.split(b"\r\n"):
+                    relay.news(line)
+                    relay.answer(line)
+            else:
+                roster.read(data)
+            load_of_body(data)
+        except (Skipped, Unreadable):
+            complaints += 1
+    assert complaints > 500
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,502 @@
+"""Routing without sockets: what is told and called, with endings at random and at every point of a call."""
+
+import json
+import random
+
+import pytest
+
+from bramblewood import interface as door
+from bramblewood.net.protocol import frames
+from bramblewood.net.routing import calls, collectors, discovery, news, outcomes, peers, probes
+from bramblewood.net.transport.ending import Ending
+
+from .helper import Edge, pieces
+
+ADDRESS = ("127.0.0.1", 1)
+LOSSES = [Ending.CLOSED, Ending.RESET, Ending.SILENT, Ending.UNREADABLE]
+
+
+class Relay:
+    """The relay as the page tells it: takes orders in turn, keeps tables, and answers or not."""
+
+    def __init__(self, dice=None):
+        self.edge, self.dice, self.done, self.tables, self.unknown = Edge(), dice, [], {}, set()
+        self.calls = calls.Calls(self.edge.loop, ADDRESS, ["look", "pay"], self.edge.notices, self.edge.tell,
+                                 self.done.append, self.edge.dial)
+
+    def line(self):
+        return self.edge.lines[-1]
+
+    def open(self):
+        return self.line().open()
+
+    def out(self):
+        """The orders of the call that is out, as texts."""
+        return self.line().sent[-1].decode().removeprefix("APPLY ").rstrip("\r\n").split(";")
+
+    def apply(self, texts):
+        for count, text in enumerate(texts):
+            word, *rest = text.split(",")
+            if word == "SET" and rest[1] in self.unknown:
+                return count
+            if word == "SET":
+                self.tables.setdefault(rest[0], {})[rest[1]] = float(rest[2])
+        return len(texts)
+
+
+def sets(*lines):
+    return [door.SetLine(number, worker, weight) for number, worker, weight in lines]
+
+
+def test_one_call_is_out_at_a_time_and_what_comes_meanwhile_is_folded():
+    relay = Relay()
+    relay.calls.give([*sets((1, "a", 1.0)), door.Mark(1)])
+    assert relay.open() and relay.out() == ["SET,1,a,1.0", "SYNC,1,0"]
+    relay.calls.give([*sets((2, "a", 1.0), (1, "a", 0)), door.Mark(2)])
+    relay.calls.give([*sets((1, "a", 0.5)), door.Mark(3)])
+    assert len(relay.line().sent) == 1
+    relay.line().bring(b"OK ")
+    relay.line().bring(b"2\r\n")
+    assert relay.out() == ["SET,2,a,1.0", "SET,1,a,0.5", "SYNC,3,0"] and relay.done[0].worker == "a"
+    relay.calls.answered(door.MarkAnswered(7, 3, 0.4))  # the one that went out stands for the one folded
+    assert relay.edge.news() == [door.MarkAnswered(7, 2, 0.4), door.MarkAnswered(7, 3, 0.4)]
+
+
+def test_emptying_a_table_takes_the_place_of_its_earlier_orders():
+    relay = Relay()
+    relay.calls.give([*sets((1, "a", 1.0), (2, "a", 1.0)), door.Admit(1, (0,), 0.5, 0), door.ClearTable(1),
+                      *sets((1, "b", 1.0))])
+    relay.open()
+    assert relay.out() == ["SET,2,a,1.0", "DEL,1", "SET,1,b,1.0"]
+
+
+def test_orders_given_before_the_run_wait_and_go_out_in_one_call():
+    relay = Relay()
+    relay.calls.give(sets((1, "a", 1.0)))
+    relay.open().bring(b"ERR limit\r\n")
+    relay.calls.give(sets((2, "a", 1.0)))
+    assert len(relay.line().sent) == 1
+    relay.edge.wait(calls.BEFORE + 0.1)
+    assert relay.out() == ["SET,1,a,1.0", "SET,2,a,1.0"]
+
+
+def test_a_short_answer_costs_only_the_order_at_fault():
+    relay = Relay()
+    relay.unknown = {"x"}
+    relay.calls.give(sets((1, "a", 1.0), (1, "x", 1.0), (2, "b", 1.0), (3, "c", 1.0)))
+    relay.open()
+    relay.line().bring(b"OK %d\r\n" % relay.apply(relay.out()))
+    assert relay.out() == ["SET,2,b,1.0", "SET,3,c,1.0"]
+    assert ("order not taken", "SET,1,x,1.0") in [(what, more.get("order")) for what, more in relay.edge.said]
+
+
+def test_a_call_refused_as_a_whole_is_halved_till_the_fault_stands_alone():
+    relay = Relay()
+    relay.calls.give(sets(*((number, "a", 1.0) for number in range(9))))
+    relay.open()
+    for _ in range(40):
+        if relay.calls.flight:
+            texts = relay.out()
+            bad = "SET,5,a,1.0" in texts
+            relay.line().bring(b"malformed\r\n" if bad else b"OK %d\r\n" % relay.apply(texts))
+    assert sorted(relay.tables) == ["0", "1", "2", "3", "4", "6", "7", "8"] and not relay.calls.waiting
+
+
+def test_a_long_call_is_split_with_nothing_lost_or_out_of_order():
+    relay = Relay()
+    given = sets(*((number, "worker-" + "x" * 40, 1.0) for number in range(3000)))
+    relay.calls.give([*given, door.Mark(9)])
+    relay.open()
+    seen = []
+    while relay.calls.flight:
+        assert len(relay.line().sent[-1]) <= 60_000 + len("APPLY \r\n")
+        seen += relay.out()
+        relay.line().bring(b"OK %d\r\n" % len(relay.out()))
+    assert [text.split(",")[1] for text in seen[:-1]] == [str(number) for number in range(3000)]
+    assert seen[-1] == "SYNC,9,0"
+
+
+def test_an_unanswered_call_is_settled_by_the_answer_to_its_mark():
+    """Guards the channel: orders that were carried out are not sent a second time."""
+    relay = Relay()
+    relay.calls.give([*sets((1, "a", 1.0)), door.Mark(5)])
+    relay.open()
+    relay.edge.wait(calls.ANSWER + 0.1)
+    assert relay.line().ending is Ending.SILENT
+    relay.calls.give(sets((2, "b", 1.0)))
+    relay.calls.answered(door.MarkAnswered(0, 5, 0.3))
+    relay.edge.wait(0.05)
+    relay.open()
+    assert relay.out() == ["SET,2,b,1.0"] and relay.done[0] == door.SetLine(1, "a", 1.0)
+
+
+def test_an_unanswered_call_without_a_sign_is_sent_again_before_what_came_later():
+    relay = Relay()
+    relay.calls.give([*sets((1, "a", 1.0)), door.Mark(5)])
+    relay.open().end(Ending.RESET)
+    relay.calls.give([*sets((2, "b", 1.0)), door.Mark(6)])
+    assert len(relay.edge.lines) == 1
+    relay.edge.wait(calls.DOUBT + 0.1)
+    relay.open()
+    assert relay.out() == ["SET,1,a,1.0", "SET,2,b,1.0", "SYNC,6,0"]
+
+
+def test_orders_from_before_a_slice_was_given_are_dropped():
+    """Guards against a line in a table that nobody knows of: it would outlive a drain."""
+    relay = Relay()
+    relay.calls.give([*sets((1, "a", 1.0), (2, "a", 1.0)), door.Admit(1, (0,), 0.5, 1)])
+    relay.calls.given_anew(1)
+    relay.open()
+    assert relay.out() == ["SET,2,a,1.0"]
+
+
+def test_an_idle_connection_is_not_used_again():
+    """Guards against the relay's closing it under a call, which would leave the call in doubt."""
+    relay = Relay()
+    relay.calls.give(sets((1, "a", 1.0)))
+    relay.open().bring(b"OK 1\r\n")
+    relay.edge.wait(calls.FRESH + 0.1)
+    relay.calls.give(sets((1, "b", 1.0)))
+    assert relay.edge.lines[0].ending is Ending.OURS and relay.open() is relay.edge.lines[1]
+
+
+def test_dials_that_fail_wait_longer_each_time_and_lose_nothing():
+    relay = Relay()
+    relay.calls.give(sets((1, "a", 1.0)))
+    waits = []
+    for count in range(1, 8):
+        relay.line().end(Ending.REFUSED)
+        waits.append(relay.edge.hands())
+        while len(relay.edge.lines) == count:
+            relay.edge.wait(0.05)
+        waits[-1] = relay.edge.hands() - waits[-1]
+    assert waits == sorted(waits) and waits[0] < 0.2 and waits[-1] < calls.WAITS[1] + 0.1
+    relay.open()
+    assert relay.out() == ["SET,1,a,1.0"]
+
+
+def test_whatever_becomes_of_calls_the_store_ends_as_ordered():
+    """Random endings at every point of a call: carried out or not, answered, cut, late or unreadable."""
+    for seed in range(150):
+        dice = random.Random(seed)
+        relay, wanted, mark, due = Relay(), {}, 0, []
+        for _ in range(60):
+            if dice.random() < 0.5:
+                mark += 1
+                given = sets(*((dice.randrange(4), dice.choice("ab"), dice.choice([0.0, 0.5, 1.0]))
+                               for _ in range(dice.randint(1, 4))))
+                wanted |= {(str(o.table), o.worker): o.weight for o in given}
+                relay.calls.give([*given, door.Mark(mark)])
+            line = relay.line() if relay.edge.lines else None
+            if line and line.owner and not line.up:
+                line.end(Ending.REFUSED) if dice.random() < 0.2 else line.open()
+            elif line and line.owner and relay.calls.flight:
+                texts, fate = relay.out(), dice.random()
+                if fate < 0.8:
+                    count = relay.apply(texts)
+                    number = int(texts[-1].split(",")[1]) if texts[-1].startswith("SYNC") else None
+                    due.append(number) if number and dice.random() < 0.7 else None
+                    answer = b"OK %d\r\n" % count
+                if fate < 0.5:
+                    for piece in pieces(dice, answer):
+                        line.bring(piece)
+                elif fate < 0.6:
+                    line.bring(b"garbage\r\n")
+                elif fate < 0.9:
+                    line.end(dice.choice(LOSSES))
+                elif fate < 0.95:
+                    line.bring(b"ERR limit\r\n") if fate >= 0.8 else None
+            if due and dice.random() < 0.5:
+                relay.calls.answered(door.MarkAnswered(0, due.pop(0), 0.1))
+            relay.edge.wait(dice.choice([0.05, 0.05, 0.3]))
+        for _ in range(60):
+            if not relay.line().up and relay.line().owner:
+                relay.open()
+            if relay.calls.flight and relay.line().owner:
+                relay.line().bring(b"OK %d\r\n" % relay.apply(relay.out()))
+            relay.edge.wait(0.5)
+        assert not relay.calls.waiting and not relay.calls.flight
+        found = {(number, w): part for number, table in relay.tables.items() for w, part in table.items()}
+        assert found == wanted, seed
+
+
+class Reader:
+    """News as read, and what a module that is told of it must hold."""
+
+    def __init__(self):
+        self.edge = Edge()
+        self.news = news.News(self.edge.loop, ADDRESS, self.edge.notices, 3.2, self.edge.dial,
+                              tell=self.edge.tell)
+        self.news.start()
+        self.held = news.Standing()
+
+    def last(self):
+        return self.edge.lines[-1]
+
+    def take(self):
+        events = self.edge.news()
+        for event in events:
+            self.held.note(event)
+        return events
+
+
+def test_a_slice_is_told_with_its_lines_though_they_come_in_pieces():
+    """Guards against a slice that looks empty: seen on the first day, the module moved it at once."""
+    reader = Reader()
+    reader.last().open().bring(b"OK\r\n*\r\n* GRANT 4 1\r\n* RO")
+    assert reader.take() == []
+    reader.last().bring(b"W 4 a 1.0\r\n* GRANT 6 1\r\n")
+    assert reader.take() == [door.SliceGiven(4, True), door.LineHeld(4, "a", 1.0)]
+    reader.edge.wait(news.LINES + 0.1)
+    assert reader.take() == [door.SliceGiven(6, True)]  # empty, as nothing followed in time
+
+
+def test_after_a_break_who_and_what_is_no_longer_named_has_left():
+    reader = Reader()
+    reader.last().open().bring(b"OK\r\n* SUBSCRIBE 1 a 2 1\r\n* SUBSCRIBE 2 a 2 1\r\n* GRANT 4 1\r\n"
+                               b"* ROW 4 a 1.0\r\n* GRANT 6 1\r\n* ROW 6 a 1.0\r\n* GRANT 8 1\r\n*\r\n")
+    reader.news.carried(door.SetLine(6, "b", 0.5))
+    reader.take()
+    reader.last().end(Ending.RESET)
+    reader.edge.wait(0.05)
+    reader.last().open().bring(b"OK\r\n* SUBSCRIBE 2 a 2 0\r\n* GRANT 6 1\r\n* ROW 6 a 1.0\r\n"
+                               b"* ROW 6 b 0.5\r\n* GRANT 8 1\r\n* ROW 8 c 1.0\r\n")
+    assert reader.take() == []  # what stands may not all be told yet
+    reader.last().bring(b"*\r\n")
+    assert reader.take() == [door.ProxyLeft(1), door.ProxyJoined(2, "a", 2.0), door.SliceGiven(4, False),
+                             door.SliceGiven(8, True), door.LineHeld(8, "c", 1.0)]
+
+
+def test_silent_news_are_read_anew_before_the_old_ones_are_ended():
+    """Guards the only connection that has the news: ended first, nothing would be told for a while."""
+    reader = Reader()
+    old = reader.last().open()
+    old.bring(b"OK\r\n* SUBSCRIBE 1 a 2 1\r\n*\r\n")
+    reader.edge.wait(4.0)
+    assert old.owner and len(reader.edge.lines) == 2
+    reader.last().open().bring(b"OK\r\n* SUBSCRIBE 1 a 2 1\r\n")
+    assert old.owner
+    reader.last().bring(b"*\r\n")
+    assert old.ending is Ending.OURS and reader.last().owner
+
+
+def test_a_new_module_is_told_all_again_and_slices_with_the_usual_levels():
+    reader = Reader()
+    reader.last().open().bring(b"OK\r\n* GRANT 4 1\r\n* ROW 4 a 1.0\r\n*\r\n")
+    reader.news.carried(door.Admit(4, (0,), 0.5, 0))
+    reader.take()
+    reader.news.forgotten()
+    reader.last().open().bring(b"OK\r\n* GRANT 4 1\r\n* ROW 4 a 1.0\r\n*\r\n")
+    assert door.SliceGiven(4, True) in reader.take() and reader.news.known.leveled == {4}
+
+
+def test_through_breaks_and_pieces_the_module_holds_what_the_relay_holds():
+    for seed in range(60):
+        dice, reader, truth = random.Random(seed), Reader(), news.Standing()
+        for _ in range(40):
+            event, line = None, reader.last()
+            number, proxy = dice.randrange(5), dice.randrange(4)
+            text = dice.choice([f"* GRANT {number} 1\r\n* ROW {number} a 1.0\r\n* ROW {number} b 0.5\r\n",
+                                f"* GRANT {number} 0\r\n", f"* SUBSCRIBE {proxy} a 2.0 0\r\n",
+                                f"* CLOSED {proxy}\r\n", f"* ACK {proxy} 3 10.0\r\n", "*\r\n", "* ODD 1\r\n"])
+            for part in text.split("\r\n")[:-1]:
+                event = news.relay.news(part.encode()) if "ODD" not in part else None
+                truth.note(event) if event else None
+            if line.owner and line.up:
+                for piece in pieces(dice, text.encode()):
+                    line.bring(piece)
+                line.end(dice.choice(LOSSES)) if dice.random() < 0.15 else None
+            elif line.owner:
+                line.end(Ending.REFUSED) if dice.random() < 0.3 else stand(line, truth, dice)
+            reader.edge.wait(dice.choice([0.05, 0.3, 1.0]))
+            reader.take()
+        for _ in range(8):
+            reader.edge.wait(3.5)
+            stand(reader.last(), truth, dice) if not reader.last().up and reader.last().owner else None
+            reader.last().bring(b"*\r\n")
+        reader.take()
+        assert reader.held.slices == truth.slices and set(reader.held.proxies) == set(truth.proxies), seed
+
+
+def stand(line, truth, dice):
+    """A connection comes up and tells all that stands, in pieces."""
+    lines = ["OK", *(f"* SUBSCRIBE {p.proxy} {p.zone} {p.rate} 0" for p in truth.proxies.values())]
+    for number, table in truth.slices.items():
+        lines += [f"* GRANT {number} 1", *(f"* ROW {number} {w} {part}" for w, part in table.items())]
+    line.open()
+    for piece in pieces(dice, "".join(text + "\r\n" for text in lines).encode()):
+        line.bring(piece)
+
+
+def item(name, state="up"):
+    return {"id": name, "addr": "127.0.0.1:3000", "zone": "a", "state": state, "weight": 1.0}
+
+
+def watch(version, *items, full=False):
+    data = json.dumps({"version": version, "full": full, "servers": items}).encode() + b"\n"
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def watched():
+    edge = Edge()
+    roster = discovery.Discovery(edge.loop, ADDRESS, edge.notices, 5.0, edge.dial, tell=edge.tell)
+    roster.listed({"version": 41, "servers": [item("s1")]}, cached=True)
+    roster.start()
+    return edge, roster
+
+
+def test_the_watch_goes_on_from_the_version_held():
+    edge, roster = watched()
+    assert b"index=41 " in edge.lines[0].open().sent[0]
+    edge.lines[0].bring(HEAD + watch(43, item("s1", "draining"), item("s2")) + b"1\r\n\n\r\n")
+    assert [w.state for w in edge.news()[-1].workers] == [door.DRAINING, door.READY]
+    edge.wait(5.5)  # silent for longer than an empty line may take: a second one beside it
+    assert b"index=43 " in edge.lines[1].open().sent[0] and edge.lines[0].owner
+    edge.lines[1].bring(HEAD + watch(44, item("s2", "removed")))
+    assert edge.lines[0].ending is Ending.OURS and "s2" not in roster.addresses
+    edge.lines[1].bring(b"3\r\n{]\n\r\n")
+    assert edge.lines[1].ending is Ending.UNREADABLE
+    edge.wait(0.05)
+    assert len(edge.lines) == 3
+
+
+def test_a_watch_that_fails_is_dialled_with_growing_waits():
+    (edge, _), dice = watched(), random.Random(1)
+    for _ in range(200):
+        if edge.lines[-1].owner:
+            edge.lines[-1].end(dice.choice([Ending.REFUSED, Ending.RESET, Ending.NOT_UP]))
+        edge.wait(0.1)
+    assert 8 <= len(edge.lines) <= 16 and len([s for s in edge.said if s[0] == "stream ended"]) <= 3
+
+
+@pytest.mark.parametrize("answer, found", [
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 28\r\n\r\n" + b'{"version":50,"servers":[]} ', "listed"),
+    (b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "failed"), (b"no HTTP\r\n", "failed"),
+    (None, "failed"), (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]", "failed")])
+def test_asking_for_the_list_has_one_answer(answer, found):
+    edge, roster = watched()
+    edge.news()
+    roster.ask()
+    roster.ask()  # one call is out already
+    assert len(edge.lines) == 2
+    edge.lines[-1].open()
+    edge.lines[-1].bring(answer) if answer else edge.wait(discovery.ANSWER + 0.2)
+    told = edge.news()
+    assert [type(event) for event in told] == [door.WorkersListed if found == "listed" else door.ListFailed]
+
+
+def test_a_list_that_was_asked_to_be_followed_tells_of_its_break():
+    edge, roster = watched()
+    roster.follow(True)
+    edge.lines[0].open().bring(HEAD + watch(42))
+    edge.news()
+    edge.lines[0].end(Ending.RESET)
+    assert edge.news() == [door.ListFailed()]
+    edge.wait(0.05)
+    roster.follow(False)
+    edge.wait(9.0)
+    assert edge.lines[-1].ending is Ending.OURS and len(edge.lines) == 2
+
+
+def gate():
+    edge = Edge()
+    return edge, collectors.Collectors(edge.notices, edge.tell)
+
+
+def take(edge, owner):
+    line = edge.dial(edge.loop, None, owner)
+    return line.open()
+
+
+def test_a_ping_is_answered_once_the_manager_may_be_used():
+    edge, door_keeper = gate()
+    line = take(edge, door_keeper)
+    line.bring(frames.frame({"t": "PING"}))
+    assert line.sent == []
+    door_keeper.use()
+    line.bring(frames.frame({"t": "PING"}))
+    assert line.sent == [frames.PONG, frames.PONG]
+
+
+def test_strangers_cost_no_collector_its_place():
+    edge, door_keeper = gate()
+    collector = take(edge, door_keeper)
+    collector.bring(frames.frame({"t": "SOURCE", "zone": "a"}))
+    lines = [take(edge, door_keeper) for _ in range(collectors.STRANGERS + 9)]
+    assert sum(line.owner is not None for line in lines) == collectors.STRANGERS
+    edge.wait(collectors.FIRST_WORD + 0.1)
+    assert not any(line.owner for line in lines) and collector.owner
+    lines[0].bring(b"late")
+    collector.bring(b"\xff\xff\xff\xff")
+    assert collector.ending is Ending.UNREADABLE
+
+
+def test_what_a_collector_sends_wrong_is_skipped_and_logged_once():
+    edge, door_keeper = gate()
+    line = take(edge, door_keeper)
+    for _ in range(500):
+        line.bring(frames.frame({"t": "LOAD", "server": 7}))
+    assert line.owner and [what for what, _ in edge.said] == ["report skipped"]
+    line.bring(frames.frame({"t": "SHARD", "slice": 1, "class": "look", "tries": 2, "span_ms": 1000}))
+    assert edge.news() == [door.SliceHeat(1, "look", 2, 0, 1.0)]
+
+
+@pytest.mark.parametrize("with_load, answer, ending, outcome, load", [
+    (True, b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nutil=0.61", None, "answered", {"busy": 0.61}),
+    (False, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", None, "answered", {}),
+    (True, b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", None, "rate-limited", {}),
+    (False, b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", None, "errored", {}),
+    (False, b"HTTP/1.1 200 OK\r\nContent-Len", Ending.RESET, "broken", {}),
+    (False, b"odd", None, "broken", {}), (False, b"", Ending.CLOSED, "broken", {})])
+def test_probes_end_in_our_words(with_load, answer, ending, outcome, load):
+    edge = Edge()
+    prober = probes.Probes(edge.loop, {"s1": ADDRESS}.get, with_load, edge.notices, edge.tell, edge.dial)
+    prober.send(door.Probe("s1"))
+    line = edge.lines[0].open()
+    assert line.sent[0].startswith(b"GET /_load " if with_load else b"GET /ping ")
+    for piece in pieces(random.Random(1), answer):
+        line.bring(piece)
+    line.end(ending) if ending else None
+    assert edge.told == [door.Probed("s1", outcome, edge.told[0].took, load)] and not prober.out
+
+
+def test_probes_that_meet_nobody_end_in_time_and_are_bounded():
+    edge = Edge()
+    prober = probes.Probes(edge.loop, {"s1": ADDRESS}.get, True, edge.notices, edge.tell, edge.dial)
+    for _ in range(probes.MOST + 1):
+        prober.send(door.Probe("s1"))
+    prober.send(door.Probe("nobody"))
+    assert [event.ending for event in edge.news()] == ["unknown", "unknown"]
+    edge.lines[0].open()
+    edge.wait(probes.ANSWER + 0.2)
+    ends = [event.ending for event in edge.news()]
+    assert ends.count("timed-out") == 1 and ends.count("unreachable") == probes.MOST - 1 and not prober.out
+
+
+def test_every_ending_has_an_outcome():
+    assert {outcomes.outcome_of(ending) for ending in Ending} <= {
+        "broken", "timed-out", "unreachable", "unknown"}
+
+
+def test_messages_between_managers_go_to_one_or_all():
+    edge = Edge()
+    first, second = ("127.0.0.1", 0), ("127.0.0.1", 0)
+    b = peers.Peers(edge.loop, second, [], None, edge.notices, edge.tell)
+    at = b.datagrams.sock.getsockname()
+    a = peers.Peers(edge.loop, first, [("127.0.0.1", 9), at], at, edge.notices, edge.tell)
+    b.numbers = {a.datagrams.sock.getsockname(): 4}
+    for order in (door.TellPeer(1, b"one"), door.TellPeer(None, b"all"), door.TellPeer(1, b"x" * 257),
+                  door.TellPeer(8, b"nobody")):
+        a.send(order)
+    edge.loop.turn(1.0)
+    assert edge.news() == [door.PeerNote(4, b"one"), door.PeerNote(4, b"all")] and len(edge.said) == 1
+    b.send(door.TellPeer(None, b"to no one"))
+    b.numbers = {}
+    a.send(door.TellPeer(1, b"from a stranger"))
+    edge.loop.turn(1.0)
+    assert edge.news() == []
+    for end in (a, b):
+        end.datagrams.close()
