--- a/bramblewood/net/program/service.py
+++ b/bramblewood/net/program/service.py
@@ -60,7 +60,8 @@
         self.peers = None
         if charter.peer_listen:
             self.peers = at("peer_listen", charter.peer_listen, lambda: Peers(
-                self.loop, charter.peer_listen, charter.peers, charter.everyone, notices, tell))
+                self.loop, charter.peer_listen, charter.peers, charter.everyone, facts.get("manager", 0),
+                notices, tell))
         self.listener = at("listen", charter.listen, lambda: Listener(
             self.loop, charter.listen, self.collectors, int(charter.descriptors * TAKEN_PART),
             lambda why: notices.say("newcomer turned away", "listener", why=why)))
@@ -74,17 +75,12 @@
             self.calls.answered(event)
             return
         if isinstance(event, door.SliceGiven):
+            never_away = event.slice in self.news.leveled or self.calls.unsettled(event.slice)
             self.calls.given_anew(event.slice)
-            self.usual_levels(event)
+            if event.ours and never_away:  # a slice comes with the usual levels; this one may have others
+                self.calls.give([door.Admit(event.slice, (), 1.0, self.charter.facts["usual_retry"])])
         self.inbox.append(event)
 
-    def usual_levels(self, event: door.SliceGiven) -> None:
-        """A slice comes with the usual levels; one that was never away, but is told anew, gets them set."""
-        leveled = self.news.known.leveled
-        if event.ours and event.slice in leveled:
-            leveled.discard(event.slice)
-            self.calls.give([door.Admit(event.slice, (), 1.0, self.charter.facts["usual_retry"])])
-
     def worker_address(self, worker: str):
         try:
             return address(self.discovery.addresses.get(worker), worker)
@@ -122,7 +118,10 @@
                 self.manager = None
                 self.loop.after(AGAIN_AFTER, self.begin_again)
                 return
-            self.carry_out(orders)
+            try:
+                self.carry_out(orders)
+            except Exception as problem:  # an order that no protocol can express must not end the process
+                self.notices.say("orders not carried out", why=repr(problem))
         if self.manager is None:
             self.inbox.clear()  # the next module is told all that stands
         if self.discovery.current and self.news.current:
--- a/bramblewood/net/routing/calls.py
+++ b/bramblewood/net/routing/calls.py
@@ -15,11 +15,13 @@
 from ..transport.notices import Notices
 
 ANSWER = 0.15        # s for an answer: 0.05 by the protocol, the rest for a shared core
-DOUBT = 0.5          # s for an answer to the mark of an unanswered call: order and answer, each half
+DOUBT = 0.5          # s at least for a sign of an unanswered call: sent again sooner, calls that always break
+                     # would become more messages than a site may allow (20 in 10 s)
+SIGN = 1.5           # times the usual time to the first answer to a mark; a slow channel brings it late
 BEFORE = 0.1         # s before the next try while the run has not begun
-WAITS = (0.05, 1.6)  # s before the next dial after a failure, first and longest; doubled in between
+WAITS = (0.05, 0.8)  # s before the next dial after a failure, first and longest; doubled in between
 FRESH = 2.0          # s for which an idle connection is used; the relay closes it after 10 s or less
-ALIASES = 256        # marks remembered that went out folded into a later one
+ALIASES = 256        # marks remembered: those folded into a later one, and those not yet answered
 
 
 class Out(NamedTuple):
@@ -50,6 +52,8 @@
         self.flight: Waiting = {}   # of the call that is out
         self.doubted: Waiting = {}  # of calls whose answer never came whole; part of what waits
         self.aliases: dict[int, list[int]] = {}  # by mark: earlier ones that it stands for
+        self.sent_at: dict[int, float] = {}  # by mark, till the first answer to it
+        self.first_answer = 0.0  # s to the first answer to a mark, lately; longer ones count at once
         self.connection: Connection | None = None
         self.failures, self.pause, self.used_at, self.most = 0, None, 0.0, relay.ORDERS
 
@@ -69,13 +73,17 @@
         if isinstance(order, door.Mark) and earlier and earlier.order.number != order.number:
             before = earlier.order.number
             self.aliases[order.number] = [*self.aliases.pop(before, []), before]
-        while len(self.aliases) > ALIASES:
-            del self.aliases[next(iter(self.aliases))]
+        for kept in (self.aliases, self.sent_at):
+            while len(kept) > ALIASES:
+                del kept[next(iter(kept))]
 
     def answered(self, event: door.MarkAnswered) -> None:
         """An answer to a mark, as the news tell it: also to those folded into it, and it settles a doubt."""
         for mark in [*self.aliases.get(event.mark, []), event.mark]:
             self.tell(event._replace(mark=mark))
+        if event.mark in self.sent_at:
+            took = self.loop.now() - self.sent_at.pop(event.mark)
+            self.first_answer = max(took, (3 * self.first_answer + took) / 4)
         mark = self.doubted.get(("mark",))
         if mark and mark.order.number == event.mark:
             for key, out in self.doubted.items():
@@ -91,6 +99,11 @@
             for key in [k for k in orders if k[0] in ("line", "table", "level") and k[1] == number]:
                 del orders[key]
 
+    def unsettled(self, number: int) -> bool:
+        """Whether the store may hold other than was told of a slice, by a call that is out or in doubt."""
+        return any(getattr(out.order, "table", None) == number
+                   for part in (self.flight, self.doubted) for out in part.values())
+
     def wait(self, seconds: float) -> None:
         if self.pause:
             self.pause.cancel()
@@ -126,6 +139,8 @@
         self.connection.send(relay.call(out.text for out in self.flight.values()))
         self.connection.limit_to(ANSWER)
         self.used_at = self.loop.now()
+        if mark := self.flight.get(("mark",)):
+            self.sent_at.setdefault(mark.order.number, self.used_at)
 
     def put_back(self, orders: Waiting) -> None:
         """To the front; what was ordered later still stands above it."""
@@ -186,7 +201,7 @@
             self.notices.say("call without an answer", "relay", how=ending.value, orders=len(self.flight))
             self.doubted, self.flight = self.flight, {}
             self.put_back(self.doubted)
-            self.wait(DOUBT)
+            self.wait(max(DOUBT, SIGN * self.first_answer))
         elif not connection.up:
             self.notices.say("no connection", "relay", how=ending.value)
             self.wait(min(WAITS[0] * 2 ** self.failures, WAITS[1]))
--- a/bramblewood/net/routing/collectors.py
+++ b/bramblewood/net/routing/collectors.py
@@ -11,6 +11,9 @@
 
 FIRST_WORD = 10.0  # s for the first message; who says nothing till then is a stranger
 STRANGERS = 64     # connections that have said nothing yet; the oldest goes, or they would fill the table
+IDLE = 120.0       # s without a message; reports come each second, so this one has vanished
+LARGE = 65536      # bytes of a message in pieces; below, many may be kept
+KEPT = 1 << 25     # bytes of all messages in pieces together; a sixth of the memory of a small manager
 
 
 class Collectors:
@@ -18,6 +21,7 @@
         self.notices, self.tell, self.in_use, self.asked = notices, tell, False, []
         self.unknown: set[str] = set()
         self.strangers: dict[Connection, None] = {}
+        self.large: set[Connection] = set()  # connections that hold much of a message not yet whole
 
     def use(self) -> None:
         """From here on the manager says that it may be used; who asked before is answered now."""
@@ -37,11 +41,17 @@
             while (message := frames.take(connection.buffer)) is not None:
                 if connection in self.strangers:
                     del self.strangers[connection]
-                    connection.limit_to(None)
+                    connection.limit_to(IDLE)
                 self.take(connection, message)
         except Unreadable as problem:
             self.notices.say("connection can't be read", "collector", why=str(problem))
             connection.end(Ending.UNREADABLE)
+            return
+        self.large.discard(connection)
+        if len(connection.buffer) > LARGE:
+            self.large.add(connection)
+            if sum(len(other.buffer) for other in self.large) > KEPT:
+                connection.end(Ending.OVERFULL)
 
     def take(self, connection: Connection, message: dict) -> None:
         kind = message.get("t")
@@ -61,6 +71,7 @@
 
     def ended(self, connection: Connection, ending: Ending) -> None:
         self.strangers.pop(connection, None)
+        self.large.discard(connection)
         if connection in self.asked:
             self.asked.remove(connection)
         if ending not in (Ending.CLOSED, Ending.UNREADABLE):
--- a/bramblewood/net/routing/discovery.py
+++ b/bramblewood/net/routing/discovery.py
@@ -33,16 +33,15 @@
         return Answer()
 
     def read(self, attempt: Attempt, buffer: Buffer) -> None:
-        answer = attempt.standing
+        answer = attempt.reader
         answer.feed(buffer.take(len(buffer)))
         if answer.status not in (0, 200):
             raise Unreadable(f"status {answer.status}")
         for line in answer.lines():
-            if line:
+            if line:  # an empty one is a sign of life
                 self.listed(line)
-                attempt.told = True
-        if answer.status:  # an empty line is a sign of life, also where nothing has changed
-            attempt.told = True
+        if answer.status:
+            self.spoke(attempt)
         if answer.whole:
             raise Unreadable("the watch has an end")
 
@@ -61,9 +60,6 @@
                 self.addresses.pop(entry.worker, None)
         self.tell(event)
 
-    def taken_over(self, attempt: Attempt) -> None:
-        pass
-
     def broken(self) -> None:
         if self.report_failure and self.on:
             self.tell(door.ListFailed())
--- a/bramblewood/net/routing/news.py
+++ b/bramblewood/net/routing/news.py
@@ -1,7 +1,8 @@
 """The relay's news: proxies, slices and their lines to events, reconciled after a break.
 
-What stands comes first, and nothing marks its end. It is taken as told at the first line that can't be part
-of it: a sign of life, an answer to a mark, a proxy that left, or a slice taken away.
+What stands comes first, and nothing marks its end. After a break it is passed on as it comes, but for tables
+that the module knows; who and what is not named by the first line that can't be part of what stands (a sign
+of life, an answer to a mark, a proxy that left, a slice taken away) has left in between.
 """
 
 from collections.abc import Callable
@@ -16,18 +17,14 @@
 
 
 class Standing:
-    """Who is joined and what is held, as one connection has told."""
+    """Who is joined and what is held, as told and as ordered since."""
 
     def __init__(self) -> None:
         self.proxies: dict[int, door.ProxyJoined] = {}
         self.slices: dict[int, dict[str, float]] = {}
-        self.leveled: set[int] = set()  # slices with levels ordered since they were given
-        self.watched = False
+        self.leveled: set[int] = set()  # of these slices: those with levels ordered since they were given
 
-    def named(self) -> bool:
-        return bool(self.proxies or self.slices or self.leveled)
-
-    def note(self, event: door.Event | door.Order | None) -> None:
+    def note(self, event: door.Event | door.Order) -> None:
         match event:
             case door.ProxyJoined():
                 self.proxies[event.proxy] = event
@@ -49,99 +46,97 @@
                 self.slices.get(number, {}).clear()
 
 
-def reconciled(known: Standing, told: Standing) -> list[door.Event]:
-    """What must have happened between: who is no longer named has left, other lines mean given anew."""
-    events: list[door.Event] = [door.ProxyLeft(proxy) for proxy in known.proxies if proxy not in told.proxies]
-    events += told.proxies.values()
-    events += [door.SliceGiven(number, False) for number in known.slices if number not in told.slices]
-    for number, table in told.slices.items():
-        if known.slices.get(number) != table:
-            events += [door.SliceGiven(number, True)]
-            events += [door.LineHeld(number, worker, weight) for worker, weight in table.items()]
-    return events
-
-
 class News(Stream):
     party = "relay's news"
 
     def __init__(self, *args, tell: Callable[[door.Event], None], **more) -> None:
         super().__init__(*args, **more)
         self.tell, self.known = tell, Standing()
-        self.given: list[door.Event] = []  # a slice just given, and its lines so far
+        self.before = Standing()            # what was known before a break and is not named again yet
+        self.given: list[door.Event] = []   # a slice just given, and its lines so far
+        self.leveled: set[int] = set()      # slices with levels that the module of now knows nothing of
 
     def greeting(self) -> bytes:
         return relay.WATCH
 
-    def reader(self) -> Standing:
-        return Standing()
+    def reader(self) -> None:
+        return None
 
     def read(self, attempt: Attempt, buffer: Buffer) -> None:
-        while (line := buffer.line()) is not None:
-            if not attempt.standing.watched:
+        while (line := buffer.line()) is not None and attempt.connection.owner:
+            if attempt is not self.current:
                 if line != relay.WATCHED:
                     raise Unreadable(f"answer to {relay.WATCH!r}: {line[:60]!r}")
-                attempt.standing.watched = True
-                attempt.told = not self.known.named()  # nothing to reconcile: all goes on at once
-                if attempt.told:
-                    self.take_over(attempt)
+                self.spoke(attempt)
                 continue
             try:
                 event = relay.news(line)
             except Skipped as problem:
                 self.notices.say("news skipped", self.party, why=str(problem))
                 continue
-            self.take(attempt, event)
-
-    def take(self, attempt: Attempt, event: door.Event | None) -> None:
-        """News of the stream that runs goes on at once; what the next one tells waits till it takes over."""
-        if not attempt.told:
-            more = isinstance(event, (door.ProxyJoined, door.LineHeld)) or (
-                isinstance(event, door.SliceGiven) and event.ours)
-            attempt.told = not more
-        if attempt is self.current:
-            self.known.note(event)
-            self.pass_on(event)
-        elif event is None:
-            return
-        else:
-            attempt.standing.note(event)
-            if isinstance(event, door.MarkAnswered) and not self.current:
-                self.tell(event)
-
-    def pass_on(self, event: door.Event | None) -> None:
-        """Guards against bytes that come in pieces: a slice without its lines would look empty."""
-        same = self.given and isinstance(event, door.LineHeld) and event.slice == self.given[0].slice
-        if not same:
-            self.lines_told()
-        if same or isinstance(event, door.SliceGiven) and event.ours:
+            self.take(event)
+
+    def taken_over(self) -> None:
+        """From here on this stream tells; what was known is compared with what it names."""
+        self.given = []
+        self.known.proxies |= {p: e for p, e in self.before.proxies.items() if p not in self.known.proxies}
+        self.known.slices |= {n: t for n, t in self.before.slices.items() if n not in self.known.slices}
+        self.known.leveled |= self.before.leveled
+        self.before, self.known = self.known, Standing()
+
+    def take(self, event: door.Event | None) -> None:
+        """One line of news, None for a sign of life."""
+        if isinstance(event, door.LineHeld) and self.given and event.slice == self.given[0].slice:
             self.given.append(event)
-            if not same:
-                given = self.given
+            return
+        self.lines_told()
+        match event:
+            case door.SliceGiven(_, True):  # guards against bytes that come in pieces: it would look empty
+                given = self.given = [event]
                 self.loop.after(LINES, lambda: self.lines_told() if self.given is given else None)
-        elif event is not None:
-            self.tell(event)
+            case door.ProxyJoined() | door.LineHeld():
+                self.before.proxies.pop(getattr(event, "proxy", None), None)
+                self.pass_on(event)
+            case _:
+                self.all_named()
+                if event is not None:
+                    self.pass_on(event)
+
+    def pass_on(self, event: door.Event) -> None:
+        self.known.note(event)
+        self.tell(event)
 
     def lines_told(self) -> None:
+        """The slice just given is whole: told, unless it is as it was before a break."""
         given, self.given = self.given, []
-        for event in given:
-            self.tell(event)
-
-    def taken_over(self, attempt: Attempt) -> None:
-        self.lines_told()
-        events = reconciled(self.known, attempt.standing)
-        attempt.standing.leveled |= self.known.leveled & set(attempt.standing.slices)
-        self.known = attempt.standing
-        for event in events:
-            self.tell(event)
+        if given:
+            number, named = given[0].slice, Standing()
+            for event in given:
+                named.note(event)
+            if self.before.slices.pop(number, None) != named.slices[number]:
+                for event in given:
+                    self.pass_on(event)
+            else:
+                self.known.slices[number] = named.slices[number]
+                self.known.leveled |= self.before.leveled & {number}
+            self.leveled.discard(number)
+
+    def all_named(self) -> None:
+        """The end of what stands: who and what has not been named has left."""
+        before, self.before = self.before, Standing()
+        for proxy in before.proxies:
+            self.pass_on(door.ProxyLeft(proxy))
+        for number in before.slices:
+            self.pass_on(door.SliceGiven(number, False))
 
     def carried(self, order: door.Order) -> None:
         """An order that the relay took; what is being read anew may have been written before it."""
         self.known.note(order)
-        if self.coming:
-            self.coming.standing.note(order)
+        if getattr(order, "table", None) in self.before.slices:
+            self.before.note(order)
 
     def forgotten(self) -> None:
         """A new module knows nothing: all that stands is told again, as if given now."""
-        known, self.known = self.known, Standing()
-        self.known.leveled, self.given = known.leveled, []
+        self.leveled |= self.known.leveled | self.before.leveled
+        self.known, self.before, self.given = Standing(), Standing(), []
         self.again()
--- a/bramblewood/net/routing/peers.py
+++ b/bramblewood/net/routing/peers.py
@@ -12,9 +12,9 @@
 
 
 class Peers:
-    def __init__(self, loop: Loop, listen: Address, peers: list[Address], everyone: Address | None,
+    def __init__(self, loop: Loop, listen: Address, peers: list[Address], everyone: Address | None, me: int,
                  notices: Notices, tell: Callable[[door.Event], None]) -> None:
-        self.peers, self.everyone, self.notices, self.tell = peers, everyone, notices, tell
+        self.peers, self.everyone, self.me, self.notices, self.tell = peers, everyone, me, notices, tell
         self.numbers = {address: number for number, address in enumerate(peers)}
         self.datagrams = Datagrams(loop, listen, self.came)
 
@@ -32,5 +32,5 @@
     def came(self, payload: bytes, sender: Address) -> None:
         if sender not in self.numbers or len(payload) > LONGEST:
             self.notices.say("datagram skipped", "peers", size=len(payload), known=sender in self.numbers)
-        else:
+        elif self.numbers[sender] != self.me:  # one to all comes back too
             self.tell(door.PeerNote(self.numbers[sender], payload))
--- a/bramblewood/net/routing/stream.py
+++ b/bramblewood/net/routing/stream.py
@@ -1,6 +1,6 @@
 """A stream that must not end: it is dialled again with growing waits, and silence counts as a break.
 
-The next connection is opened before the silent one is ended, and takes over when it has told all that stands.
+The next connection is opened before the silent one is ended, and takes over with its first good word.
 """
 
 from ..protocol.words import Unreadable
@@ -10,15 +10,16 @@
 from ..transport.notices import Notices
 
 FIRST_WORD = 2.0            # s for the first words after the dial; what stands is sent at once
-WAITS = (0.05, 3.2)         # s before the next dial after a failure, first and longest; doubled in between
+WAITS = (0.05, 1.0)         # s from a dial that failed to the next, first and longest; doubled in between
+LASTING = 5.0               # s after which a stream that ends is dialled at once; sooner counts as a failure
 LOOK = 0.25                 # s between looks for silence
 
 
 class Attempt:
-    """One connection of a stream; what it has read so far is its own."""
+    """One connection of a stream, and what reads it."""
 
     def __init__(self, stream: "Stream") -> None:
-        self.stream, self.standing, self.told = stream, stream.reader(), False
+        self.stream, self.reader, self.since = stream, stream.reader(), stream.loop.now()
         self.connection = stream.dial(stream.loop, stream.address, self)
 
     def opened(self, connection: Connection) -> None:
@@ -31,16 +32,13 @@
         except Unreadable as problem:
             self.stream.notices.say("stream can't be read", self.stream.party, why=str(problem))
             connection.end(Ending.UNREADABLE)
-            return
-        if self.told and self.stream.coming is self:
-            self.stream.take_over(self)
 
     def ended(self, connection: Connection, ending: Ending) -> None:
         self.stream.lost(self, ending)
 
 
 class Stream:
-    """Subclasses give party, greeting, reader, read (sets attempt.told) and taken_over."""
+    """Subclasses give party, greeting, reader and read, which calls spoke at the first good word."""
     party = ""
 
     def __init__(self, loop: Loop, address: Address, notices: Notices, silence: float,
@@ -83,16 +81,20 @@
                 self.notices.say("stream silent", self.party)
                 self.open()
 
-    def take_over(self, attempt: Attempt) -> None:
-        before, self.current, self.coming, self.failures = self.current, attempt, None, 0
-        attempt.connection.limit_to(None)
-        self.taken_over(attempt)
-        if before:
-            before.connection.end()
+    def spoke(self, attempt: Attempt) -> None:
+        """The first good word: the connection that comes takes over."""
+        if attempt is self.coming:
+            before, self.current, self.coming = self.current, attempt, None
+            attempt.connection.limit_to(None)
+            if before:
+                before.connection.end()
+            self.taken_over()
 
     def lost(self, attempt: Attempt, ending: Ending) -> None:
         if attempt is self.current:
             self.current = None
+            lasted = self.loop.now() >= attempt.since + LASTING
+            self.failures = 0 if lasted else self.failures + 1
             self.broken()
         elif attempt is self.coming:
             self.coming = None
@@ -103,7 +105,10 @@
             self.notices.say("stream ended", self.party, how=ending.value)
         if self.on and not self.coming and not self.waiting:
             wait = min(WAITS[0] * 2 ** self.failures, WAITS[1]) if self.failures else 0.0
-            self.waiting = self.loop.after(wait, self.open)
+            self.waiting = self.loop.after(max(attempt.since + wait - self.loop.now(), 0.0), self.open)
+
+    def taken_over(self) -> None:
+        """Another connection tells from here on."""
 
     def broken(self) -> None:
         """The stream that ran has ended."""
--- a/bramblewood/net/transport/connection.py
+++ b/bramblewood/net/transport/connection.py
@@ -10,7 +10,7 @@
 from .ending import Ending, ending_of
 from .loop import Loop, Timer
 
-DIAL_TIME = 1.0    # s in which a connection must come up; on one network it takes some milliseconds
+DIAL_TIME = 0.5    # s in which a connection must come up; on one network it takes some milliseconds
 CHUNK = 65536      # bytes read at once; others get their turn between
 UNSENT = 1 << 18   # bytes that may wait to be written; four of the longest calls
 
