--- a/bramblewood/__main__.py
+++ b/bramblewood/__main__.py
@@ -9,6 +9,8 @@
 
 from . import __version__  # noqa: E402
 from .net.program import charter, logs  # noqa: E402
+from .net.protocol import roster  # noqa: E402
+from .net.protocol.words import Unreadable  # noqa: E402
 
 FAULTY = 2  # exit code for what is wrong with the words of the call or the configuration
 app = typer.Typer(add_completion=False, rich_markup_mode=None, pretty_exceptions_enable=False,
@@ -45,9 +47,13 @@
 def check(path: str = typer.Argument(None, help="the configuration; else the one of EDGE_CONFIG")) -> None:
     """Read a configuration and say what it would listen on and dial, or what is wrong with it."""
     told = read(path)
+    try:
+        known = len(roster.read(told.known, cached=True)[1].workers) if told.known else 0
+    except Unreadable as problem:
+        fail(f"known: {problem}")
     rows = {"name": told.name, "listen": told.listen, "discovery": told.discovery, "relay": told.relay,
             "messages between managers at": told.peer_listen, "managers to message": len(told.peers),
-            "descriptors": told.descriptors, "known workers": len(told.known.get("servers", ())),
+            "descriptors": told.descriptors, "known workers": known,
             "operations": ", ".join(operation["name"] for operation in told.facts["operations"])}
     for name, value in rows.items():
         shown = "{}:{}".format(*value) if isinstance(value, tuple) else "-" if value in (None, "") else value
--- a/bramblewood/net/program/service.py
+++ b/bramblewood/net/program/service.py
@@ -1,6 +1,7 @@
 """One manager: wiring, and the turn: gather what is ready, ask the module once, carry out what came back."""
 
 import gc
+import resource
 import signal
 import socket
 import traceback
@@ -63,7 +64,8 @@
                 self.loop, charter.peer_listen, charter.peers, charter.everyone, facts.get("manager", 0),
                 notices, tell))
         self.listener = at("listen", charter.listen, lambda: Listener(
-            self.loop, charter.listen, self.collectors, int(charter.descriptors * TAKEN_PART),
+            self.loop, charter.listen, self.collectors,
+            int(min(charter.descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) * TAKEN_PART),
             lambda why: notices.say("newcomer turned away", "listener", why=why)))
 
     def inbox_tell(self, event: door.Event) -> None:
@@ -96,7 +98,6 @@
         if not self.charter.facts.get("must_ask_for_list"):
             self.discovery.start()
         self.news.start()
-
         self.loop.after(READY_WITHIN, self.use)
 
     def begin_module(self) -> None:
--- a/bramblewood/net/protocol/relay.py
+++ b/bramblewood/net/protocol/relay.py
@@ -8,7 +8,7 @@
 LONGEST = 60_000  # bytes of orders in one call; the protocol's
 ORDERS = LONGEST // 6  # in one call at most; the shortest order and its mark, ten bytes, come close
 WATCH, WATCHED, ALIVE = b"WATCH\r\n", b"OK", b"*"
-NOT_YET = "limit"  # the error that every call gets before the run begins
+NOT_YET, MALFORMED = "limit", "malformed"  # errors: of every call before the run begins; of what is no call
 
 
 def figure(value: float) -> str:
@@ -44,8 +44,7 @@
     words = line.decode("ascii", "replace").split()
     if len(words) == 2 and words[0] == "OK" and words[1].isdigit():
         return int(words[1])
-    known = [word for word in words if word in (NOT_YET, "malformed", "error", "moot")]
-    return known[0] if known else None
+    return next((word for word in words if word in (NOT_YET, MALFORMED)), None)
 
 
 def news(line: bytes) -> door.Event | None:
--- a/bramblewood/net/routing/calls.py
+++ b/bramblewood/net/routing/calls.py
@@ -34,12 +34,14 @@
 
 
 def fold(waiting: Waiting, key: Hashable, out: Out) -> None:
-    """Put an order behind the others; one that it makes void is taken out."""
+    """Put an order behind the others; one that it makes void is taken out, and a mark stays the last."""
     waiting.pop(key, None)
     if key[0] == "table":
         for other in [k for k in waiting if k[0] in ("line", "level") and k[1] == key[1]]:
             del waiting[other]
     waiting[key] = out
+    if ("mark",) in waiting:
+        waiting["mark",] = waiting.pop(("mark",))
 
 
 class Calls:
