SIGTERM amid the imports ends the process: the handler's exception was lost there

Seen: of managers sent SIGTERM 0.02 to 0.2 s after their start two ran on (one had to be ended by hand). At fault: __main__.py, whose first handler raised SystemExit, which an import in progress can swallow. Ruled out: the loop (started managers ended with code 0 within 16 ms). Now the early handler ends the process itself; 38 starts with SIGTERM at 0.064 to 0.36 s, each 8 ms apart, all ended with code 0. Before Python runs the first line the system's default still ends it with 143.

--- a/bramblewood/__main__.py
+++ b/bramblewood/__main__.py
@@ -1,9 +1,11 @@
 """The command line: `python -m bramblewood serve`, `check`, `version`."""
 
+import os
 import signal
 import sys
 
-signal.signal(signal.SIGTERM, lambda _number, _frame: sys.exit(0))  # also while the rest is still imported
+# also while the rest is still imported; an exception raised amid an import was seen to be lost there
+signal.signal(signal.SIGTERM, lambda _number, _frame: os._exit(0))
 
 import typer  # noqa: E402
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -362,6 +362,14 @@
     process.communicate()
 
 
+def test_sigterm_amid_the_imports_is_not_lost():
+    """Guards against an exception from the handler that some import swallows: the manager then ran on."""
+    code = ("import os, signal, bramblewood.__main__\ntry:\n    os.kill(os.getpid(), signal.SIGTERM)\n"
+            "except BaseException:\n    print('lost')\nprint('went on')")
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, timeout=20)
+    assert done.returncode == 0 and done.stdout == b""
+
+
 @pytest.mark.parametrize("words, change, said", [
     (["serve"], {"listen": "nowhere"}, b"listen: "), (["odd"], {}, b"odd"),
     (["serve", "--odd"], {}, b"--odd"),
