--- a/bramblewood/net/routing/discovery.py
+++ b/bramblewood/net/routing/discovery.py
@@ -43,7 +43,7 @@
         if answer.status:
             self.spoke(attempt)
         if answer.whole:
-            raise Unreadable("the watch has an end")
+            attempt.connection.end(Ending.CLOSED)
 
     def listed(self, data: bytes | dict, cached: bool = False) -> None:
         version, event, addresses, problems = roster.read(data, cached)
--- a/bramblewood/net/routing/stream.py
+++ b/bramblewood/net/routing/stream.py
@@ -96,6 +96,9 @@
             lasted = self.loop.now() >= attempt.since + LASTING
             self.failures = 0 if lasted else self.failures + 1
             self.broken()
+            if self.coming and not self.coming.connection.up:  # the other side is back: a dial from before
+                stale, self.coming = self.coming, None         # is lost, and would only end by its limit
+                stale.connection.end()
         elif attempt is self.coming:
             self.coming = None
             self.failures += 1
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -299,6 +299,19 @@
     assert old.ending is Ending.OURS and reader.last().owner
 
 
+def test_a_reset_of_silent_news_makes_way_for_a_new_dial():
+    """Guards against waiting for a dial into the cut: seen to take its whole limit after the way was open."""
+    reader = Reader()
+    old = reader.last().open()
+    old.bring(b"OK\r\n*\r\n")
+    reader.edge.wait(5.5)
+    stuck = reader.last()
+    assert stuck is not old and not stuck.up
+    old.end(Ending.RESET)
+    reader.edge.wait(0.05)
+    assert stuck.ending is Ending.OURS and reader.last() is not stuck and reader.last().owner
+
+
 def test_a_new_module_is_told_all_again_and_slices_with_the_usual_levels():
     reader = Reader()
     reader.last().open().bring(b"OK\r\n* GRANT 4 1\r\n* ROW 4 a 1.0\r\n*\r\n")
