--- a/bramblewood/net/protocol/words.py
+++ b/bramblewood/net/protocol/words.py
@@ -7,6 +7,7 @@
 from ...facts import MS
 
 MOST = 1e15  # a figure above is a fault: as a time it is ages, and as a whole number soon no float
+UNKNOWN = 16  # unknown names kept for the log; a stranger may send new ones without end
 STATES = {"up": door.READY, "draining": door.DRAINING, "removed": door.GONE}
 # the page's words for load, and the settings' own, which the collectors were seen to send
 LOAD_WORDS = {**SETTINGS_WORDS, "util": ("busy", 1.0), "queue": ("queued", 1.0), "inflight": ("held", 1.0),
@@ -52,7 +53,8 @@
     load = {}
     for name, value in pairs.items() if isinstance(pairs, dict) else ():
         if name not in LOAD_WORDS:
-            unknown.add(str(name)[:40])
+            if len(unknown) < UNKNOWN:
+                unknown.add(name[:40])
         elif is_figure(value):
             ours, unit = LOAD_WORDS[name]
             load[ours] = value * unit
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -44,6 +44,9 @@
     unknown = set()
     heard = frames.event_of({**LOAD, "load": {"cpu": 0.3, "waiting": 4.5, "odd": 1}}, unknown)
     assert heard.load == {"busy": 0.3, "queued": 4.5} and unknown == {"odd"}
+    for number in range(99):
+        frames.event_of({**LOAD, "load": {f"odd-{number}": 1}}, unknown)
+    assert len(unknown) < 20  # a stranger's words are not kept without bound
     found = load_of_body(b"inflight=7,queue=2,util=0.61,x=,=\r\n")
     assert found == {"held": 7.0, "queued": 2.0, "busy": 0.61}
 
