--- a/bramblewood/facts.py
+++ b/bramblewood/facts.py
@@ -1,5 +1,6 @@
 """The start-up settings, as both roads receive them, turned into the plain map that the module is given."""
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -13,8 +14,8 @@
 
 
 def figure(value: Any) -> float:
-    if isinstance(value, bool) or not isinstance(value, (int, float)):
-        raise TypeError("expected a number")
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not math.isfinite(value):
+        raise TypeError("expected a finite number")
     return value
 
 
--- a/bramblewood/net/program/charter.py
+++ b/bramblewood/net/program/charter.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
-from ...facts import facts_of
+from ...facts import FACTS, facts_of
 from ...interface import NO_RETRY
 
 Address = tuple[str, int]
@@ -68,6 +68,17 @@
     return check({**{key: value for key, value in told.items() if value}, **found})
 
 
+def in_range(facts: Mapping) -> None:
+    """No figure below 0, and none of 0 where it parts others."""
+    for ours, section, key, _ in FACTS:
+        value, least = facts.get(ours, 1), "more than 0" if ours == "cycle" else "0 or more"
+        if isinstance(value, (int, float)) and (value < 0 or ours == "cycle" and not value):
+            raise Faulty(f"settings.{section and section + '.'}{key}: expected {least}")
+    for k, operation in enumerate(facts["operations"]):
+        if operation["latency_objective"] <= 0 or operation["billed_value"] < 0:
+            raise Faulty(f"settings.classes.{k}: expected an objective above 0 and no figure below 0")
+
+
 def check(found: Mapping) -> Charter:
     registry = of_type(found, "registry", dict)
     peers = of_type(found, "peers", list, [])
@@ -80,6 +91,7 @@
         facts = facts_of(of_type(found, "settings", dict))
     except ValueError as problem:
         raise Faulty(f"settings.{problem}") from None
+    in_range(facts)
     facts.setdefault("usual_retry", NO_RETRY)
     return Charter(
         of_type(found, "name", str, "manager"), address(found.get("listen"), "listen"),
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -189,6 +189,10 @@
     ({"settings": {"classes": [{}]}}, "settings.classes.0.name: it is missing"), ({"name": 3}, "name: "),
     ({"settings": {"classes": [3]}}, "settings.classes.0: "), ({"peers_all": "x:1"}, "peers_all: "),
     ({"settings": {"specifics": {"cycle": "soon"}}}, "settings.specifics.cycle: found 'soon'"),
+    ({"settings": {"specifics": {"cycle": 0.0}}}, "settings.specifics.cycle: expected more than 0"),
+    ({"settings": {"specifics": {"egress_per_s": -1}}}, "settings.specifics.egress_per_s: expected 0 or"),
+    ({"settings": {"specifics": {"bare": float("inf")}}}, "settings.specifics.bare: found inf"),
+    ({"settings": {"classes": [{**OPTIONS["classes"][0], "objective": 0}]}}, "settings.classes.0: "),
     ({"settings": {"report": []}}, "settings.report: expected an object")])
 def test_a_faulty_key_is_named(change, words):
     with pytest.raises(charter.Faulty) as found:
