--- a/bramblewood/net/routing/collectors.py
+++ b/bramblewood/net/routing/collectors.py
@@ -11,7 +11,8 @@
 
 FIRST_WORD = 10.0  # s for the first message; who says nothing till then is a stranger
 STRANGERS = 64     # connections that have said nothing yet; the oldest goes, or they would fill the table
-IDLE = 120.0       # s without a message; reports come each second, so this one has vanished
+SILENCE = 10.0     # s without a report; they come each second, so this collector has vanished or lost its way
+IDLE = 120.0       # s without a message of any other; it may ask again whether the manager is in use
 LARGE = 65536      # bytes of a message in pieces; below, many may be kept
 KEPT = 1 << 25     # bytes of all messages in pieces together; a sixth of the memory of a small manager
 
@@ -60,7 +61,9 @@
                 connection.send(frames.PONG)
             elif connection not in self.asked:
                 self.asked.append(connection)
-        elif kind != frames.SOURCE:
+        elif kind == frames.SOURCE:
+            connection.limit_to(SILENCE)  # ended, a collector that still runs comes again at once
+        else:
             known = len(self.unknown)
             try:
                 self.tell(frames.event_of(message, self.unknown))
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -446,6 +446,9 @@
     assert edge.lines[-1].ending is Ending.OURS and len(edge.lines) == 2
 
 
+SHARD = {"t": "SHARD", "slice": 1, "class": "look", "tries": 2, "span_ms": 1000}
+
+
 def gate():
     edge = Edge()
     return edge, collectors.Collectors(edge.notices, edge.tell)
@@ -472,13 +475,25 @@
     collector.bring(frames.frame({"t": "SOURCE", "zone": "a"}))
     lines = [take(edge, door_keeper) for _ in range(collectors.STRANGERS + 9)]
     assert sum(line.owner is not None for line in lines) == collectors.STRANGERS
-    edge.wait(collectors.FIRST_WORD + 0.1)
+    for _ in range(4):
+        edge.wait(collectors.FIRST_WORD / 3)
+        collector.bring(frames.frame(SHARD))
     assert not any(line.owner for line in lines) and collector.owner
     lines[0].bring(b"late")
     collector.bring(b"\xff\xff\xff\xff")
     assert collector.ending is Ending.UNREADABLE
 
 
+def test_a_collector_that_falls_silent_is_ended_so_that_it_comes_again():
+    """Guards against a zone without reports: its connection is dead, and nothing is ever written there."""
+    edge, door_keeper = gate()
+    asker, collector = take(edge, door_keeper), take(edge, door_keeper)
+    asker.bring(frames.frame({"t": "PING"}))
+    collector.bring(frames.frame({"t": "SOURCE", "zone": "a"}) + frames.frame(SHARD))
+    edge.wait(collectors.SILENCE + 0.1)
+    assert collector.ending is Ending.SILENT and asker.owner
+
+
 def test_messages_in_pieces_are_bounded_in_all_and_the_vanished_are_let_go():
     edge, door_keeper = gate()
     lines = []
@@ -498,7 +513,7 @@
     for _ in range(500):
         line.bring(frames.frame({"t": "LOAD", "server": 7}))
     assert line.owner and [what for what, _ in edge.said] == ["report skipped"]
-    line.bring(frames.frame({"t": "SHARD", "slice": 1, "class": "look", "tries": 2, "span_ms": 1000}))
+    line.bring(frames.frame(SHARD))
     assert edge.news() == [door.SliceHeat(1, "look", 2, 0, 1.0)]
 
 
