--- a/bramblewood/net/routing/stream.py
+++ b/bramblewood/net/routing/stream.py
@@ -47,6 +47,7 @@
         self.current: Attempt | None = None
         self.coming: Attempt | None = None
         self.failures, self.waiting, self.on, self.looking = 0, None, False, None
+        self.stood = False  # whether any connection has ever told
 
     def start(self) -> None:
         if not self.on:
@@ -86,6 +87,9 @@
         if attempt is self.coming:
             before, self.current, self.coming = self.current, attempt, None
             attempt.connection.limit_to(None)
+            if self.stood:
+                self.notices.say("stream stands again", self.party)
+            self.stood = True
             if before:
                 before.connection.end()
             self.taken_over()
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -297,6 +297,7 @@
     assert old.owner
     reader.last().bring(b"OK\r\n* SUBSCRIBE 1 a 2 1\r\n")
     assert old.ending is Ending.OURS and reader.last().owner
+    assert [what for what, _ in reader.edge.said] == ["stream silent", "stream stands again"]
 
 
 def test_a_reset_of_silent_news_makes_way_for_a_new_dial():
