One growing wait for calls and streams: past a thousand failures the next dial was never made

Now one function, growing_wait, with the doubling bounded; the new test raises OverflowError without it. Waits as before otherwise.

--- a/bramblewood/net/routing/calls.py
+++ b/bramblewood/net/routing/calls.py
@@ -9,7 +9,7 @@
 
 from ... import interface as door
 from ..protocol import relay
-from ..transport.connection import Address, Connection
+from ..transport.connection import Address, Connection, growing_wait
 from ..transport.ending import Ending
 from ..transport.loop import Loop
 from ..transport.notices import Notices
@@ -206,7 +206,7 @@
             self.wait(max(DOUBT, SIGN * self.first_answer))
         elif not connection.up:
             self.notices.say("no connection", "relay", how=ending.value)
-            self.wait(min(WAITS[0] * 2 ** self.failures, WAITS[1]))
+            self.wait(growing_wait(WAITS, self.failures))
             self.failures += 1
         else:
             self.push()
--- a/bramblewood/net/routing/stream.py
+++ b/bramblewood/net/routing/stream.py
@@ -4,7 +4,7 @@
 """
 
 from ..protocol.words import Unreadable
-from ..transport.connection import Address, Connection
+from ..transport.connection import Address, Connection, growing_wait
 from ..transport.ending import Ending
 from ..transport.loop import Loop
 from ..transport.notices import Notices
@@ -111,7 +111,7 @@
         if ending is not Ending.OURS:
             self.notices.say("stream ended", self.party, how=ending.value)
         if self.on and not self.coming and not self.waiting:
-            wait = min(WAITS[0] * 2 ** self.failures, WAITS[1]) if self.failures else 0.0
+            wait = growing_wait(WAITS, self.failures) if self.failures else 0.0
             self.waiting = self.loop.after(max(attempt.since + wait - self.loop.now(), 0.0), self.open)
 
     def taken_over(self) -> None:
--- a/bramblewood/net/transport/connection.py
+++ b/bramblewood/net/transport/connection.py
@@ -14,9 +14,20 @@
 CHUNK = 65536      # bytes read at once; others get their turn between
 UNSENT = 1 << 18   # bytes that may wait to be written; four of the longest calls
 
+MOST_DOUBLED = 32  # times that a wait is doubled; any first wait is past its longest by then
+
 Address = tuple[str, int]
 
 
+def growing_wait(waits: tuple[float, float], failures: int) -> float:
+    """The wait after so many failures: the first one, doubled each time, up to the longest.
+
+    Guards against an outage of hours: two to the power of a thousand failures is no float.
+    """
+    first, longest = waits
+    return min(first * 2 ** min(failures, MOST_DOUBLED), longest)
+
+
 class Owner(Protocol):
     def opened(self, connection: "Connection") -> None: ...
     def received(self, connection: "Connection") -> None: ...
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -7,7 +7,7 @@
 
 from bramblewood import interface as door
 from bramblewood.net.protocol import frames
-from bramblewood.net.routing import calls, collectors, discovery, news, outcomes, peers, probes
+from bramblewood.net.routing import calls, collectors, discovery, news, outcomes, peers, probes, stream
 from bramblewood.net.transport.ending import Ending
 
 from .helper import Edge, pieces
@@ -418,6 +418,17 @@
     assert 15 <= len(edge.lines) <= 25 and len([s for s in edge.said if s[0] == "stream ended"]) <= 3
 
 
+def test_an_outage_of_an_hour_is_met_with_the_longest_wait():
+    """Guards against a wait that grows past any number: the dial after it would never be made."""
+    (edge, roster), relay = watched(), Relay()
+    relay.calls.give(sets((1, "a", 1.0)))
+    roster.failures = relay.calls.failures = 4000
+    for where, longest in ((edge, stream.WAITS[1]), (relay.edge, calls.WAITS[1])):
+        where.lines[-1].end(Ending.REFUSED)
+        where.wait(longest + 0.1)
+        assert len(where.lines) == 2
+
+
 @pytest.mark.parametrize("answer, found", [
     (b"HTTP/1.1 200 OK\r\nContent-Length: 28\r\n\r\n" + b'{"version":50,"servers":[]} ', "listed"),
     (b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "failed"), (b"no HTTP\r\n", "failed"),
