Tidied: addresses spelled and typed in one place, dead pieces out, one case each in the news

From reading the whole change once more, behaviour as it was: '{}:{}'.format stood in five places and the type Address in two; Loop.close, Timer.at, dial's own limit and Calls.drop had no use or one; Ask forgot who asked and took it back on a list that can't be read; News had a reader that reads nothing and one case for two kinds of line; the tests filled buffers in two places. Tests keep their assertions.

--- a/bramblewood/__main__.py
+++ b/bramblewood/__main__.py
@@ -13,6 +13,7 @@
 from .net.program import charter, logs  # noqa: E402
 from .net.protocol import roster  # noqa: E402
 from .net.protocol.words import Unreadable  # noqa: E402
+from .net.transport.connection import spelled  # noqa: E402
 
 FAULTY = 2  # exit code for what is wrong with the words of the call or the configuration
 app = typer.Typer(add_completion=False, rich_markup_mode=None, pretty_exceptions_enable=False,
@@ -58,7 +59,7 @@
             "descriptors": told.descriptors, "known workers": known,
             "operations": ", ".join(operation["name"] for operation in told.facts["operations"])}
     for name, value in rows.items():
-        shown = "{}:{}".format(*value) if isinstance(value, tuple) else "-" if value in (None, "") else value
+        shown = spelled(value) if isinstance(value, tuple) else "-" if value in (None, "") else value
         typer.echo(f"{name}: {shown}")
 
 
--- a/bramblewood/net/program/charter.py
+++ b/bramblewood/net/program/charter.py
@@ -7,8 +7,8 @@
 
 from ...facts import FACTS, facts_of
 from ...interface import NO_RETRY
+from ..transport.connection import Address
 
-Address = tuple[str, int]
 FEWEST = 32  # descriptors below which a manager can't work: its own streams, a few collectors and probes
 
 
--- a/bramblewood/net/program/service.py
+++ b/bramblewood/net/program/service.py
@@ -19,10 +19,11 @@
 from ..routing.news import News
 from ..routing.peers import Peers
 from ..routing.probes import Probes
+from ..transport.connection import Address, spelled
 from ..transport.listener import Listener
 from ..transport.loop import LONGEST, Loop
 from ..transport.notices import Notices
-from .charter import Address, Charter, Faulty, address
+from .charter import Charter, Faulty, address
 
 READY_WITHIN = 1.5       # s for the first dials; after that the manager says it may be used all the same
 NEWS_SILENCE = 3.2       # s; a sign of life comes every second
@@ -39,7 +40,7 @@
     try:
         return make()
     except OSError as problem:
-        raise Faulty("{}: {}:{}: {}".format(key, *where, problem.strerror)) from None
+        raise Faulty(f"{key}: {spelled(where)}: {problem.strerror}") from None
 
 
 class Service:
@@ -171,7 +172,7 @@
         self.start()
         gc.collect()
         gc.freeze()
-        self.log.info("started", listen="{}:{}".format(*self.charter.listen))
+        self.log.info("started", listen=spelled(self.charter.listen))
         while not self.stopping:
             self.turn()
         self.log.info("stopped")
--- a/bramblewood/net/routing/calls.py
+++ b/bramblewood/net/routing/calls.py
@@ -120,17 +120,13 @@
         if self.pause or self.flight or not self.waiting:
             return
         if self.connection and self.connection.up and self.loop.now() > self.used_at + FRESH:
-            self.drop()  # guards against the other side's closing it under a call
+            stale, self.connection = self.connection, None
+            stale.end()  # guards against the other side's closing it under a call
         if not self.connection:
             self.connection = self.dial(self.loop, self.address, self)
         elif self.connection.up:
             self.send()
 
-    def drop(self) -> None:
-        connection, self.connection = self.connection, None
-        if connection:
-            connection.end()
-
     def send(self) -> None:
         size, self.doubted = 0, {}
         for key, out in list(self.waiting.items()):
--- a/bramblewood/net/routing/discovery.py
+++ b/bramblewood/net/routing/discovery.py
@@ -7,7 +7,7 @@
 from ..protocol.http import Answer, get
 from ..protocol.words import Unreadable
 from ..transport.buffer import Buffer
-from ..transport.connection import Connection
+from ..transport.connection import Connection, spelled
 from ..transport.ending import Ending
 from .stream import Attempt, Stream
 
@@ -23,11 +23,8 @@
         self.asked: Ask | None = None
         self.report_failure = False  # where the module asked to follow, it is told of a break
 
-    def host(self) -> str:
-        return "{}:{}".format(*self.address)
-
     def greeting(self) -> bytes:
-        return get(roster.watch_path(self.version), self.host(), keep=True)
+        return get(roster.watch_path(self.version), spelled(self.address), keep=True)
 
     def reader(self) -> Answer:
         return Answer()
@@ -89,7 +86,7 @@
         self.connection = discovery.dial(discovery.loop, discovery.address, self)
 
     def opened(self, connection: Connection) -> None:
-        connection.send(get(roster.LIST, self.discovery.host()))
+        connection.send(get(roster.LIST, spelled(self.discovery.address)))
         connection.limit_to(ANSWER)
 
     def received(self, connection: Connection) -> None:
@@ -98,12 +95,11 @@
             if self.answer.whole:
                 if self.answer.status != 200:
                     raise Unreadable(f"status {self.answer.status}")
-                self.discovery.asked = None
                 self.discovery.listed(bytes(self.answer.body))
+                self.discovery.asked = None
                 connection.end()
         except Unreadable as problem:
             self.discovery.notices.say("list can't be read", self.discovery.party, why=str(problem))
-            self.discovery.asked = self
             connection.end(Ending.UNREADABLE)
 
     def ended(self, connection: Connection, ending: Ending) -> None:
--- a/bramblewood/net/routing/news.py
+++ b/bramblewood/net/routing/news.py
@@ -59,9 +59,6 @@
     def greeting(self) -> bytes:
         return relay.WATCH
 
-    def reader(self) -> None:
-        return None
-
     def read(self, attempt: Attempt, buffer: Buffer) -> None:
         while (line := buffer.line()) is not None and attempt.connection.owner:
             if attempt is not self.current:
@@ -94,8 +91,10 @@
             case door.SliceGiven(_, True):  # guards against bytes that come in pieces: it would look empty
                 given = self.given = [event]
                 self.loop.after(LINES, lambda: self.lines_told() if self.given is given else None)
-            case door.ProxyJoined() | door.LineHeld():
-                self.before.proxies.pop(getattr(event, "proxy", None), None)
+            case door.ProxyJoined(proxy):
+                self.before.proxies.pop(proxy, None)
+                self.pass_on(event)
+            case door.LineHeld():
                 self.pass_on(event)
             case _:
                 self.all_named()
--- a/bramblewood/net/routing/probes.py
+++ b/bramblewood/net/routing/probes.py
@@ -5,7 +5,7 @@
 from ... import interface as door
 from ..protocol.http import Answer, get
 from ..protocol.words import Unreadable, load_of_body
-from ..transport.connection import Address, Connection
+from ..transport.connection import Address, Connection, spelled
 from ..transport.ending import Ending
 from ..transport.loop import Loop
 from ..transport.notices import Notices
@@ -23,7 +23,7 @@
         self.connection = probes.dial(probes.loop, address, self)
 
     def opened(self, connection: Connection) -> None:
-        connection.send(get(self.probes.path, "{}:{}".format(*self.address)))
+        connection.send(get(self.probes.path, spelled(self.address)))
         connection.limit_to(ANSWER)
 
     def received(self, connection: Connection) -> None:
--- a/bramblewood/net/routing/stream.py
+++ b/bramblewood/net/routing/stream.py
@@ -38,7 +38,7 @@
 
 
 class Stream:
-    """Subclasses give party, greeting, reader and read, which calls spoke at the first good word."""
+    """Subclasses give party, greeting and read, which calls spoke at the first good word."""
     party = ""
 
     def __init__(self, loop: Loop, address: Address, notices: Notices, silence: float,
@@ -114,6 +114,9 @@
             wait = growing_wait(WAITS, self.failures) if self.failures else 0.0
             self.waiting = self.loop.after(max(attempt.since + wait - self.loop.now(), 0.0), self.open)
 
+    def reader(self):
+        """What reads one connection and no other, where something must."""
+
     def taken_over(self) -> None:
         """Another connection tells from here on."""
 
--- a/bramblewood/net/transport/connection.py
+++ b/bramblewood/net/transport/connection.py
@@ -19,6 +19,10 @@
 Address = tuple[str, int]
 
 
+def spelled(address: Address) -> str:
+    return "{}:{}".format(*address)
+
+
 def growing_wait(waits: tuple[float, float], failures: int) -> float:
     """The wait after so many failures: the first one, doubled each time, up to the longest.
 
@@ -44,7 +48,7 @@
             self.come_up()
 
     @classmethod
-    def dial(cls, loop: Loop, address: Address, owner: Owner, within: float = DIAL_TIME) -> "Connection":
+    def dial(cls, loop: Loop, address: Address, owner: Owner) -> "Connection":
         """Begin to connect; whatever goes wrong is told later, never from in here."""
         connection = cls(loop, owner)
         try:
@@ -57,7 +61,7 @@
             loop.after(0.0, lambda: connection.end(ending_of(error)))
             return connection
         loop.watch(connection.sock, EVENT_WRITE, connection.ready)
-        connection.limit_to(within, Ending.NOT_UP)
+        connection.limit_to(DIAL_TIME, Ending.NOT_UP)
         return connection
 
     def limit_to(self, seconds: float | None, ending: Ending = Ending.SILENT) -> None:
--- a/bramblewood/net/transport/loop.py
+++ b/bramblewood/net/transport/loop.py
@@ -9,11 +9,11 @@
 
 
 class Timer:
-    """Something to run at a time, unless it is called off before."""
-    __slots__ = ("at", "call")
+    """Something to run, unless it is called off before."""
+    __slots__ = ("call",)
 
-    def __init__(self, at: float, call: Callable[[], None]) -> None:
-        self.at, self.call = at, call
+    def __init__(self, call: Callable[[], None]) -> None:
+        self.call = call
 
     def cancel(self) -> None:
         self.call = None
@@ -31,8 +31,8 @@
 
     def after(self, seconds: float, call: Callable[[], None]) -> Timer:
         self.counter += 1
-        timer = Timer(self.now() + seconds, call)
-        heapq.heappush(self.timers, (timer.at, self.counter, timer))
+        timer = Timer(call)
+        heapq.heappush(self.timers, (self.now() + seconds, self.counter, timer))
         return timer
 
     def watch(self, sock, events: int, handler: Callable[[int], None]) -> None:
@@ -58,6 +58,3 @@
             timer = heapq.heappop(self.timers)[2]
             if timer.call:
                 timer.call()
-
-    def close(self) -> None:
-        self.selector.close()
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -182,6 +182,11 @@
         return self.at
 
 
+def fill(buffer, data):
+    buffer.room(len(data) or 1)[:len(data)] = data
+    buffer.filled(len(data))
+
+
 class Line(Connection):
     """A connection without a socket: what is sent is kept, what comes and how it ends is up to the test."""
 
@@ -201,8 +206,7 @@
     def bring(self, data):
         if self.owner is None:
             return
-        self.buffer.room(len(data) or 1)[:len(data)] = data
-        self.buffer.filled(len(data))
+        fill(self.buffer, data)
         self.heard_at = self.loop.now()
         self.owner.received(self)
 
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -10,7 +10,7 @@
 from bramblewood.net.protocol.words import Skipped, Unreadable, load_of_body
 from bramblewood.net.transport.buffer import Buffer, Overfull
 
-from .helper import pieces, spoilt
+from .helper import fill, pieces, spoilt
 
 LOAD = {"t": "LOAD", "zone": "a", "server": "s1", "tries": 212, "failed": 3, "mean_ms": 41.5,
         "span_ms": 1000.0, "load": {"inflight": 7, "util": 0.61, "queue": 2}}
@@ -19,11 +19,6 @@
         "weight": 1.5, "started_ms": 1500}
 
 
-def fill(buffer, data):
-    buffer.room(len(data) or 1)[:len(data)] = data
-    buffer.filled(len(data))
-
-
 def taken(chunks):
     buffer, found = Buffer(), []
     for chunk in chunks:
