Store: log, sorted tables, compaction and recovery, against a disc that fails as discs do

A manager forgets everything at a restart. First part of the embedded store: batches that are whole or absent, one flush a commit, a witness apart from the log that tells a torn tail from damaged promised data, sorted tables with sparse index and filter, merging in steps, two manifests so that the loss of one is none.

Seen by its tests (a disc stood in for): power cut after each file call of a workload with seals and merges, and again amid recovery, leaves a promised state or a later one; every file cut at every byte and changed at every byte: nothing lost or the loss said; failing flushes and no space delay promises and lose none. Found on the way: two witnesses unflushed at once could both be torn; only the one not flushed last is now written over. Not wired to the manager yet.

--- /dev/null
+++ b/bramblewood/store/layers.py
@@ -0,0 +1,85 @@
+"""Layers of operations, newest first, read as one: what is held in memory, the sorted tables below. Pure."""
+
+import heapq
+from bisect import bisect_left
+from collections.abc import Iterable, Iterator, Sequence
+from typing import Any
+
+from .frames import OPERATION, Operation
+from .table import Hole
+
+
+class Held:
+    """Operations in memory: a dict, and its keys in order from when they are first asked for."""
+
+    def __init__(self) -> None:
+        self.operations: dict[bytes, tuple[bytes | None, int]] = {}
+        self.ordered: list[bytes] = []
+        self.fresh: list[bytes] = []  # keys that are not in the order yet
+        self.size = 0                 # bytes told, replaced ones too
+
+    def put(self, operations: Iterable[Operation]) -> None:
+        held, fresh = self.operations, self.fresh
+        for key, value, expiry in operations:
+            if key not in held:
+                fresh.append(key)
+            held[key] = value, expiry
+            self.size += OPERATION.size + len(key) + len(value or b"")
+
+    def get(self, key: bytes) -> Operation | None:
+        found = self.operations.get(key)
+        return None if found is None else (key, *found)
+
+    def keys(self) -> list[bytes]:
+        if self.fresh:
+            self.ordered = sorted(self.ordered + self.fresh)  # runs in order cost a merge, not a sort
+            self.fresh = []
+        return self.ordered
+
+    def scan(self, begin: bytes = b"", end: bytes | None = None) -> Iterator[Operation]:
+        """As it stands at the call: a layer that is written to meanwhile is scanned by a copy of its keys."""
+        keys = self.keys()
+        for at in range(bisect_left(keys, begin), len(keys)):
+            key = keys[at]
+            if end is not None and key >= end:
+                return
+            yield (key, *self.operations[key])
+
+
+def merged(layers: Sequence[Any], begin: bytes = b"", end: bytes | None = None,
+           holes: list[Hole] | None = None) -> Iterator[Operation]:
+    """Each key once, in order, as its newest layer has it, deletions included.
+
+    A hole hides what older layers say of its keys: the newer value is unknown, and is never guessed. Holes
+    that were met are added to `holes`.
+    """
+    hiding: list[tuple[int, Hole]] = []
+
+    def entries(depth: int, layer: Any) -> Iterator[tuple[bytes, int, Any]]:
+        for found in layer.scan(begin, end):
+            yield (max(found.begin, begin) if isinstance(found, Hole) else found[0]), depth, found
+
+    last = None
+    for key, depth, found in heapq.merge(*(entries(depth, layer) for depth, layer in enumerate(layers)),
+                                         key=lambda entry: entry[:2]):
+        if isinstance(found, Hole):
+            hiding = [(d, hole) for d, hole in hiding if hole.end is None or hole.end > key]
+            hiding.append((depth, found))
+            if holes is not None:
+                holes.append(found)
+            continue
+        if key == last:
+            continue
+        last = key
+        if hiding and any(d < depth and hole.covers(key) for d, hole in hiding):
+            continue
+        yield found
+
+
+def found_in(layers: Sequence[Any], key: bytes) -> Operation | Hole | None:
+    """The newest operation on a key, the hole that hides it, or None."""
+    for layer in layers:
+        found = layer.get(key)
+        if found is not None:
+            return found
+    return None
