Ledger: what lasts over a restart, on the disc before the orders that rest on it

A manager that restarts used drained workers again where the configuration's list was old and discovery away, and ordered further tries a second time. The ledger remembers workers told closed, further tries, withdrawals, levels, doubts, lines and marks; weighs them at a start; holds orders that need a promise until it is given.

--- a/bramblewood/adapter/host.py
+++ b/bramblewood/adapter/host.py
@@ -5,7 +5,7 @@
 from .. import interface as door
 from ..balance import Manager
 from ..facts import MS, facts_of
-from .wire import EVENTS, ORDERS, Malformed, decode, encode, entry_of
+from .wire import EVENTS, ORDERS, UNSAID, Malformed, decode, encode, entry_of
 
 COMPLETE, CACHED, FAILED = 1, 2, 3  # forms of a view
 
@@ -47,7 +47,8 @@
         replies = []
         for who, events in waiting.items():
             try:
-                orders = [ORDERS[type(order)](order) for order in self.managers[who].handle(now, events)]
+                orders = [ORDERS[type(order)](order) for order in self.managers[who].handle(now, events)
+                          if type(order) not in UNSAID]
             except Exception as problem:  # whatever the module raises is reported, never swallowed
                 orders = [("bug", {"what": f"{type(problem).__name__}: {problem}"})]
             replies += [encode(name, {"who": who, **fields}) for name, fields in orders]
--- a/bramblewood/adapter/wire.py
+++ b/bramblewood/adapter/wire.py
@@ -85,6 +85,7 @@
     door.FollowList: lambda o: ("follow", {"flag": o.on}),
     door.Log: lambda o: ("trace", {"what": o.text}),
 }
+UNSAID = (door.Doubted,)  # told inside a manager; the wire has no word for it
 
 
 def encode(name: str, fields: dict) -> bytes:
--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -130,6 +130,7 @@
         hold, self.doubts = DOUBT * 2 ** self.doubts, min(self.doubts + 1, 2)
         self.doubted_until = self.trusted = self.manager.now + hold
         self.outcomes, self.carried = [0.0, 0.0], [0.0, 0.0]
+        self.manager.orders.append(door.Doubted(self.name, self.doubted_until, self.doubts))
         self.manager.log(f"worker {self.name} out of use for {hold:.0f} s: {why}")
 
     def cycle(self, usual_level, expected):
@@ -642,5 +643,10 @@
             case door.SliceGiven():
                 piece = self.slices.setdefault(event.slice, piece or Slice(self, event.slice))
                 piece.tell("given", event.ours)
+            case door.WithdrawalHeld():
+                self.publisher.open.setdefault(event.worker)
+            case door.DoubtHeld() if worker and sound(event.until, event.doubts):
+                worker.doubted_until = worker.trusted = event.until
+                worker.doubts = event.doubts
             case door.LineHeld() if piece and piece.ours and sound(event.weight) and event.weight > 0:
                 piece.tell("held", self.worker(event.worker), event.weight)
--- /dev/null
+++ b/bramblewood/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, one file a group of commands; what a command needs is imported when it runs."""
--- /dev/null
+++ b/bramblewood/cli/words.py
@@ -0,0 +1,40 @@
+"""What the commands share: one line for what is wrong, exit codes, tables or JSON."""
+
+import json
+import sys
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import typer
+
+DONE, FOUND, FAULTY = 0, 1, 2   # exit codes: done; damage or no such thing; faulty words, file or folder
+
+
+def fail(what: object) -> None:
+    typer.echo(f"bramblewood: {what}", err=True)
+    raise typer.Exit(FAULTY)
+
+
+def out(value: Any, as_json: bool, rows: Iterable[str]) -> None:
+    """One JSON value, or lines for people."""
+    if as_json:
+        typer.echo(json.dumps(value, separators=(",", ":")))
+    else:
+        for row in rows:
+            typer.echo(row)
+
+
+def shown(text: bytes) -> str:
+    """Bytes as text where they are, else escaped."""
+    decoded = text.decode("utf-8", "backslashreplace")
+    return decoded if decoded.isprintable() else repr(text)[2:-1]
+
+
+def progress(steps: Iterable, what: str, total: int | None = None) -> Iterator:
+    """The steps of long work; on a terminal a bar that says how far it is."""
+    if not sys.stderr.isatty():
+        yield from steps
+        return
+    from rich.console import Console
+    from rich.progress import track
+    yield from track(steps, what, total, console=Console(stderr=True), transient=True)
--- a/bramblewood/interface.py
+++ b/bramblewood/interface.py
@@ -30,6 +30,7 @@
     workers: tuple
     complete: bool = False
     cached: bool = False
+    version: int = 0
 
 
 class ListFailed(NamedTuple):
@@ -106,6 +107,18 @@
     weight: float
 
 
+class WithdrawalHeld(NamedTuple):
+    """An earlier life of this manager withdrew a worker, and some proxies may still keep off it."""
+    worker: str
+
+
+class DoubtHeld(NamedTuple):
+    """An earlier life doubted a worker, until then (unix time); how often it had been doubted by then."""
+    worker: str
+    until: float
+    doubts: int
+
+
 class PeerNote(NamedTuple):
     """A short message from another manager."""
     manager: int
@@ -118,7 +131,8 @@
 
 
 Event = Union[WorkersListed, ListFailed, WorkerHeard, SliceHeat, ProxyTraffic, Probed, MarkAnswered,
-              ProxyJoined, ProxyLeft, SliceGiven, LineHeld, PeerNote, TimerDue]
+              ProxyJoined, ProxyLeft, SliceGiven, LineHeld, WithdrawalHeld, DoubtHeld, PeerNote,
+              TimerDue]
 
 
 # --- orders ---------------------------------------------------------------------------------------------
@@ -188,12 +202,19 @@
     on: bool = True
 
 
+class Doubted(NamedTuple):
+    """A worker is out of use until then (unix time), for the so manyth time; told, not asked of anyone."""
+    worker: str
+    until: float
+    doubts: int
+
+
 class Log(NamedTuple):
     """One line for the people on call."""
     text: str
 
 
 Order = Union[SetLine, ClearTable, BindProxy, Admit, Withdraw, Mark, Wake, Probe, TellPeer, AskList,
-              FollowList, Log]
+              FollowList, Doubted, Log]
 
 Facts = Mapping[str, Any]  # what a manager is told at its start; docs/design.md names what the module reads
--- a/bramblewood/net/program/service.py
+++ b/bramblewood/net/program/service.py
@@ -11,6 +11,7 @@
 import structlog
 
 from ... import interface as door
+from ... import stages
 from ...balance import Manager
 from ..protocol.frames import Scope
 from ..protocol.words import Unreadable
@@ -47,8 +48,8 @@
 
 
 class Service:
-    def __init__(self, charter: Charter, loop: Loop | None = None, log=None) -> None:
-        self.charter, self.loop = charter, loop or Loop()
+    def __init__(self, charter: Charter, loop: Loop | None = None, log=None, bylaws=None) -> None:
+        self.charter, self.bylaws, self.loop = charter, bylaws, loop or Loop()
         self.log = log or structlog.get_logger().bind(manager=charter.name)
         self.inbox: list[door.Event] = []
         self.manager: Manager | None = None
@@ -61,9 +62,11 @@
         self.collectors = Collectors(notices, tell, Scope(
             facts.get("zones", ()), operations, facts.get("slices", 0), self.discovery.held))
         self.calls = Calls(self.loop, charter.relay, operations, notices, tell,
-                           lambda order: self.news.carried(order), lambda: self.news.again())
+                           self.carried, lambda: self.news.again())
         self.news = News(self.loop, charter.relay, notices, NEWS_SILENCE, tell=self.told,
                          stored=self.calls.stored)
+        self.stages: list[stages.Stage] = []
+        self.turned_at, self.wakers = self.loop.now(), {}  # wakers: descriptors of stages that wake the loop
         self.probes = Probes(self.loop, self.worker_address, bool(facts["load_fields"]), notices, tell)
         self.peers = None
         if charter.peer_listen:
@@ -75,6 +78,18 @@
             int(min(charter.descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) * TAKEN_PART),
             lambda why: notices.say("newcomer turned away", "listener", why=why)))
 
+        try:
+            self.stages = stages.begin(bylaws, facts, charter.seed, self.loop.now, self.log)
+        except Exception as problem:  # whatever the folder or its files raise: nothing was begun
+            self.listener.close()
+            raise Faulty(f"store.folder: {bylaws.store.folder}: {problem}") from None
+
+    def carried(self, order: door.Order) -> None:
+        """An order that the relay took."""
+        self.news.carried(order)
+        for stage in self.stages:
+            stage.carried(order)
+
     def inbox_tell(self, event: door.Event) -> None:
         self.inbox.append(event)
 
@@ -102,6 +117,8 @@
             self.discovery.listed(self.charter.known, cached=True)
         except Unreadable as problem:
             self.log.warning("known list not usable", why=str(problem))
+        for stage in self.stages:
+            self.inbox += stage.begin()
         if not self.charter.facts.get("must_ask_for_list"):
             self.discovery.start()
         self.news.start()
@@ -116,12 +133,19 @@
         if self.hung_up:
             self.hung_up = False
             self.loop.after(0.0, self.renew)
+        for stage in self.stages:
+            wait = stage.longest_wait()
+            most = most if wait is None else min(most, wait)
         try:
             self.loop.turn(most)
         except Exception as problem:  # a defect of the network code; the connection that met it has ended
             self.notices.say("defect in the network code", why=repr(problem), where=traceback.format_exc(-3))
+        if self.stages:
+            self.pass_time()
         if self.inbox and self.manager:
             events, self.inbox = self.inbox, []
+            for stage in self.stages:
+                events = self.staged(stage.hear, events, events)
             try:
                 orders = self.manager.handle(self.loop.now(), events)
             except Exception:  # whatever the module raises: it starts anew, and the manager goes on
@@ -129,6 +153,8 @@
                 self.manager = None
                 self.loop.after(AGAIN_AFTER, self.begin_again)
                 return
+            for stage in self.stages:
+                orders = self.staged(stage.say_orders, orders, lambda stage=stage, of=orders: stage.safe(of))
             try:
                 self.carry_out(orders)
             except Exception as problem:  # an order that no protocol can express must not end the process
@@ -138,6 +164,34 @@
         if self.discovery.current and self.news.current:
             self.use()
 
+    def staged(self, ask: Callable, what: list, otherwise) -> list:
+        """What a stage makes of events or orders; if it raises, its stated fallback."""
+        try:
+            return ask(self.loop.now(), what)
+        except Exception as problem:
+            self.notices.say("stage failed", type(ask.__self__).__name__, why=repr(problem),
+                             where=traceback.format_exc(-3))
+            return otherwise() if callable(otherwise) else otherwise
+
+    def pass_time(self) -> None:
+        """Once a turn for each stage, whatever came."""
+        now = self.loop.now()
+        span, self.turned_at = now - self.turned_at, now
+        busy = min(max(1 - self.loop.waited / span, 0.0), 1.0) if span > 0 else 0.0
+        for k, stage in enumerate(self.stages):
+            if (waker := stage.waker()) != self.wakers.get(k):
+                self.loop.watch_number(waker, self.wakers.get(k))
+                self.wakers[k] = waker
+            try:
+                events, orders = stage.turn(now, busy)
+            except Exception as problem:
+                self.notices.say("stage failed", type(stage).__name__, why=repr(problem),
+                                 where=traceback.format_exc(-3))
+                continue
+            self.inbox += events
+            if orders:
+                self.carry_out(orders)
+
     def use(self) -> None:
         if not self.collectors.in_use:
             self.collectors.use()
@@ -158,11 +212,28 @@
                  if old != new and key not in MOVED]
         self.log.info("new configuration taken", discovery=spelled(told.discovery), relay=spelled(told.relay),
                       at_the_next_start=later)
+        if self.bylaws:
+            self.renew_bylaws()
+
+    def renew_bylaws(self) -> None:
+        """The operator's file read anew: it holds as a whole, or the old one goes on."""
+        from ...operator import bylaws
+        try:
+            told = bylaws.load(self.bylaws.path)
+        except bylaws.Faulty as problem:
+            self.log.warning("new operator's file refused", why=str(problem))
+            return
+        self.bylaws, now, later = bylaws.renewed(self.bylaws, told)
+        for stage in self.stages:
+            stage.renew(self.bylaws.store)
+        self.log.info("new operator's file taken", at_once=now, at_the_next_start=later)
 
     def begin_again(self) -> None:
         """A new module after one that raised: it is told all that stands, and missed nothing else."""
         self.begin_module()
         self.discovery.forgotten()
+        for stage in self.stages:
+            self.inbox += stage.forgotten()
         self.news.forgotten()
 
     def carry_out(self, orders: list[door.Order]) -> None:
@@ -202,6 +273,11 @@
         self.log.info("started", listen=spelled(self.charter.listen))
         while not self.stopping:
             self.turn()
+        for stage in self.stages:
+            try:
+                stage.end()
+            except Exception as problem:
+                self.log.warning("stage not ended", why=repr(problem))
         self.log.info("stopped")
         return 0
 
--- a/bramblewood/net/protocol/roster.py
+++ b/bramblewood/net/protocol/roster.py
@@ -43,4 +43,5 @@
         entries.append(entry)
         addresses[entry.worker] = address
     complete = bool(found.get("full")) or cached
-    return version, door.WorkersListed(tuple(entries), complete, cached), addresses, problems
+    event = door.WorkersListed(tuple(entries), complete, cached, version)
+    return version, event, addresses, problems
--- a/bramblewood/net/transport/loop.py
+++ b/bramblewood/net/transport/loop.py
@@ -25,6 +25,7 @@
     def __init__(self, clock: Callable[[], float] = time.monotonic, unix: float | None = None) -> None:
         self.clock, self.offset = clock, (time.time() if unix is None else unix) - clock()
         self.selector, self.timers, self.counter = selectors.DefaultSelector(), [], 0
+        self.waited = 0.0  # s that the last turn waited; the rest of the time it worked
 
     def now(self) -> float:
         return self.offset + self.clock()
@@ -41,6 +42,13 @@
         else:
             self.selector.register(sock, events, handler)
 
+    def watch_number(self, number: int | None, before: int | None) -> None:
+        """Be woken by a descriptor that is read elsewhere, and no longer by the one before."""
+        if before is not None and before in self.selector.get_map():
+            self.selector.unregister(before)
+        if number is not None:
+            self.selector.register(number, selectors.EVENT_READ, lambda _events: None)
+
     def forget(self, sock) -> None:
         if sock.fileno() >= 0 and sock.fileno() in self.selector.get_map():
             self.selector.unregister(sock)
@@ -50,7 +58,10 @@
         while self.timers and self.timers[0][2].call is None:
             heapq.heappop(self.timers)
         wait = min(max(self.timers[0][0] - self.now(), 0.0), most) if self.timers else most
-        for key, events in self.selector.select(wait):
+        began = self.clock()
+        ready = self.selector.select(wait)
+        self.waited = self.clock() - began
+        for key, events in ready:
             if self.selector.get_map().get(key.fd) is key:  # not forgotten by one handled before it
                 key.data(events)
         due = self.now()
--- /dev/null
+++ b/bramblewood/stages.py
@@ -0,0 +1,34 @@
+"""The stages of a turn, in their order; one that is off is not imported.
+
+Events pass them downward before the module is asked, its orders after it. A stage that raises is told once a
+while and passed over with what its `safe` lets through; it can't call another.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol
+
+from . import interface as door
+
+
+class Stage(Protocol):
+    """What a turn asks of a stage. All times are unix time in s, by the loop's clock."""
+
+    def begin(self) -> list[door.Event]: ...
+    def forgotten(self) -> list[door.Event]: ...
+    def hear(self, now: float, events: list[door.Event]) -> list[door.Event]: ...
+    def say_orders(self, now: float, orders: list[door.Order]) -> list[door.Order]: ...
+    def turn(self, now: float, busy: float) -> tuple[list[door.Event], list[door.Order]]: ...
+    def carried(self, order: door.Order) -> None: ...
+    def safe(self, orders: list[door.Order]) -> list[door.Order]: ...
+    def waker(self) -> int | None: ...
+    def longest_wait(self) -> float | None: ...
+    def end(self) -> None: ...
+
+
+def begin(bylaws: Any, facts: Mapping, seed: str, clock: Callable[[], float], log: Any) -> list[Stage]:
+    """The stages that the operator's file switches on; raises OSError or a Refused of the store."""
+    stages: list[Stage] = []
+    if bylaws is not None and bylaws.store:
+        from .ledger.stage import Ledger  # what must last is on the disc before it goes out
+        stages.append(Ledger(bylaws.store, facts, seed, clock, log))
+    return stages
--- a/bramblewood/store/flush.py
+++ b/bramblewood/store/flush.py
@@ -17,6 +17,7 @@
 
     def begin(self, names: list[tuple[str, int | None]]) -> int: ...
     def done(self) -> list[tuple[int, str | None]]: ...
+    def waker(self) -> int | None: ...
     def end(self) -> None: ...
 
 
@@ -43,6 +44,9 @@
         ended, self.ended = self.ended, []
         return ended
 
+    def waker(self) -> int | None:
+        """Done within the turn: there is nothing to be woken by."""
+
     def end(self) -> None:
         """Nothing is kept."""
 
@@ -65,8 +69,8 @@
         os.set_blocking(self.process.stdout.fileno(), False)
         os.set_blocking(self.process.stdin.fileno(), False)
 
-    def fileno(self) -> int:
-        """What to watch for answers."""
+    def waker(self) -> int | None:
+        """The descriptor that tells of a flush that is done; another one if the process was lost."""
         return self.process.stdout.fileno()
 
     def begin(self, names: list[tuple[str, int | None]]) -> int:
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -152,8 +152,9 @@
     assert version == 43 and len(problems) == 4 and addresses == {"s1": ITEM["addr"], "s2": ITEM["addr"]}
     assert event == door.WorkersListed((
         door.ListedWorker("s1", door.DRAINING, 1.5, "a", 3, "m2", 1.5),
-        door.ListedWorker("s2", door.GONE, 1.5, "a", 3, "m2", None)))
-    assert roster.read({"version": 1, "servers": []}, cached=True)[1] == door.WorkersListed((), True, True)
+        door.ListedWorker("s2", door.GONE, 1.5, "a", 3, "m2", None)), version=43)
+    assert roster.read({"version": 1, "servers": []}, cached=True)[1] == door.WorkersListed(
+        (), True, True, 1)
 
 
 @pytest.mark.parametrize("data", [b"{", b"[]", b"{}", b'{"version":1}', b'{"version":"1","servers":[]}',
