A batch with a sound checksum that holds no operations no longer hangs the start

The batch is now named as lost and passed over, and a life that orders nothing counts as wrong in the kills.

--- a/bramblewood/store/frames.py
+++ b/bramblewood/store/frames.py
@@ -118,7 +118,7 @@
     """The first sound frame behind a damaged one, by its number: one of the next `most` above this one."""
     for number in range(above + 1, above + 1 + most):
         mark = struct.pack("<HQ", 0, number)
-        at = data.find(mark, offset)
+        at = data.find(mark, offset + 6)   # the mark stands six bytes into a frame
         while at >= 0:
             try:
                 return at - 6, frame_at(data, at - 6)
--- a/bramblewood/store/recovery.py
+++ b/bramblewood/store/recovery.py
@@ -305,9 +305,6 @@
         while offset < limit:
             try:
                 frame = frames.frame_at(data, offset, chain)
-                operations = frames.operations_of(frame.payload)
-                if frame.kind != frames.BATCH:
-                    raise Spoilt(f"a frame of kind {frame.kind}")
             except Spoilt as problem:
                 if promised != -1 and offset >= promised:
                     rest = len(data[offset:limit].rstrip(b"\0"))
@@ -326,6 +323,14 @@
                 offset, frame = found
                 last, chain = frame.number - 1, None
                 continue
+            try:
+                if frame.kind != frames.BATCH:
+                    raise Spoilt(f"a frame of kind {frame.kind}")
+                operations = frames.operations_of(frame.payload)
+            except Spoilt as problem:   # written so, by a defect: its checksum is right
+                self.damage(name, offset, f"{problem}; batch {frame.number} lost")
+                self.spoilt.append(name)
+                operations = []
             if frame.number > sealed:
                 held.put(operations, len(frame.payload))
             last, chain, offset = max(frame.number, last), frame.check, frame.end
--- a/tests/kills.py
+++ b/tests/kills.py
@@ -160,6 +160,8 @@
             [sys.executable, "-m", "bramblewood", "serve", *self.words], stdout=subprocess.DEVNULL,
             env={**os.environ, "EDGE_CONFIG": str(self.config)})
         self.wait(4.0, lambda: self.relay.watchers and self.orders > before)
+        if self.orders == before:   # a life that orders nothing would be judged for nothing
+            self.wrong.append(f"life {self.life}: ordered nothing in four seconds")
         self.wait(0.3 + self.dice.random())
         self.silent = False   # the watch that had no answer is dialled again
         self.wait(3.0, lambda: self.discovery.watchers)
@@ -181,6 +183,9 @@
         release = Release(Path(folder), random.Random(seed), with_store)
         for _ in range(rounds):
             release.round()
+            if release.wrong and with_store and os.environ.get("KEEP"):
+                subprocess.run(["cp", "-r", str(Path(folder) / "store"), os.environ["KEEP"]])
+                break
         return release.wrong, release.orders
 
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -321,6 +321,21 @@
         assert before == {n: bytes(inode.seen) for n, inode in newer.names.items()}
 
 
+def test_a_batch_with_a_right_checksum_that_holds_no_operations_is_damage():
+    """Guards against a start that never ends: the search behind it found the same batch again."""
+    disc = Disc()
+    store = opened(disc)
+    for k in range(5):
+        store.put(b"k%d" % k, b"1")
+        if k == 2:
+            store.waiting[-1] = store.waiting[-1]._replace(payload=b"none")
+        store.commit()
+    store.close()
+    again = opened(disc)
+    assert [key for key, _ in again.scan(b"k")] == [b"k0", b"k1", b"k3", b"k4"]
+    assert ["batch 3 lost" in damage.what for damage in again.damages] == [True]
+
+
 def test_two_processes_on_one_folder_and_a_store_that_has_to_be_there():
     disc = Disc()
     store = opened(disc, must_exist=True)
