--- a/bramblewood/__init__.py
+++ b/bramblewood/__init__.py
@@ -1,3 +1,3 @@
 """bramblewood: a central planner that tells plain proxies which worker serves which slice of keys."""
 
-__version__ = "0.2.0"
+__version__ = "0.3.0"
--- a/bramblewood/__main__.py
+++ b/bramblewood/__main__.py
@@ -13,5 +13,11 @@
 
 from .cli.app import main  # noqa: E402
 
-if __name__ == "__main__":
+
+def run() -> None:
+    """The installed command."""
     sys.exit(main())
+
+
+if __name__ == "__main__":
+    run()
