--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -161,7 +161,7 @@
 def kept_site(tmp_path, monkeypatch):
     from bramblewood.net.program import service as program
     real = program.Service
-    terms = bylaws.StoreTerms(str(tmp_path / "st"), "in-loop", False, 0.002, 0.25, 86400.0)
+    terms = bylaws.StoreTerms(str(tmp_path / "st"), "in-loop", False, 0.001, 0.25, 86400.0)
     told = bylaws.Bylaws(str(tmp_path / "operator.sexp"), terms)
     monkeypatch.setattr(program, "Service", lambda *words: real(*words, bylaws=told))
     site = Site()
