--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -2,6 +2,8 @@
 
 import errno
 import random
+import select
+import signal
 import zlib
 
 import pytest
@@ -13,6 +15,8 @@
 from bramblewood.ledger.stage import Ledger
 from bramblewood.operator.bylaws import StoreTerms
 from bramblewood.store import plan
+from bramblewood.store.flush import Apart
+from bramblewood.store.port import Folder
 from bramblewood.store.store import Store
 
 from .disc import Disc
@@ -438,3 +442,29 @@
     """A sample of the bytes; `python -m tests.damage` does all of them."""
     cases, lost, files = damage_days(step=97)
     assert cases > 60 and 0 < lost < cases and files >= 4
+
+
+def test_a_flush_that_does_not_return_stalls_no_turn(tmp_path):
+    """The flushing process stands still: turns go on, tables go after `hold`, tries once it is back."""
+    now, folder = [1000.0], Folder(str(tmp_path / "store"))
+    flusher = Apart(folder)
+    stage = Ledger(TERMS, FACTS, "1", lambda: now[0], Log(), Store(folder, lambda: now[0], flusher))
+    stage.begin()
+    while stage.store.promised < stage.store.number:
+        select.select([stage.waker()], [], [], 5.0)
+        stage.turn(now[0], 0.0)
+    flusher.process.send_signal(signal.SIGSTOP)
+    line, tries = door.SetLine(3, "a", 1.0), door.Admit(3, (1,), 1.0, door.RETRY_UNSTARTED)
+    went = stage.say_orders(now[0], [line, tries])
+    for _ in range(10):
+        now[0] += 0.1
+        went += stage.turn(now[0], 0.0)[1]
+    assert went == [line]
+    flusher.process.send_signal(signal.SIGCONT)
+    for _ in range(20):
+        select.select([stage.waker()], [], [], 1.0)
+        went += stage.turn(now[0], 0.0)[1]
+        if len(went) > 1:
+            break
+    assert went == [line, tries]
+    stage.end()
