A stop does not wait for a disc that hangs; what is remembered stays bounded

close() spun for ever while a flush was out, and end() waited for the flushing process: SIGTERM would have become SIGKILL. Now 0.4 s at most, then 0.1.

--- a/bramblewood/ledger/memory.py
+++ b/bramblewood/ledger/memory.py
@@ -144,6 +144,11 @@
     def alive(self, now: float) -> None:
         """Told about once a second: this life goes on; what was kept for long enough is let go."""
         self.renew("life trails", alive=max(now, self.life.began))
+        for kind, held, over in ((b"d", self.doubts, lambda doubt: doubt.until < now),
+                                 (b"o", self.withdrawn, lambda out: out.at + self.keep < now)):
+            for name in [name for name, record in held.items() if over(record)]:
+                del held[name]
+                self.note("closed trails", records.worker_key(kind, name), None)
         oldest = next(iter(self.closed), None)
         while oldest is not None and (self.closed[oldest].at + self.keep < now
                                       or len(self.closed) > rules.MOST_CLOSED):
--- a/bramblewood/store/flush.py
+++ b/bramblewood/store/flush.py
@@ -1,6 +1,7 @@
 """Flushes: begun, and found done later. In the loop, or by a process, so that a slow disc stalls nobody."""
 
 import os
+import select
 import subprocess
 import sys
 from typing import TYPE_CHECKING, Protocol
@@ -9,6 +10,7 @@
     from .port import Folder, Port
 
 FOLDER = ""       # the name that stands for the folder itself
+ENDING = 0.1      # s that a stop waits for the process; it may be held by a disc that hangs
 ASKED = 1 << 16   # bytes read of answers at once
 
 
@@ -18,6 +20,7 @@
     def begin(self, names: list[tuple[str, int | None]]) -> int: ...
     def done(self) -> list[tuple[int, str | None]]: ...
     def waker(self) -> int | None: ...
+    def wait(self, seconds: float) -> None: ...
     def end(self) -> None: ...
 
 
@@ -47,6 +50,9 @@
     def waker(self) -> int | None:
         """Done within the turn: there is nothing to be woken by."""
 
+    def wait(self, seconds: float) -> None:
+        """Nothing is ever out."""
+
     def end(self) -> None:
         """Nothing is kept."""
 
@@ -73,6 +79,10 @@
         """The descriptor that tells of a flush that is done; another one if the process was lost."""
         return self.process.stdout.fileno()
 
+    def wait(self, seconds: float) -> None:
+        """Till something is done, but no longer than that."""
+        select.select([self.process.stdout], [], [], seconds)
+
     def begin(self, names: list[tuple[str, int | None]]) -> int:
         self.count += 1
         self.begun[self.count] = None
@@ -108,9 +118,13 @@
         return failed + ended
 
     def end(self) -> None:
+        """Let it go: it ends with its pipe, after what it was asked for; one that hangs holds up nobody."""
         for pipe in (self.process.stdin, self.process.stdout):
             pipe.close()
-        self.process.wait()
+        try:
+            self.process.wait(ENDING)
+        except subprocess.TimeoutExpired:
+            pass
 
 
 def serve(folder: str) -> None:
@@ -135,8 +149,10 @@
             except OSError as fault:
                 problem = fault.strerror
                 break
-        sys.stdout.buffer.write(f"{token} {problem}\n".encode())
-        sys.stdout.buffer.flush()
+        try:
+            os.write(sys.stdout.fileno(), f"{token} {problem}\n".encode())
+        except BrokenPipeError:   # who asked has gone
+            return
 
 
 if __name__ == "__main__":
--- a/bramblewood/store/store.py
+++ b/bramblewood/store/store.py
@@ -20,6 +20,7 @@
 SPOILT = ".damaged"        # what is put behind the name of a file that is set aside
 WITNESS_AFTER = 1.0        # s at most that a promise's second witness itself may be lost with the power
 UNPROMISED = 8 << 20       # bytes that wait for a promise, above which they are folded to one batch
+CLOSING, CLOSING_WAIT = 8, 0.025   # looks, and s for each, at a stop that waits for a flush: 0.4 s at most
 LAYERS = 8                 # of memory, above which those below the newest are joined: reads ask each in turn
 DAMAGE = b"\0damage\0"     # before the time, key of a damage that was found and healed; the value says what
 WAITING = "waiting"        # what a step of background work yields while a flush is out
@@ -617,8 +618,10 @@
             self.background.close()
         for _ in range(2):
             self.commit()
-            while self.flight is not None:
-                self.poll()
+            for _ in range(CLOSING):
+                if self.flight is not None:
+                    self.flusher.wait(CLOSING_WAIT)
+                    self.poll()
         try:
             self._flush_witness()
         except OSError:
--- a/example/toy.py
+++ b/example/toy.py
@@ -29,7 +29,7 @@
 
     def __init__(self, toy, loop, address):
         self.toy, self.watchers = toy, []
-        Listener(loop, address, self, 32, print)
+        self.listener = Listener(loop, address, self, 32, print)
 
     def opened(self, connection):
         pass
--- a/tests/kills.py
+++ b/tests/kills.py
@@ -21,36 +21,20 @@
 from bramblewood.net.transport.connection import spelled
 from bramblewood.net.transport.listener import Listener
 from bramblewood.net.transport.loop import Loop
+from example.toy import HEAD, Side
 
 from .test_adapter import OPTIONS
 
-HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 WORKERS, SLICES, PROXIES = [f"w{k}" for k in range(5)], 8, 2
 EFFECTS = [c["name"] for c in OPTIONS["classes"] if c["effect"] != "read_like"]
 
 
-class Side:
-    """A party on loopback that reads lines; a connection of an earlier life is none of the next's."""
+class Party(Side):
+    """One of the toy's parties, at any free port, with a line handler handed in."""
 
     def __init__(self, loop, line):
-        self.take, self.watchers = line, []
-        self.listener = Listener(loop, ("127.0.0.1", 0), self, 64, print)
-        self.address = spelled(self.listener.sock.getsockname())
-
-    def opened(self, connection):
-        pass
-
-    def received(self, connection):
-        while (line := connection.buffer.line()) is not None:
-            self.take(connection, line.decode())
-
-    def ended(self, connection, ending):
-        if connection in self.watchers:
-            self.watchers.remove(connection)
-
-    def tell(self, data):
-        for watcher in list(self.watchers):
-            watcher.send(data)
+        super().__init__(None, loop, ("127.0.0.1", 0))
+        self.line, self.address = line, spelled(self.listener.sock.getsockname())
 
 
 class Release:
@@ -58,7 +42,7 @@
 
     def __init__(self, folder, dice, with_store=True):
         self.loop, self.dice, self.life, self.process, self.wrong = Loop(), dice, 0, None, []
-        self.relay, self.discovery = Side(self.loop, self.called), Side(self.loop, self.asked)
+        self.relay, self.discovery = Party(self.loop, self.called), Party(self.loop, self.asked)
         self.version, self.states, self.changed = 41, dict.fromkeys(WORKERS, "up"), dict.fromkeys(WORKERS, 41)
         self.tables = {n: {WORKERS[n % 5]: 1.0} for n in range(SLICES)}
         self.levels, self.out, self.silent, self.orders = {}, set(), False, 0
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -467,4 +467,20 @@
         if len(went) > 1:
             break
     assert went == [line, tries]
-    stage.end()
+    flusher.process.send_signal(signal.SIGSTOP)
+    stage.end()   # guards against a stop that waits for a disc that hangs
+    flusher.process.send_signal(signal.SIGCONT)
+    assert flusher.process.wait(5) == 0
+
+
+def test_what_is_remembered_stays_bounded_over_a_day_of_new_ids(monkeypatch):
+    monkeypatch.setattr(rules, "MOST_CLOSED", 50)
+    found, _ = memory()
+    for k in range(400):
+        now = 1000.0 + 10 * k
+        found.hear(now, [listed(42 + k, entry(f"w{k}", door.DRAINING))])
+        found.weigh(now, [door.Doubted(f"w{k}", now + 6, 1), door.Withdraw(f"w{k}", True), door.Mark(k)])
+        found.keep = 300.0
+        found.alive(now)
+    assert max(map(len, (found.closed, found.doubts, found.withdrawn))) <= 51
+    assert len(lasting(found)) < 120
