--- a/bramblewood/store/layers.py
+++ b/bramblewood/store/layers.py
@@ -8,7 +8,7 @@
 from .frames import Operation
 from .table import Hole
 
-RUN = 2000   # keys sorted in one step of background work; about half a millisecond
+RUN = 1000   # keys sorted or let go in one step of background work; a quarter of a millisecond
 
 
 class Held:
@@ -19,6 +19,7 @@
         self.ordered: list[bytes] = []
         self.runs: list[list[bytes]] = []   # its keys, sorted in parts
         self.size = 0   # bytes told, replaced ones too
+        self.pins = 0   # snapshots that read it
 
     def put(self, operations: Iterable[Operation], size: int) -> None:
         """size: bytes of the operations as they are written."""
@@ -40,17 +41,27 @@
     def prepare(self) -> Iterator[None]:
         """Sort the keys of a layer that is written to no more, in steps: at once it takes too long."""
         keys, runs = list(self.operations), []
+        yield None
         for at in range(0, len(keys), RUN):
             runs.append(sorted(keys[at:at + RUN]))
             yield None
         self.runs = runs
 
+    def dissolve(self) -> Iterator[None]:
+        """Let go of what nobody reads any more, in steps: freed at once, 50,000 operations take 8 ms."""
+        self.ordered, self.runs = [], []
+        yield None
+        while self.operations and not self.pins:
+            for _ in range(min(RUN, len(self.operations))):
+                self.operations.popitem()
+            yield None
+
     def scan(self, begin: bytes = b"", end: bytes | None = None) -> Iterator[Operation]:
         """As it stands at the call: a layer that is written to meanwhile is scanned by a copy of its keys."""
         runs = [self.ordered] if self.ordered or not self.runs else self.runs
         if runs[0] is self.ordered:
             runs = [self.keys()]
-        runs = [run[bisect_left(run, begin):] for run in runs]
+        runs = [run[bisect_left(run, begin):] for run in runs] if begin else runs
         for key in heapq.merge(*runs) if len(runs) > 1 else runs[0]:
             if end is not None and key >= end:
                 return
--- a/bramblewood/store/store.py
+++ b/bramblewood/store/store.py
@@ -50,8 +50,7 @@
         self.store, self.layers, self.at, self.number = store, layers, at, store.number
         self.holes: list[Hole] = []
         for layer in layers:
-            if isinstance(layer, Table):
-                layer.pins += 1
+            layer.pins += 1
 
     def get(self, key: bytes) -> bytes | None:
         """The value of a key, None where there is none; raises Unreadable."""
@@ -72,10 +71,9 @@
     def close(self) -> None:
         layers, self.layers = self.layers, []
         for layer in layers:
-            if isinstance(layer, Table):
-                layer.pins -= 1
-                if layer.doomed and not layer.pins:
-                    layer.close()
+            layer.pins -= 1
+            if isinstance(layer, Table) and layer.doomed and not layer.pins:
+                layer.close()
 
     def __enter__(self) -> "Snapshot":
         return self
@@ -496,6 +494,7 @@
         first = self.manifest.sealed + 1
         for layer in sealing:
             yield from layer.prepare()
+        yield None
         most = sum(len(layer.operations) for layer in sealing)
         table = yield from self._written(number, first, upto, most, merged(sealing))
         self.frozen = [layer for layer in self.frozen if not any(layer is old for old in sealing)]
@@ -504,6 +503,8 @@
         first_log = max([log for log, _ in logs], default=self.manifest.first_log - 1) + 1
         self.manifest = self.manifest._replace(sealed=upto, first_log=max(first_log, self.manifest.first_log))
         yield from self._listed([name for _, name in logs])
+        while sealing:
+            yield from sealing.pop().dissolve()
 
     def _merge(self, first: int, last: int) -> Iterator:
         """Tables from first to before last become one; what is void in them ends."""
