Read once more: a failed table waits for its next try, twins in store and commands made one

Background work that failed was tried again in every turn, with a notice each, though its wait was set: work() did not look at it, and a success did not reset it. A test shows one try, then the next after the wait. Merges are planned only when the tables changed, not each turn. One piece each where two or three stood: checked heads of files and witnesses, reading one value, the layers of a folder, the commands' reading and filling. Dead names out.

--- a/bramblewood/cli/ledger.py
+++ b/bramblewood/cli/ledger.py
@@ -4,25 +4,18 @@
 
 import typer
 
-from .words import FOUND, fail, out
+from .words import FOLDER, FOUND, JSON, out, reading
 
 app = typer.Typer(help="What a manager's store remembers. Exit codes: 0 done, 1 nothing remembered of that "
                        "worker, 2 faulty words, or a folder that can't be used.")
-FOLDER = typer.Argument(..., help="the store's folder")
-JSON = typer.Option(False, "--json", help="one JSON value")
 
 
 def remembered(folder: str):
     """The ledger's memory as the folder has it, read only."""
     from ..ledger.memory import Memory
     from ..store import tools
-    from ..store.recovery import Refused
     memory = Memory({}, 0.0)
-    try:
-        odd = memory.load(tools.reading(folder, lambda port: tools.pairs(port, b"")))
-    except (Refused, OSError) as problem:
-        fail(f"{folder}: {getattr(problem, 'strerror', None) or problem}")
-    return memory, odd
+    return memory, memory.load(reading(folder, lambda port: tools.pairs(port, b"")))
 
 
 @app.command()
--- a/bramblewood/cli/store.py
+++ b/bramblewood/cli/store.py
@@ -4,22 +4,10 @@
 
 import typer
 
-from .words import DONE, FOUND, fail, out, progress, shown
+from .words import DONE, FOLDER, FOUND, JSON, fail, out, progress, reading, shown
 
 app = typer.Typer(help="A folder of the embedded store. Exit codes: 0 done, 1 damage found or no such key, "
                        "2 faulty words, or a folder that can't be used.")
-FOLDER = typer.Argument(..., help="the store's folder")
-JSON = typer.Option(False, "--json", help="one JSON value")
-
-
-def reading(folder: str, what):
-    """What a reading of the folder gives; it changes nothing, and a manager may go on writing meanwhile."""
-    from ..store import tools
-    from ..store.recovery import Refused
-    try:
-        return tools.reading(folder, what)
-    except (Refused, OSError) as problem:
-        fail(f"{folder}: {getattr(problem, 'strerror', None) or problem}")
 
 
 def opened(folder: str, new: bool = False):
@@ -38,6 +26,17 @@
         fail(f"{folder}: {getattr(problem, 'strerror', None) or problem}")
 
 
+def fill(folder: str, batches, what: str) -> int:
+    """A new store of these batches; how many operations they hold."""
+    store, count = opened(folder, new=True), 0
+    for operations in progress(batches, what):
+        store.write(operations)
+        store.commit()
+        count += len(operations)
+    store.close()
+    return count
+
+
 @app.command()
 def info(folder: str = FOLDER, as_json: bool = JSON) -> None:
     """How much the folder holds, and in which files."""
@@ -131,13 +130,7 @@
         batches = tools.exported(file)   # all of it is read and checked before anything is made
     except (OSError, tools.Unfit) as problem:
         fail(problem if isinstance(problem, tools.Unfit) else f"{problem.filename}: {problem.strerror}")
-    store = opened(folder, new=True)
-    count = 0
-    for operations in progress(batches, "importing"):
-        store.write(operations)
-        store.commit()
-        count += len(operations)
-    store.close()
+    count = fill(folder, batches, "importing")
     out({"keys": count}, as_json, [f"{count} keys"])
 
 
@@ -150,12 +143,8 @@
         tools.must_be_new(new)
     except tools.Unfit as problem:
         fail(problem)
-    found = reading(folder, lambda port: tools.sound(port))
-    store = opened(new, new=True)
-    for operations in progress(found.batches(), "writing"):
-        store.write(operations)
-        store.commit()
-    store.close()
+    found = reading(folder, tools.sound)
+    fill(new, found.batches(), "writing")
     told = {"keys": found.count, "lost": found.lost}
     out(told, as_json, [f"{found.count} keys written to {new}", *(f"lost: {what}" for what in found.lost)])
     raise typer.Exit(FOUND if found.lost else DONE)
--- a/bramblewood/cli/words.py
+++ b/bramblewood/cli/words.py
@@ -2,7 +2,7 @@
 
 import json
 import sys
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 import typer
@@ -10,11 +10,25 @@
 DONE, FOUND, FAULTY = 0, 1, 2   # exit codes: done; damage or no such thing; faulty words, file or folder
 
 
+FOLDER = typer.Argument(..., help="the store's folder")
+JSON = typer.Option(False, "--json", help="one JSON value")
+
+
 def fail(what: object) -> None:
     typer.echo(f"bramblewood: {what}", err=True)
     raise typer.Exit(FAULTY)
 
 
+def reading(folder: str, what: Callable) -> Any:
+    """What a reading of a store's folder gives; it changes nothing, and a manager may go on meanwhile."""
+    from ..store import tools
+    from ..store.recovery import Refused
+    try:
+        return tools.reading(folder, what)
+    except (Refused, OSError) as problem:
+        fail(f"{folder}: {getattr(problem, 'strerror', None) or problem}")
+
+
 def out(value: Any, as_json: bool, rows: Iterable[str]) -> None:
     """One JSON value, or lines for people."""
     if as_json:
--- a/bramblewood/ledger/memory.py
+++ b/bramblewood/ledger/memory.py
@@ -96,13 +96,9 @@
             self.notes.append(text)
 
     def renew(self, kind: str, **fields) -> None:
-        self.life = self._replaced(self.life, **fields)
+        self.life = msgspec.structs.replace(self.life, **fields)
         self.note(kind, records.LIFE, self.life)
 
-    @staticmethod
-    def _replaced(record, **fields):
-        return msgspec.structs.replace(record, **fields)
-
     # --- a start
 
     def begin(self, now: float, damaged: list[str], first_mark: int = 0) -> list[door.Event]:
@@ -422,7 +418,7 @@
                 for k in operations or range(len(self.operations)):
                     was = self.admitted.get((table, k))
                     if was and (was.level, was.retry) == (order.level, order.retry) and not was.carried:
-                        self.admitted[table, k] = self._replaced(was, carried=True)
+                        self.admitted[table, k] = msgspec.structs.replace(was, carried=True)
                         effects = self.operations[k]["kind"] != door.IDEMPOTENT and order.retry > self.usual
                         self.note("try carried out" if effects else "level", records.admit_key(table, k),
                                   self.admitted[table, k])
--- a/bramblewood/ledger/stage.py
+++ b/bramblewood/ledger/stage.py
@@ -35,7 +35,7 @@
 
     def __init__(self, terms: Any, facts: Mapping, seed: str, clock: Callable[[], float], log: Any,
                  store: Store | None = None, precise: Callable[[], float] = time.perf_counter) -> None:
-        self.terms, self.clock, self.log, self.precise = terms, clock, log, precise
+        self.terms, self.clock, self.log = terms, clock, log
         if store is None:
             folder = Folder(terms.folder)
             store = Store(folder, clock, Apart(folder) if terms.flush == "apart" else InLoop(folder),
--- a/bramblewood/operator/bylaws.py
+++ b/bramblewood/operator/bylaws.py
@@ -7,8 +7,6 @@
 
 from .expressions import Atom, Form, Unclear, Word, read
 
-VARIABLE = "BRAMBLEWOOD_OPERATOR"   # names the file where the command line does not
-
 
 class Faulty(Exception):
     """A file that can't be used; the text names file, line and key."""
--- a/bramblewood/store/frames.py
+++ b/bramblewood/store/frames.py
@@ -50,13 +50,28 @@
     chain: int = 0       # log: checksum of the last frame of that one
 
 
-def head_bytes(head: Head) -> bytes:
-    begin = MAGIC + struct.pack("<HH", VERSION, head.kind)
-    bare = HEAD.pack(MAGIC, VERSION, head.kind, crc32c(begin), head.store, head.number, head.first,
-                     head.prior, head.prior_end, head.chain, 0)[:-4]
+def checked_bytes(form: struct.Struct, kind: int, fields: tuple) -> bytes:
+    """What begins a file: magic, version, kind and their checksum, fields, and a checksum of all of it."""
+    begin = MAGIC + struct.pack("<HH", VERSION, kind)
+    bare = form.pack(MAGIC, VERSION, kind, crc32c(begin), *fields, 0)[:-4]
     return bare + struct.pack("<I", crc32c(bare))
 
 
+def checked_fields(form: struct.Struct, kind: int, data: bytes, what: str) -> tuple:
+    """The fields that checked_bytes was given; raises Newer or Spoilt."""
+    begins(data, kind)
+    if len(data) < form.size:
+        raise Spoilt(f"{what} cut short")
+    fields = form.unpack_from(data)
+    if crc32c(data[:form.size - 4]) != fields[-1]:
+        raise Spoilt(f"{what} damaged")
+    return fields[4:-1]
+
+
+def head_bytes(head: Head) -> bytes:
+    return checked_bytes(HEAD, head.kind, head[1:])
+
+
 def begins(data: bytes, kind: int) -> None:
     """Raise Newer or Spoilt unless these bytes begin a file of this kind and version."""
     if len(data) < FIRST + 4 or data[:8] != MAGIC:
@@ -71,13 +86,7 @@
 
 
 def head_of(data: bytes, kind: int) -> Head:
-    begins(data, kind)
-    if len(data) < HEAD.size:
-        raise Spoilt("head cut short")
-    fields = HEAD.unpack_from(data)
-    if crc32c(data[:HEAD.size - 4]) != fields[-1]:
-        raise Spoilt("head damaged")
-    return Head(fields[2], *fields[4:10])
+    return Head(kind, *checked_fields(HEAD, kind, data, "head"))
 
 
 class Frame(NamedTuple):
@@ -152,16 +161,8 @@
 
 
 def witness_bytes(witness: Witness) -> bytes:
-    begin = MAGIC + struct.pack("<HH", VERSION, WITNESS)
-    bare = SLOT.pack(MAGIC, VERSION, WITNESS, crc32c(begin), *witness, 0)[:-4]
-    return bare + struct.pack("<I", crc32c(bare))
+    return checked_bytes(SLOT, WITNESS, witness)
 
 
 def witness_of(data: bytes) -> Witness:
-    begins(data, WITNESS)
-    if len(data) < SLOT.size:
-        raise Spoilt("witness cut short")
-    fields = SLOT.unpack_from(data)
-    if crc32c(data[:SLOT.size - 4]) != fields[-1]:
-        raise Spoilt("witness damaged")
-    return Witness(*fields[4:12])
+    return Witness(*checked_fields(SLOT, WITNESS, data, "witness"))
--- a/bramblewood/store/layers.py
+++ b/bramblewood/store/layers.py
@@ -58,9 +58,7 @@
 
     def scan(self, begin: bytes = b"", end: bytes | None = None) -> Iterator[Operation]:
         """As it stands at the call: a layer that is written to meanwhile is scanned by a copy of its keys."""
-        runs = [self.ordered] if self.ordered or not self.runs else self.runs
-        if runs[0] is self.ordered:
-            runs = [self.keys()]
+        runs = self.runs or [self.keys()]
         runs = [run[bisect_left(run, begin):] for run in runs] if begin else runs
         for key in heapq.merge(*runs) if len(runs) > 1 else runs[0]:
             if end is not None and key >= end:
--- a/bramblewood/store/recovery.py
+++ b/bramblewood/store/recovery.py
@@ -70,6 +70,11 @@
     spoilt: list[str]          # damaged files whose sound part is in `held` or in another file
     slot: int = 1              # which of the two witnesses holds
 
+    @property
+    def layers(self) -> list:
+        """What is read as one, newest first."""
+        return [self.held, *reversed(self.tables)]
+
 
 def manifest_name(generation: int) -> str:
     return f"{generation:08d}.manifest"
@@ -113,14 +118,15 @@
     def __init__(self, port: Port) -> None:
         self.port, self.damages, self.dropped, self.spoilt = port, [], [], []
         self.by_kind: dict[str, dict[int, str]] = {"log": {}, "table": {}, "manifest": {}}
-        self.strangers = []
+        self.strangers, self.has_witness = [], False
         for name in port.names():
             if match := NAMES.fullmatch(name):
                 self.by_kind[match[2]][int(match[1])] = name
-            elif name != WITNESS:
+            elif name == WITNESS:
+                self.has_witness = True
+            else:
                 self.strangers.append(name)
         self.slot = 1
-        self.has_witness = WITNESS in port.names()
 
     def damage(self, file: str, offset: int, what: str, kept: bool = False) -> None:
         self.damages.append(Damage(file, offset, what, kept))
--- a/bramblewood/store/store.py
+++ b/bramblewood/store/store.py
@@ -54,10 +54,7 @@
 
     def get(self, key: bytes) -> bytes | None:
         """The value of a key, None where there is none; raises Unreadable."""
-        found = found_in(self.layers, key)
-        if isinstance(found, Hole):
-            raise Unreadable(f"{found.table} at {found.offset}: {found.why}")
-        return found[1] if found and alive(found, self.at) else None
+        return value_in(self.layers, key, self.at)
 
     def scan(self, prefix: bytes = b"", begin: bytes = b"") -> Iterator[tuple[bytes, bytes]]:
         """Keys with this prefix, from begin on, and their values, in order.
@@ -92,6 +89,14 @@
     return operation[1] is not None and (not operation[2] or operation[2] > at * MS)
 
 
+def value_in(layers: list, key: bytes, at: float) -> bytes | None:
+    """The value of a key in layers, newest first, at that time; None if there is none; raises Unreadable."""
+    found = found_in(layers, key)
+    if isinstance(found, Hole):
+        raise Unreadable(f"{found.table} at {found.offset}: {found.why}")
+    return found[1] if found and alive(found, at) else None
+
+
 class Store:
     """Opens a folder, made where it is new. Raises Refused; OSError where the disc refuses from the start."""
 
@@ -108,8 +113,8 @@
         self.log: int | None = None              # handle of the log that is written
         self.old_logs: list[tuple[int, str]] = []   # logs that the next seal makes void
         self.spent: list[tuple[int, str]] = []   # (generation that needs it no more, name)
-        self.snapshots = 0
         self.background: Iterator | None = None
+        self.considered: list[Table] | None = None   # the tables that were looked at for a merge, in vain
         self.written_bytes = 0                   # by this process, all files
         if not port.lock():
             raise Refused("another process has the folder open")
@@ -404,10 +409,7 @@
 
     def get(self, key: bytes) -> bytes | None:
         """The value of a key as it stands, promised or not; None where there is none; raises Unreadable."""
-        found = found_in(self.layers(), key)
-        if isinstance(found, Hole):
-            raise Unreadable(f"{found.table} at {found.offset}: {found.why}")
-        return found[1] if found and alive(found, self.time()) else None
+        return value_in(self.layers(), key, self.time())
 
     def snapshot(self) -> Snapshot:
         """All keys as they stand; it costs no copy."""
@@ -437,13 +439,15 @@
 
         A step yields WAITING while it waits for a flush. Only one piece is given out at a time.
         """
-        if self.background or self.trouble:
+        if self.background or self.trouble or self.time() < self.retry_at:
             return None
         size = self.held.size + sum(layer.size for layer in self.frozen)
         if plan.seal_due(size, len(self.old_logs)) and not self.waiting:
             self.background = self._guarded(self._seal_now())
-        elif run := plan.merge([self._planned(table) for table in self.tables]):
-            self.background = self._guarded(self._merge(*run))
+        elif self.tables is not self.considered:
+            self.considered = self.tables   # the list is made anew whenever a table comes or goes
+            if run := plan.merge([self._planned(table) for table in self.tables]):
+                self.background = self._guarded(self._merge(*run))
         return self.background
 
     def _planned(self, table: Table) -> plan.Table:
@@ -467,8 +471,10 @@
             self.failures += 1
             self.retry_at = self.time() + plan.wait_after(self.failures)
             self.notices.append(Notice("background work failed", {"why": problem.strerror or str(problem)}))
+        else:
+            self.failures = 0 if not self.trouble else self.failures
         finally:
-            self.background = None
+            self.background = self.considered = None
 
     def _seal_now(self) -> Iterator:
         """Freeze what is held, begin a log with the next batch, and write the frozen layers to a table."""
--- a/bramblewood/store/tools.py
+++ b/bramblewood/store/tools.py
@@ -10,10 +10,10 @@
 
 from . import frames, recovery
 from .frames import Head, Operation, Spoilt
-from .layers import found_in, merged
+from .layers import merged
 from .port import Folder
 from .recovery import Refused
-from .store import DAMAGE, Unreadable, after, alive
+from .store import DAMAGE, Unreadable, after, alive, value_in
 from .table import Hole, Table
 
 TRIES = 5          # readings at most beside a manager that goes on; a merge ends in far less than one
@@ -89,9 +89,8 @@
 
 def operations_of(port: Folder, prefix: bytes = b"", holes: list[Hole] | None = None) -> list[Operation]:
     found = found_of(port)
-    layers = [found.held, *reversed(found.tables)]
     now = max(found.at, time.time())
-    return [op for op in merged(layers, prefix, after(prefix), holes)
+    return [op for op in merged(found.layers, prefix, after(prefix), holes)
             if alive(op, now) and not op[0].startswith(DAMAGE)]
 
 
@@ -102,17 +101,13 @@
 def value(port: Folder, key: bytes) -> bytes | None:
     """The value of a key, None where there is none; raises Unreadable."""
     found = found_of(port)
-    operation = found_in([found.held, *reversed(found.tables)], key)
-    if isinstance(operation, Hole):
-        raise Unreadable(f"{operation.table} at {operation.offset}: {operation.why}")
-    return operation[1] if operation and alive(operation, max(found.at, time.time())) else None
+    return value_in(found.layers, key, max(found.at, time.time()))
 
 
 def sound(port: Folder) -> Sound:
     """All that is sound, with expiries, and what is not, in words."""
     found, holes = found_of(port), []
-    layers = [found.held, *reversed(found.tables)]
-    kept = [op for op in merged(layers, holes=holes) if alive(op, max(found.at, time.time()))]
+    kept = [op for op in merged(found.layers, holes=holes) if alive(op, max(found.at, time.time()))]
     lost = [str(damage) for damage in found.damages if not damage.kept]
     lost += [f"{hole.table} at {hole.offset}: keys from {hole.begin!r} to {hole.end!r}: {hole.why}"
              for hole in holes]
@@ -148,7 +143,7 @@
                     for hole in blocks_of(table, progress) if not table.damaged]
         if not table.damaged:
             damaged += rest_of(table)
-    keys = sum(1 for op in merged([found.held, *reversed(found.tables)]) if op[1] is not None)
+    keys = sum(1 for op in merged(found.layers) if op[1] is not None)
     names = port.names()
     return {"damaged": damaged, "dropped": found.dropped, "strangers": found.strangers, "keys": keys,
             "files": len(names), "bytes": sum(os.stat(name, dir_fd=port.folder).st_size for name in names)}
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -206,6 +206,31 @@
     store.close()
 
 
+def test_background_work_that_fails_is_tried_again_later_and_not_each_turn():
+    """Guards against a notice and an attempt in every turn while only tables can't be written."""
+    clock, tries = Clock(), []
+    store = opened(Disc(), clock)
+
+    def refused(*_):
+        tries.append(clock.at)
+        raise OSError(errno.EACCES, "Permission denied")
+        yield
+    for k in range(60):
+        store.put(b"k%d" % k, bytes(40))
+        store.commit()
+    store._written = refused
+    for _ in range(100):
+        finish(store.work())
+    assert len(tries) == 1 and len(store.notices) == 1
+    clock.at += 1.0
+    finish(store.work())
+    assert len(tries) == 2
+    del store._written
+    clock.at += 60.0
+    finish(store.work())
+    assert store.failures == 0 and len(store.tables) == 1
+
+
 def test_what_waits_for_a_promise_stays_bounded(monkeypatch):
     monkeypatch.setattr("bramblewood.store.store.UNPROMISED", 4000)
     disc, clock, dice = Disc(), Clock(), random.Random(2)
