Ordinary moves and overflow cost what they bring: rests, newcomers that end, full on average

Logs counted 12,024 ordinary moves of two managers in 2,456 s, 2.4 a cycle each, where the design allows one, and 1,541 urgent ones.

At fault: `new` in Planner.rule (trusted since ever: after an hour all workers are newcomers, and each over one may give them a slice a cycle); the smallest slice is always free to go again; `spare` in Slice.changes follows one second of strain. Now a newcomer is one till its load shows, a slice rests 5 s after an ordinary move, doubled with each up to 640 s, unless its worker says it is full on average, and only such a worker's second lines overflow. Where busyness is not told the last two hold back nothing.

--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -42,6 +42,7 @@
 SURGE = 1.3          # latest heat over its average; below it growth is noise
 LAPSE = 120.0        # s after which an unanswered message no longer waits; channels were seen 40 s behind
 PATIENCE = 4.0       # s without an answer before a list is asked for again; calls time out sooner
+RESTS = (5.0, 640.0)  # s that a slice rests after its first ordinary move, doubled with each, and at most
 KEPT_OFF = 1000      # workers remembered as withdrawn; ids may come again long after, and for ever would grow
 FORGET = 60          # cycles without a report after which the gone are forgotten; the cut off return sooner
 LONG_AGO = -1e9      # s, a start before any clock
@@ -93,6 +94,9 @@
     def usable(self):
         return self.state == door.READY and self.doubted_until <= self.manager.now
 
+    def full(self):  # over its limit by its own word, averaged; where busyness is not told any may be
+        return not self.manager.tells_busy or mean(self.levels) > LIMIT
+
     def ramp(self):  # part of its capacity that it surely has; a new or newly trusted one has little
         facts, age = self.manager.facts, self.manager.now - self.trusted
         warm_after, least = facts.get("warm_after", 0.0), facts.get("cold_from", 1.0)
@@ -199,6 +203,7 @@
         self.main = self.standby = self.rules = None  # rules: what the store's table lets in, or None
         self.stored, self.latest, self.fresh = {}, {}, False
         self.estimates, self.before = deque(maxlen=REPORTS), None
+        self.rests_until, self.moves = LONG_AGO, 0  # of ordinary moves
 
     def given(self, ours):
         self.ours, self.stored, self.main, self.standby, self.rules = ours, {}, None, None, None
@@ -242,7 +247,8 @@
         main, standby = self.main, self.standby
         if urgent and self.stored and self.bare() and main and main.usable:
             return {**self.stored, main: 1.0}, self.rules, [door.SetLine(self.number, main.name, 1.0)]
-        spare = main and main.cut and standby and standby.usable and not standby.cut and standby.ramp() >= 1.0
+        spare = standby and standby.usable and not standby.cut and standby.ramp() >= 1.0
+        spare = spare and main and main.cut and main.full()
         second = OVERFLOW if spare and self.manager.facts.get("pick") == "pair" else STANDBY  # else it costs
         wanted = {w: part for w, part in ((standby, second), (main, 1.0)) if w is not None}
         orders = [door.SetLine(self.number, w.name, n) for w, n in wanted.items() if self.stored.get(w) != n]
@@ -402,14 +408,19 @@
                      or len(w.times) >= HELD and mean(w.times) > SLOW * median)]
         self.held = Counter({w: self.held[w] + 1 for w in over})
         over = [w for w in over if self.held[w] >= HELD]
-        new = [w for w in ranked if w.trusted > LONG_AGO and self.rank(w) * BOUND < self.total / self.weights]
+        facts, now = self.manager.facts, self.manager.now
+        young = now - facts.get("warm_after", 0.0) - REPORTS * facts.get("cycle", 1.0)  # later its load shows
+        new = [w for w in ranked if w.trusted > young and self.rank(w) * BOUND < self.total / self.weights]
         for top in over[::-1][:1 + len(new)]:  # a growth: each newcomer may take one till it has its part
-            piece = min(self.by_main[top], key=lambda p: (p.estimate(), p.number))
-            target = self.least_loaded(piece.estimate(), top)
+            rested = [p for p in self.by_main[top] if top.full() or p.rests_until <= now]
+            piece = min(rested, key=lambda p: (p.estimate(), p.number), default=None)
+            target = piece and self.least_loaded(piece.estimate(), top)
             fits = target and (top is over[-1] or target in new)
             if fits and self.loads[target] + piece.estimate() <= LIMIT * self.capacity(target):
                 self.manager.log(f"slice {piece.number} from {top.name} (over) to {target.name}")
                 self.move(piece, target, False)
+                piece.rests_until = now + min(RESTS[0] * 2 ** piece.moves, RESTS[1])
+                piece.moves = min(piece.moves + 1, 16)  # each costs key caches and a line to all proxies
                 self.held[top] = 0  # the next move from it needs three reports that have seen this one
 
     def surge(self):
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -1,11 +1,12 @@
 """Plain cases of the design's rule and of each guard."""
 
 import math
+import random
 
 import pytest
 
 from bramblewood import interface as door
-from bramblewood.balance import BOUND, HELD, STANDBY, Manager, Slice
+from bramblewood.balance import BOUND, HELD, OVERFLOW, RESTS, STANDBY, Manager, Slice
 
 from .helper import FACTS, Ledger, entry
 
@@ -367,6 +368,49 @@
         assert 0 < max(moved) <= most and (not come or max(moved) > 1)
 
 
+def test_a_newcomer_is_none_once_its_load_shows():
+    """Guards the price of moves: where all workers are replaced over a day, all counted as new for ever."""
+    ledger = Ledger(workers=6, slices=60, warm_after=4.0)
+    ledger.step(0.1, ledger.list_of([entry(f"x{k}", started=ledger.now) for k in range(6)]))
+    ledger.seconds(20, heat=0.01)
+    heat = {n: 3.0 if n % 6 < 3 else 0.5 for n in range(60)}
+    moved = [sum("(over)" in o.text for o in ledger.step(0.5, *ledger.reports(heat.get, {}))
+                 if isinstance(o, door.Log)) for _ in range(24)]
+    assert max(moved) == 1
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_slice_rests_longer_after_each_ordinary_move_while_no_worker_is_full(seed):
+    """Guards the price of moves: the smallest slices of a fleet far from full went round all day."""
+    dice, ledger, moved = random.Random(seed), Ledger(workers=6, slices=30, seed=seed), {}
+    for second in range(400):
+        if not second % 8:
+            heat = {n: dice.choice((0.002, 0.01, 0.04, 0.1, 0.3)) for n in range(30)}
+        before = len(ledger.orders)
+        ledger.seconds(1, heat=heat.get)
+        for order in ledger.orders[before:]:
+            if isinstance(order, door.Log) and "(over)" in order.text:
+                moved.setdefault(int(order.text.split()[1]), []).append(ledger.now)
+        ledger.check()
+    for times in moved.values():
+        for k, (at, then) in enumerate(zip(times, times[1:], strict=False)):
+            assert then - at >= min(RESTS[0] * 2 ** k, RESTS[1]) - 0.01
+    assert sum(map(len, moved.values())) > 9
+
+
+@pytest.mark.parametrize("busy, overflows", [(0.5, False), (0.9, True)])
+def test_the_second_line_overflows_only_from_a_worker_that_is_full_on_average(busy, overflows):
+    """Guards the price of moves: a second of strain turned all lines of a worker on and off again."""
+    ledger = Ledger(slices=8, pick="pair")
+    level = {name: {"load": {"busy": busy}} for name in ("w0", "w1", "w2", "w3")}
+    ledger.seconds(8, heat=0.5, heard=level)
+    strained = {**level, "w0": {"load": {"busy": busy + 0.3}, "mean_time": 0.6, "tries": 20}}
+    ledger.seconds(1, heat=0.5, heard=strained)
+    ledger.seconds(2, heat=0.5, heard=level)
+    parts = {part for order in ledger.orders if isinstance(order, door.SetLine) for part in [order.weight]}
+    assert (OVERFLOW in parts) == overflows
+
+
 def test_idle_newcomers_do_not_lower_what_others_are_held_to_do():
     ledger = Ledger(workers=4, warm_after=20.0)
     ledger.seconds(6)
