Levels do not rise in cycles that thin reports leave out

A probe in the module, one line a cycle: of 1,040 lines a second 150 pass the intake, so each sum spans 4.9 s and a worker is heard in one cycle of three (57 to 60 of 173); levels of a strained worker were cut when it was heard and let in again by a fifth or more in each of the two cycles between, each time a line to all proxies, while its queue stood.

At fault: the let-in branch of Worker.feel, `not fresh`: meant for few tries, it also holds where no sum came. Now a cycle without a report of the worker raises nothing until three have passed, and where busyness is told few tries alone raise nothing either, since the load says whether it idles.

The false growth that it takes away braced the start by accident; it stays open.

--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -161,6 +161,8 @@
             self.carried = list(self.outcomes)
         time, by_value, before = self.strain, self.manager.by_value, (self.cut, list(self.admitted))
         loaded = self.load >= LIMIT or not self.manager.tells_busy  # an idle one is only far
+        # sums that come thin leave cycles out: nothing eases in those, nor by few tries where load is told
+        unheard = not fresh and (self.silent >= STALE or not (self.silent or self.manager.tells_busy))
         if fresh and time > STRAINED and loaded and self.manager.now >= self.again_at:
             low = next((k for k in by_value if self.admitted[k] > FLOOR), None)
             deeper = self.cut or self.ramp() < 1  # a cold one would fall over before levels came
@@ -169,7 +171,7 @@
                 kept = CUT[1] * good / (good + bad) / max(time, 1.0)  # a long queue must drain first
                 self.admitted[low] = max(self.admitted[low] * max(CUT[0], kept), FLOOR)
             self.cut = True
-        elif (time < RELAXED or not loaded or not fresh) and self.manager.now >= self.braced_until:
+        elif (time < RELAXED or not loaded or unheard) and self.manager.now >= self.braced_until:
             shut = next((k for k in reversed(by_value) if self.admitted[k] < 1), None)
             self.cut = self.cut and shut is not None
             if shut is not None:  # faster the further a worker is from its limit, where busyness is told
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -411,6 +411,25 @@
     assert (OVERFLOW in parts) == overflows
 
 
+def test_a_level_does_not_rise_in_cycles_that_thin_reports_leave_out():
+    """Guards full size: sums come each third cycle there, and what one cut the next two let in again."""
+    ledger = Ledger(slices=8)
+    late = {"w0": {"load": {"busy": 1.2}, "mean_time": 0.8, "tries": 20}}
+    ledger.seconds(9, heard=late)
+    worker = ledger.manager.workers["w0"]
+    low = worker.admitted[0]
+    assert low < 1
+    for told in (False, False, True) * 4:
+        events = ledger.reports(1.0, late)
+        ledger.step(0.5)
+        ledger.step(0.5, *(e for e in events if told or getattr(e, "worker", "") != "w0"))
+        assert worker.admitted[0] <= low
+        low = worker.admitted[0]
+    ledger.states["w0"] = door.GONE  # no report of it any more: after three cycles it is let in again
+    ledger.seconds(8)
+    assert worker.admitted[0] > low
+
+
 def test_idle_newcomers_do_not_lower_what_others_are_held_to_do():
     ledger = Ledger(workers=4, warm_after=20.0)
     ledger.seconds(6)
