--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -244,6 +244,10 @@
     def bare(self):
         return not any(w.usable for w in self.stored)
 
+    def leaves_cold(self):  # its traffic still goes to a cold worker that is not to keep it
+        return any(part == 1.0 and w is not self.main and w.usable and w.ramp() < 1.0
+                   for w, part in self.stored.items())
+
     def changes(self, urgent):
         """To the wanted table, new lines first; in haste a bare one's first alone, withdrawn ones wait."""
         main, standby = self.main, self.standby
@@ -533,7 +537,9 @@
         waits = sum(m["lines"] * len(m["awaited"]) / m["proxies"] for m in self.sent if m["awaited"])
         waits = max(waits - rate * facts.get("message_delay", 0.0), 0.0)  # the rest travels already
         room = min(WAITING_PART * most, rate * max(spare, TURN) / 2 or most)  # a drain must still get through
-        queue = sorted(self.urgent, key=lambda p: (not p.bare(), not p.closed(), p.main in p.stored))
+        cold = {p for p in self.urgent if p.leaves_cold()}  # it falls over within seconds
+        queue = sorted(self.urgent, key=lambda p: (not p.bare(), not p.closed(), p not in cold,
+                                                   p.main in p.stored))
         if turn:
             queue += list(self.others)[:math.ceil(len(self.others) / TENTH)]
         fit = (room + (most - room) / 3 - waits) // (proxies or 1) - head - len(standing)  # all may never fit
@@ -542,7 +548,7 @@
         orders = [*standing, *(door.Withdraw(w.name, True) for w in shut)]
         lines = (head + len(orders)) * proxies
         soon = self.sent and now < self.sent[-1]["at"] + TURN * (1 + (waits > 0))  # heads fill a channel
-        if soon and not shut or lines + waits > room + (most - room) / 3 * bool(shut):
+        if soon and not shut and not cold or lines + waits > room + (most - room) / 3 * bool(shut):
             return
         self.rules_due = self.rules_due and not standing
         told = {**self.open, **{w.name: False for w in shut}}  # guards drains: a line each, before all tables
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -356,6 +356,28 @@
     assert bare and set(first[:len(bare)]) <= bare
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_tables_that_leave_a_worker_back_cold_go_first_and_do_not_wait_for_heads(seed):
+    """Guards a zone that returns cold under its slices: 53 tables waited a second behind better ones."""
+    ledger = Ledger(workers=8, slices=64, seed=seed, lines_per_second=1500.0)
+    ledger.seconds(20)
+    for number in range(0, 64, 8):  # urgent, but nobody falls over
+        ledger.manager.slices[number].tell("go", ledger.manager.workers["w2"], None, True)
+    ledger.step(0.05)
+    sent = ledger.messages[-1]
+    assert sent > ledger.now - 0.1
+    for number in range(5, 64, 8):
+        ledger.manager.slices[number].tell("go", ledger.manager.workers["w2"], None, True)
+    ledger.step(0.05, ledger.list_of([entry("w1", started=ledger.now)]))
+    left = []
+    while not left:
+        left = [o.table for o in ledger.step(0.05) if isinstance(o, door.SetLine) and o.weight == 1.0]
+    leaving = {n for n in range(1, 64, 8) if ledger.manager.slices[n].main.name != "w1"}
+    assert leaving and set(left[:min(len(leaving), len(left))]) <= leaving
+    assert ledger.now - sent < 0.75
+    ledger.check()
+
+
 def test_where_many_workers_come_at_once_each_may_take_a_slice_a_cycle():
     for come, most in ((0, 1), (6, 6)):
         ledger = Ledger(workers=6, slices=60, warm_after=4.0)
