Second lines overflow from workers full over three reports, not five

So the condition is at fault: five reports span some twelve seconds at full size, and the jam that the overflow is for has spread by then (`full` in Slice.changes).

--- a/bramblewood/balance.py
+++ b/bramblewood/balance.py
@@ -94,8 +94,8 @@
     def usable(self):
         return self.state == door.READY and self.doubted_until <= self.manager.now
 
-    def full(self):  # over its limit by its own word, averaged; where busyness is not told any may be
-        return not self.manager.tells_busy or mean(self.levels) > LIMIT
+    def full(self, reports=REPORTS):  # over its limit by its own word, where it is told
+        return not self.manager.tells_busy or mean([*self.levels][-reports:]) > LIMIT
 
     def ramp(self):  # part of its capacity that it surely has; a new or newly trusted one has little
         facts, age = self.manager.facts, self.manager.now - self.trusted
@@ -254,7 +254,7 @@
         if urgent and self.stored and self.bare() and main and main.usable:
             return {**self.stored, main: 1.0}, self.rules, [door.SetLine(self.number, main.name, 1.0)]
         spare = standby and standby.usable and not standby.cut and standby.ramp() >= 1.0
-        spare = spare and main and main.cut and main.full()
+        spare = spare and main and main.cut and main.full(HELD)
         second = OVERFLOW if spare and self.manager.facts.get("pick") == "pair" else STANDBY  # else it costs
         wanted = {w: part for w, part in ((standby, second), (main, 1.0)) if w is not None}
         orders = [door.SetLine(self.number, w.name, n) for w, n in wanted.items() if self.stored.get(w) != n]
