--- a/bramblewood/__main__.py
+++ b/bramblewood/__main__.py
@@ -11,11 +11,15 @@
 signal.signal(signal.SIGHUP, lambda _number, _frame: None)
 signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
-from .cli.app import main  # noqa: E402
+ROOMS = ("desk", "archive")   # the gateway's programs; what they need is not imported by the manager
 
 
 def run() -> None:
     """The installed command."""
+    if sys.argv[1:2] and sys.argv[1] in ROOMS:
+        from .cli.rooms import rooms
+        rooms(prog_name="bramblewood")
+    from .cli.app import main
     sys.exit(main())
 
 
--- /dev/null
+++ b/bramblewood/archive/accession.py
@@ -0,0 +1,135 @@
+"""Calls of workers and operators, decoded into commands that run elsewhere. Pure."""
+
+import json
+import re
+from dataclasses import dataclass
+from typing import Literal, NotRequired, TypedDict
+
+from result import Err, Ok, Result
+
+from ..catalogue.edition import Edition, parse
+from ..catalogue.typed import check
+from .roll import DRAINING, READY, Row
+
+BEAT_MOST = 64 * 2 ** 10        # bytes of a worker's call
+CONFIG_MOST = 32 * 2 ** 20      # bytes of a configuration
+INSTANCES = "/bramblewood/instances/"
+CONFIG_PATH = "/bramblewood/config"
+KEPT = 400                      # earlier versions whose digests are remembered, so that a repeat is known
+
+
+class Summary(TypedDict):
+    Target: str
+    Zone: NotRequired[str]
+    Revision: NotRequired[str]
+    Slots: NotRequired[int]
+
+
+class Condition(TypedDict):
+    Phase: Literal["ready", "draining"]
+    CallSeq: int
+    ColdLeftS: NotRequired[float]
+
+
+class Beat(TypedDict):
+    Address: str
+    Summary: Summary
+    Condition: Condition
+
+
+@dataclass(frozen=True)
+class Register:
+    """A worker's call: it is ready or draining."""
+    life: str
+    row: Row
+
+    @property
+    def leaving(self) -> bool:
+        return self.row.phase == DRAINING
+
+
+@dataclass(frozen=True)
+class TakeLeave:
+    """A worker's last call."""
+    life: str
+
+
+@dataclass(frozen=True)
+class PutConfig:
+    edition: Edition
+
+
+@dataclass(frozen=True)
+class GetConfig:
+    pass
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """The answer to a call that can't be taken."""
+    status: int
+    reason: str
+    allow: str = ""
+
+
+Command = Register | TakeLeave | PutConfig | GetConfig
+
+
+def most(method: str, path: str) -> int:
+    """Bytes that the body of this call may have."""
+    return CONFIG_MOST if path == CONFIG_PATH and method == "PUT" else BEAT_MOST
+
+
+def decode(method: str, path: str, body: bytes) -> Result[Command, Refusal]:
+    path = path.partition("?")[0]
+    if path == CONFIG_PATH:
+        if method == "GET":
+            return Ok(GetConfig())
+        if method == "PUT":
+            return parse(body).map(PutConfig).map_err(lambda fault: Refusal(400, str(fault)))
+        return Err(Refusal(405, f"{method} is not for {CONFIG_PATH}", "GET, PUT"))
+    if path.startswith(INSTANCES):
+        life = path[len(INSTANCES):]
+        if not re.fullmatch(r"[\w.~-]{1,128}", life):
+            return Err(Refusal(400, "the path holds no worker's id"))
+        if method == "DELETE":
+            return Ok(TakeLeave(life))
+        if method == "PUT":
+            return beat(life, body)
+        return Err(Refusal(405, f"{method} is not for {INSTANCES}", "PUT, DELETE"))
+    return Err(Refusal(404, "no such call"))
+
+
+def beat(life: str, body: bytes) -> Result[Register, Refusal]:
+    try:
+        told = check(json.loads(body), Beat)
+    except (ValueError, RecursionError):
+        return Err(Refusal(400, "the body is no JSON"))
+    if isinstance(told, Err):
+        return Err(Refusal(400, str(told.err_value)))
+    told = told.ok_value
+    host, _, port = told["Address"].rpartition(":")
+    if not host or not port.isdigit():
+        return Err(Refusal(400, f"Address: expected host:port, found {told['Address']!r:.60}"))
+    info, condition = told["Summary"], told["Condition"]
+    if not 0 <= condition["CallSeq"] < 2 ** 53 or not 0 < info.get("Slots", 1) < 2 ** 20:
+        return Err(Refusal(400, "CallSeq or Slots: out of range"))
+    return Ok(Register(life, Row(info["Target"], told["Address"], info.get("Zone", ""), info.get("Slots", 1),
+                                 condition["Phase"] if condition["Phase"] == DRAINING else READY,
+                                 condition["CallSeq"], max(condition.get("ColdLeftS", 0.0), 0.0))))
+
+
+def succeed(edition: Edition, stands: dict | None) -> tuple[dict | None, tuple[int, str]]:
+    """What follows the register's value, and the answer: 200, 412 (another version stands) or 400 (it does not rise).
+
+    The value: {"n": number, "config": as it was put, "past": {number: digest}, "lost": ...}.
+    """
+    number, past = (stands["n"], stands["past"]) if stands else (0, {})
+    if past.get(str(edition.number)) == edition.digest:
+        return None, (200, "")
+    if edition.parent != number:
+        return None, (412, f"r{number} is current")
+    if edition.number <= number:
+        return None, (400, f"Revision: expected above r{number}, found r{edition.number}")
+    kept = dict(list(past.items())[-KEPT:])
+    return {"n": edition.number, "config": edition.raw, "past": {**kept, str(edition.number): edition.digest}}, (200, "")
--- /dev/null
+++ b/bramblewood/archive/holds.py
@@ -0,0 +1,123 @@
+"""Holds: which worker may hold which keys, until when. Pure; the shell makes the calls and tells their answers.
+
+A keyed slice whose entry has no old holder is granted to its worker and renewed. One with an old holder is first
+released there; it is free once the release is answered, once the old life is known to have ended, or once the longest
+grant that anyone may have sent has run out: WORD s after the change was chosen for the last renewal that rests on an
+older word, plus the hold itself on a clock that is 2% slow, plus the slack that a call may travel.
+"""
+
+from typing import NamedTuple
+
+from .placement import FENCE, HANDOVER, OLD, WORKER, span
+from .roll import GONE, Roll
+from .sessions import WORD
+
+HOLD_PART = 0.6     # of HoldMaxS: an unsettled core of some seconds costs nothing, a dead worker's keys wait as long
+RENEW_PART = 1 / 3  # of the hold after which it is renewed: two more tries fit
+SLOW_CLOCK = 1.02   # a worker's clock may run 2% slow; PROTOCOL
+TRAVEL = 0.3        # s for a call on its way, as the pages allow after a thaw (ThawSlackS)
+AGAIN = 0.3         # s between tries of a call that failed
+
+
+class Call(NamedTuple):
+    """One call to a worker: grant or release of a run of slices."""
+    kind: str
+    service: str
+    life: str
+    address: str
+    places: tuple[int, ...]
+    first: int
+    last: int
+    fence: int
+    hold: float
+    handover: str
+
+
+class Freed(NamedTuple):
+    """These slices are free of their old holder: to be agreed."""
+    service: str
+    places: tuple[int, ...]
+    fence: int
+    old: str
+    handover: str
+
+
+class Holds:
+    def __init__(self, hold_most: float) -> None:
+        self.hold = hold_most * HOLD_PART
+        self.granted: dict[tuple[str, int], tuple[str, int, float]] = {}   # slice: life, fence, when sent
+        self.wait_from: dict[tuple, float] = {}     # slice, fence, old holder: since when its change is known
+        self.next_at: dict[tuple, float] = {}       # by call: not before
+        self.out: set[tuple] = set()                # calls under way
+
+    @property
+    def expiry(self) -> float:
+        return self.hold * SLOW_CLOCK + WORD + TRAVEL
+
+    def step(self, now: float, table: dict, keyed: set[str], roll: Roll) -> tuple[list[Call], list[Freed]]:
+        calls, free, waiting = [], [], set()
+        for service in keyed & table["s"].keys():
+            entries = table["s"][service]
+            run: list[int] = []
+            for place, entry in enumerate([*entries, None]):
+                same = run and entry is not None and entry[WORKER] and [entries[run[-1]][i] for i in (
+                    WORKER, FENCE, HANDOVER, OLD)] == [entry[i] for i in (WORKER, FENCE, HANDOVER, OLD)]
+                if run and not same:
+                    self.run_of(now, service, entries, run, roll, calls, free, waiting)
+                    run = []
+                if entry is not None and entry[WORKER]:
+                    run.append(place)
+        self.wait_from = {key: at for key, at in self.wait_from.items() if key in waiting}
+        return calls, free
+
+    def run_of(self, now: float, service: str, entries: list, run: list[int], roll: Roll, calls: list, free: list,
+               waiting: set) -> None:
+        entry = entries[run[0]]
+        if not entry[OLD]:
+            if self.due(now, service, entry, run):
+                self.call(now, "grant", service, entry[WORKER], entries, run, roll, calls)
+            return
+        key = (service, run[0], entry[FENCE], entry[OLD])
+        waiting.add(key)
+        since = self.wait_from.setdefault(key, now)
+        row = roll.rows.get(entry[OLD])
+        ended = row is not None and row.phase == GONE and roll.homes.get(row.address) != entry[OLD]
+        if ended or now >= since + self.expiry:
+            free.append(Freed(service, tuple(run), entry[FENCE], entry[OLD], ""))
+        else:
+            self.call(now, "release", service, entry[OLD], entries, run, roll, calls)
+
+    def due(self, now: float, service: str, entry: list, run: list[int]) -> bool:
+        for place in run:
+            life, fence, at = self.granted.get((service, place), ("", 0, 0.0))
+            if (life, fence) != (entry[WORKER], entry[FENCE]) or now >= at + self.hold * RENEW_PART:
+                return True
+        return False
+
+    def call(self, now: float, kind: str, service: str, life: str, entries: list, run: list[int], roll: Roll,
+             calls: list) -> None:
+        entry, row = entries[run[0]], roll.rows.get(life)
+        key = (kind, service, run[0], run[-1], entry[FENCE])
+        if row is None or row.phase == GONE and kind == "grant" or key in self.out or now < self.next_at.get(key, 0.0):
+            return
+        self.out.add(key)
+        first, last = span(run[0], len(entries))[0], span(run[-1], len(entries))[1]
+        calls.append(Call(kind, service, life, row.address, tuple(run), first, last, entry[FENCE], self.hold,
+                          entry[HANDOVER]))
+
+    def answered(self, now: float, call: Call, sent: float, status: int, handover: str, ended: bool) -> Freed | None:
+        """The end of a call; status 0 is no answer, -1 a dead port; ended: it took leave, or nobody hears it."""
+        key = (call.kind, call.service, call.places[0], call.places[-1], call.fence)
+        self.out.discard(key)
+        self.next_at = {k: at for k, at in self.next_at.items() if at > now}
+        if call.kind == "grant":
+            if status == 200:
+                for place in call.places:
+                    self.granted[call.service, place] = (call.life, call.fence, sent)
+            else:
+                self.next_at[key] = now + AGAIN
+            return None
+        if status in (200, 421) or status == -1 and ended:   # 421: another life listens there, so this one ended
+            return Freed(call.service, call.places, call.fence, call.life, handover if status == 200 else "")
+        self.next_at[key] = now + AGAIN
+        return None
--- /dev/null
+++ b/bramblewood/archive/program.py
@@ -0,0 +1,491 @@
+"""The archive's shell: sockets, disk, timers and signals round its state machines. It decides nothing."""
+
+import asyncio
+import itertools
+import json
+import os
+import signal
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+from result import Err
+
+from ..catalogue import daybook
+from ..catalogue.bootfile import Settings
+from ..catalogue.edition import edition_of
+from ..catalogue.links import Link, Links, accept, careful_socket
+from . import placement
+from .accession import GetConfig, PutConfig, Refusal, Register, TakeLeave, decode, most, succeed
+from .ballots import CONFIG, NONE, REGISTERS, TABLE, VOTES, Ballots, Out
+from .holds import Call, Freed, Holds
+from .roll import GONE, Roll, Row
+from .sessions import PULSE, Sessions
+from .shelf import Shelf
+
+TICK = 0.1          # s between looks at what is due
+DESK_PULSE = 0.5    # s between pulses to desks; two lost ones are noticed within their QUIET
+TURN = 0.5          # s between turns of placement, the manager's own
+CALL_WITHIN = 0.85  # s for an operator's or worker's call: callers go elsewhere after a second of silence; PROTOCOL
+SEEN_BY_ANOTHER = 0.6  # s that a leave waits for another archive's word, within that second
+STALL = 0.3         # s that a write may take before this archive leaves the proposing to others
+DESK_QUIET = 3.5    # s without a desk's word after which its link is dropped; it reports each second
+GRANT_FIRST = 0.025  # s that a table waits for its grants before desks follow it: ways to a worker and back
+BEATS_MISSED = 3.2  # beats after which a worker that nobody heard counts as gone
+DELTAS = 60         # versions of the table from which a difference is sent
+ASK = 1.0           # s for a call to a worker
+UPHELD = 0.9        # part of a word's time in which a call may still be sent
+
+
+class Archive:
+    def __init__(self, told: Settings) -> None:
+        self.told, self.me = told, told.ip
+        self.log = daybook.begin(told.name)
+        self.life = int.from_bytes(os.urandom(4), "big")
+        self.shelf = Shelf(told.data or "/tmp")
+        self.roll, self.sessions = Roll(), Sessions(self.me)
+        self.links = Links(self.hello, self.hear, self.link_told)
+        self.desks: dict[str, Link] = {}
+        self.holds = Holds(told.bounds.HoldMaxS)
+        self.ids = itertools.count(1)
+        self.confirms: dict[int, asyncio.Future] = {}
+        self.confirmed: set[tuple[str, str]] = set()
+        self.editions: tuple[int, Any] = (0, None)
+        self.shown: dict[str, int] = dict.fromkeys(REGISTERS, 0)
+        self.tables: dict[int, dict] = {}
+        self.writing_since: float | None = None
+        self.writes = 0
+        self.asking = False
+        self.refused: dict[str, int] = {}
+        self.pulse_at = self.desk_pulse_at = self.turn_at = 0.0
+        self.proposing = self.was_scribe = False
+
+    # --- start and end
+
+    async def run(self) -> int:
+        loop = self.loop = asyncio.get_running_loop()
+        found = await asyncio.to_thread(self.shelf.open)
+        if isinstance(found, Err):
+            self.log.error("no shelf", step="open", problem=found.err_value)
+            return 2
+        facts, stored = found.ok_value["facts"], found.ok_value["registers"]
+        kept = "voters" in facts
+        voters = tuple(facts["voters"]) if kept else tuple(sorted(set(self.told.seed_ips())))
+        self.ballots = Ballots(self.me, voters, self.life, stored if kept else {}, kept or self.told.first_boot)
+        self.placement = placement.Placement(loop.time(), self.told.beat, self.told.first_boot)
+        self.shelf.start(lambda done, problem: loop.call_soon_threadsafe(done, problem))
+        if not kept and self.told.first_boot:
+            self.shelf.write([], {"voters": voters}, lambda problem: None)
+        for peer in voters:
+            if peer != self.me:
+                self.links.keep(peer, self.told.inner)
+        self.leaving = asyncio.Event()
+        loop.add_signal_handler(signal.SIGTERM, self.leaving.set)
+        servers = []
+        for place in (self.told.listen["Control"], (self.told.ip, self.told.inner)):
+            server = await loop.create_server(web.Server(self.serve, access_log=None), *place, backlog=512)
+            servers.append(server)
+        connector = aiohttp.TCPConnector(socket_factory=careful_socket, limit=0, keepalive_timeout=4.0)
+        self.calls = aiohttp.ClientSession(connector=connector, auto_decompress=False)
+        self.log.info("started", step="start", voters=voters, kept=kept, voting=self.ballots.voting)
+        while not self.leaving.is_set():
+            self.tick(loop.time())
+            try:
+                async with asyncio.timeout(TICK):
+                    await self.leaving.wait()
+            except TimeoutError:
+                pass
+        self.log.info("stopped", step="end")
+        for server in servers:
+            server.close()
+        await asyncio.sleep(0.05)
+        self.shelf.close()
+        return 0
+
+    # --- turns
+
+    def tick(self, now: float) -> None:
+        self.carry(self.ballots.tick(now))
+        if now >= self.pulse_at:
+            self.pulse_at = now + PULSE
+            self.pulse(now)
+        if now >= self.desk_pulse_at:
+            self.desk_pulse_at = now + DESK_PULSE
+            self.pulse_desks(now)
+        self.learned()
+        if now >= self.turn_at:
+            self.turn_at = now + TURN
+            self.roll.forget(now)
+        self.steer(now)
+
+    def whole(self, now: float) -> bool:
+        """Whether this archive may act for the core: a word of the majority, and a disk that answers."""
+        stalled = self.writing_since is not None and now - self.writing_since > STALL
+        return not stalled and self.word(now) > now
+
+    def word(self, now: float) -> float:
+        ballots = self.ballots
+        return self.sessions.word_until(now, ballots.voters, TABLE, ballots.learned[TABLE][0], ballots.voting)
+
+    def pulse(self, now: float) -> None:
+        ballots = self.ballots
+        message = {"k": "pulse", "t": now, "v": ballots.voting, "w": self.whole(now), "voters": ballots.voters,
+                   "acc": {name: ballots.acceptors[name].accepted for name in REGISTERS}, "dur": ballots.durable,
+                   "desks": list(self.desks)}
+        for peer in list(self.links.up):
+            told = {**message, "e": self.sessions.stamps.get(peer, -1e9)}
+            if int(now / PULSE) % 4 == 0:
+                told["heard"] = self.roll.ages(now, 2.0)
+            self.links.send(peer, told)
+
+    def pulse_desks(self, now: float) -> None:
+        whole = self.whole(now)
+        scribe = self.sessions.scribe(now, whole)
+        message = json.dumps({
+            "k": "pulse", "n": self.shown, "whole": whole, "scribe": scribe == self.me,
+            "desks": len(self.sessions.all_desks(now, list(self.desks))), "archives": self.ballots.voters,
+            "silent": sorted(self.silent(now))}, separators=(",", ":"))
+        for link in list(self.desks.values()):
+            link.send(message)
+
+    def silent(self, now: float) -> set[str]:
+        return self.roll.silent(now, BEATS_MISSED * self.told.beat)
+
+    def learned(self) -> None:
+        """Show what is newly chosen to the desks."""
+        for register in REGISTERS:
+            version = self.ballots.version(register)
+            if version == self.shown[register]:
+                continue
+            if register == TABLE:
+                self.tables[version] = self.ballots.value(TABLE)
+                while len(self.tables) > DELTAS:
+                    del self.tables[min(self.tables)]
+                self.loop.call_later(GRANT_FIRST, self.show, register, version)
+            else:
+                self.show(register, version)
+        if self.editions[0] != self.ballots.version(CONFIG):
+            self.editions = (self.ballots.version(CONFIG), edition_of(self.ballots.value(CONFIG)["config"]).ok())
+
+    def show(self, register: str, version: int) -> None:
+        if version > self.shown[register]:
+            self.shown[register] = version
+            self.pulse_desks(self.loop.time())
+
+    # --- placement and holds
+
+    def steer(self, now: float) -> None:
+        """The scribe of the moment proposes moves and sends grants; the others stand by."""
+        whole = self.whole(now)
+        scribe = self.sessions.scribe(now, whole) == self.me and self.editions[1] is not None
+        if scribe != self.was_scribe:
+            self.was_scribe = scribe
+            self.log.info("scribe" if scribe else "not scribe", step="steer")
+            if scribe:
+                self.placement.offices.clear()   # others have moved things since
+                self.holds.out.clear()
+        if not scribe:
+            return
+        table = self.ballots.value(TABLE)
+        services = self.editions[1].services
+        keyed = {name for name, service in services.items() if service.keyed}
+        if table is not None:
+            calls, free = self.holds.step(now, table, keyed, self.roll)
+            until = self.word(now)
+            for call in calls:
+                asyncio.ensure_future(self.call(call, until))
+            for one in free:
+                self.free(one)
+        if not self.proposing:
+            aims: dict[str, float] = {}
+            for routes in self.editions[1].hosts.values():
+                for route in routes.values():
+                    for service, _ in route.targets:
+                        aims[service] = min(aims.get(service, route.aim), route.aim)
+            wanted = self.placement.step(now, services, aims, self.roll, self.silent(now), table)
+            if wanted:
+                self.proposing = True
+                moves = {service: len(changes) for service, changes in wanted.items()}
+                self.log.info("moves", step="placement", moves=moves, table=self.ballots.version(TABLE))
+                self.propose(TABLE, lambda value: placement.apply(value, wanted, keyed), self.proposed, 1.0)
+
+    def proposed(self, outcome: Any) -> None:
+        self.proposing = False
+        if outcome is None:
+            self.placement.offices.clear()   # unclear: begin again from what stands
+        self.learned()
+
+    def free(self, one: Freed) -> None:
+        self.propose(TABLE, lambda value: placement.freed(value, one.service, list(one.places), one.fence, one.old,
+                                                          one.handover), self.settled, 1.0)
+
+    def settled(self, outcome: Any) -> None:
+        self.learned()
+        self.steer(self.loop.time())
+
+    async def call(self, call: Call, until: float) -> None:
+        """One grant or release at a worker. A grant leaves at once and on a fresh word, or not at all."""
+        sent, status, handover = self.loop.time(), 0, ""
+        body = {"Source": call.first, "TargetVersion": call.last, "fence": call.fence}
+        if call.kind == "grant":
+            body["HoldS"] = call.hold
+            if call.handover:
+                body["Handover"] = call.handover
+        within = ASK if call.kind == "grant" else self.holds.expiry
+        try:
+            async with asyncio.timeout(within):
+                if call.kind == "release" or sent < until:
+                    async with self.calls.post(f"http://{call.address}/bramblewood/{call.kind}", json=body,
+                                               headers={"X-Target-Instance": call.life}) as answer:
+                        status, handover = answer.status, answer.headers.get("X-Handover", "")
+                        await answer.read()
+        except aiohttp.ClientConnectorError as problem:
+            status = -1 if isinstance(problem.os_error, ConnectionRefusedError) else 0
+        except (OSError, TimeoutError, aiohttp.ClientError):
+            pass
+        now = self.loop.time()
+        row = self.roll.rows.get(call.life)
+        self.refused[call.life] = self.refused.get(call.life, 0) + 1 if status == -1 else 0
+        unheard = now - self.roll.heard.get(call.life, 0.0)
+        ended = row is None or row.phase == GONE or self.refused[call.life] > 1 and unheard > 1.3 * self.told.beat
+        if status != 200:
+            self.log.info("call failed", step=call.kind, peer=call.life, status=status, keys=(call.first, call.last))
+        if status == 409:
+            self.propose(TABLE, lambda value: placement.refenced(value, call.service, list(call.places), call.fence),
+                         self.settled, 1.0)
+        free = self.holds.answered(now, call, sent, status, handover, ended)
+        if free is not None:
+            self.free(free)
+        elif status == -1 and ended and row is not None and row.phase != GONE:
+            self.note(call.life, row._replace(phase=GONE))
+
+    # --- ballots
+
+    def propose(self, register: str, change: Any, tag: Any, within: float) -> None:
+        self.carry(self.ballots.propose(self.loop.time(), register, change, tag, within))
+
+    def carry(self, out: Out) -> None:
+        """Writes first; sends and answers once they are safe."""
+        if not out.writes:
+            if out.sends or out.answers:
+                self.dispatch(out)
+            return
+        if self.writing_since is None:
+            self.writing_since = self.loop.time()
+        self.writes += 1
+        facts = {"voters": self.ballots.voters} if ("relearn", True) in out.answers else {}
+        self.shelf.write(out.writes, facts, lambda problem: self.written(out, problem))
+
+    def written(self, out: Out, problem: str | None) -> None:
+        self.writes -= 1
+        self.writing_since = self.loop.time() if self.writes else None
+        if problem:
+            self.log.error("not written", step="write", problem=problem)
+            return
+        for register, _, accepted, _ in out.writes:
+            self.ballots.stored(register, accepted)
+        self.dispatch(out)
+
+    def dispatch(self, out: Out) -> None:
+        for peer, message in out.sends:
+            if peer == self.me:
+                self.loop.call_soon(self.hear_ballot, self.me, message)
+            else:
+                self.links.send(peer, message)
+        for tag, outcome in out.answers:
+            if callable(tag):
+                tag(outcome)
+            elif tag == "relearn":
+                self.log.info("votes again", step="relearn")
+        self.learned()
+
+    def hear_ballot(self, peer: str, message: dict) -> None:
+        self.carry(self.ballots.hear(self.loop.time(), peer, message))
+
+    # --- other managers
+
+    def hello(self, peer: str) -> dict:
+        return {"k": "hello", "role": "archive", "from": self.me,
+                "rows": {life: [*row] for life, row in self.roll.rows.items()}}
+
+    def link_told(self, peer: str, up: bool) -> None:
+        self.log.info("link up" if up else "link lost", step="link", peer=peer)
+
+    def met(self, link: Link, message: dict) -> None:
+        link.peer, link.role = str(message["from"]), message["role"]
+        if link.role == "archive":
+            self.take_rows(message.get("rows", {}))
+            return
+        self.desks[link.peer] = link
+        link.send({"k": "roll", "rows": {life: [*row] for life, row in self.roll.rows.items()}})
+        self.pulse_desks(self.loop.time())
+
+    def left(self, link: Link) -> None:
+        if self.desks.get(link.peer) is link:
+            del self.desks[link.peer]
+
+    def hear(self, link: Link, message: dict) -> None:
+        now, kind = self.loop.time(), message["k"]
+        if kind == "pulse":
+            self.sessions.pulse(now, link.peer, message)
+            self.roll.listen(now, message.get("heard", {}))
+            out = Out([], [], [])
+            for register, ballot in message["dur"].items():
+                if tuple(ballot) != NONE and message["v"]:
+                    self.ballots.voted(now, link.peer, register, tuple(ballot), out)
+            self.carry(out)
+            if not self.ballots.voting and message["v"]:
+                self.ballots.voters = tuple(message["voters"])
+            for peer in message["voters"]:
+                if peer != self.me:
+                    self.links.keep(peer, self.told.inner)
+        elif kind == "roll":
+            self.take_rows(message["rows"])
+            self.links.send(link.peer, {"k": "rolled", "id": message["id"]})
+        elif kind == "rolled":
+            waiting = self.confirms.get(message["id"])
+            if waiting is not None and not waiting.done():
+                waiting.set_result(True)
+        elif kind == "want":
+            self.wanted(link, message["r"], message["have"])
+        elif kind == "report":
+            self.reported(now, link, message)
+        elif kind in VOTES:
+            self.hear_ballot(link.peer, message)
+
+    def wanted(self, link: Link, register: str, have: int) -> None:
+        value = self.ballots.value(register)
+        if value is None or value["n"] <= have:
+            return
+        if register == CONFIG:
+            link.send({"k": "config", "n": value["n"], "config": value["config"]})
+            return
+        base = self.tables.get(have)
+        if base is None:
+            link.send({"k": "table", "n": value["n"], "s": value["s"]})
+            return
+        changes = {}
+        for service, entries in value["s"].items():
+            before = base["s"].get(service, [])
+            if len(before) != len(entries):
+                changes[service] = [*entries]
+            else:
+                changes[service] = {place: entry for place, entry in enumerate(entries) if entry != before[place]}
+        link.send({"k": "table", "n": value["n"], "base": have, "d": {k: d for k, d in changes.items() if d}})
+
+    def reported(self, now: float, link: Link, message: dict) -> None:
+        from .. import interface as door
+        over = message["over"]
+        events: dict[str, list] = {}
+        for service, heat in message["heat"].items():
+            events.setdefault(service, []).extend(
+                door.SliceHeat(int(place), link.peer, count, 0, over) for place, count in heat.items())
+        for life, (tries, unanswered, mean_time, load) in message["met"].items():
+            row = self.roll.rows.get(life)
+            if row is None:
+                continue
+            if tries > unanswered:
+                self.roll.heard[life] = max(self.roll.heard.get(life, 0.0), now - over)
+            told = {"busy": load[0] / max(load[2], 1), "queued": load[1] / max(load[2], 1)} if load else {}
+            events.setdefault(row.service, []).append(
+                door.WorkerHeard(life, "", tries, unanswered, mean_time, over, told))
+        if self.was_scribe:
+            for service, some in events.items():
+                self.placement.report(service, some)
+
+    def take_rows(self, rows: dict) -> None:
+        now = self.loop.time()
+        fresh = {life: row for life, row in rows.items() if self.roll.merge(now, life, Row(*row))}
+        if fresh:
+            self.tell_desks(fresh)
+
+    def tell_desks(self, rows: dict) -> None:
+        message = json.dumps({"k": "roll", "rows": rows}, separators=(",", ":"))
+        for link in list(self.desks.values()):
+            link.send(message)
+
+    def note(self, life: str, row: Row) -> int | None:
+        """Take a row; where it is news, tell all desks and archives. The number that the archives confirm."""
+        if not self.roll.merge(self.loop.time(), life, row):
+            return None
+        rows, number = {life: [*row]}, next(self.ids)
+        self.tell_desks(rows)
+        for peer in list(self.links.up):
+            self.links.send(peer, {"k": "roll", "id": number, "rows": rows})
+        if row.phase != "ready":
+            self.log.info("worker leaves", step="roll", peer=life, phase=row.phase)
+            self.loop.call_soon(self.steer, self.loop.time())
+        return number
+
+    # --- callers of control
+
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == "/link" and request.transport.get_extra_info("sockname")[1] == self.told.inner:
+            return await accept(request, self.met, self.hear, self.left, DESK_QUIET)
+        method, path = request.method, request.raw_path
+        body = b""
+        bound = most(method, path)
+        async for chunk in request.content.iter_chunked(2 ** 16):
+            body += chunk
+            if len(body) > bound:
+                return answer(413, f"at most {bound} bytes")
+        command = decode(method, path, body)
+        if isinstance(command, Err):
+            refusal: Refusal = command.err_value
+            if method == "PUT" and path.startswith("/bramblewood/config"):
+                self.log.info("configuration refused", step="check", reason=refusal.reason)
+            headers = {"Allow": refusal.allow} if refusal.allow else {}
+            return answer(refusal.status, refusal.reason, headers)
+        match command.ok_value:
+            case Register(life, row) as call:
+                return await self.registered(life, row, call.leaving)
+            case TakeLeave(life):
+                row = self.roll.rows.get(life)
+                if row is None:
+                    return answer(200)
+                return await self.registered(life, row._replace(phase=GONE, seq=row.seq + 1), True)
+            case PutConfig(edition):
+                told = await self.agreed(CONFIG, lambda stands: succeed(edition, stands))
+                self.log.info("configuration", step="put", number=edition.number, parent=edition.parent, told=told)
+                return answer(*told) if told else answer(503, "no majority heard in time")
+            case GetConfig():
+                told = await self.agreed(CONFIG, lambda stands: (None, [stands]))
+                if told is None:
+                    return answer(503, "no majority heard in time")
+                if told[0] is None:
+                    return answer(404, "no configuration yet")
+                return web.json_response(told[0]["config"])
+
+    async def agreed(self, register: str, change: Any) -> Any:
+        waiting = self.loop.create_future()
+        self.propose(register, change, lambda outcome: waiting.done() or waiting.set_result(outcome), CALL_WITHIN)
+        try:
+            async with asyncio.timeout(CALL_WITHIN + TICK):
+                return await waiting
+        except TimeoutError:
+            return None
+
+    async def registered(self, life: str, row: Row, leaving: bool) -> web.Response:
+        """A worker's call. A leave is acknowledged once another archive knows it too, or not at all."""
+        number = self.note(life, row)
+        if not leaving or (life, row.phase) in self.confirmed:
+            return web.json_response({})
+        if number is None:   # known already, perhaps from another archive, but never confirmed here: say it again
+            number, rows = next(self.ids), {life: [*self.roll.rows[life]]}
+            for peer in list(self.links.up):
+                self.links.send(peer, {"k": "roll", "id": number, "rows": rows})
+        self.confirms[number] = self.loop.create_future()
+        try:
+            async with asyncio.timeout(SEEN_BY_ANOTHER):
+                await self.confirms[number]
+        except TimeoutError:
+            return answer(503, "no other archive has heard it in time")
+        finally:
+            del self.confirms[number]
+        self.confirmed.add((life, row.phase))
+        return web.json_response({})
+
+
+def answer(status: int, reason: str = "", headers: dict | None = None) -> web.Response:
+    body = {"Failure": reason} if reason else {}
+    return web.json_response(body, status=status, headers=headers)
--- /dev/null
+++ b/bramblewood/catalogue/edition.py
@@ -0,0 +1,207 @@
+"""A configuration (an edition): read whole, each invalid kind refused with its place, and an index of its routes."""
+
+import hashlib
+import json
+import re
+from typing import Any, Literal, NamedTuple, NotRequired, TypedDict
+
+from result import Err, Ok, Result
+
+from .typed import Fault, check
+
+LONGEST = 600.0   # s, ten minutes: the most that a TimeoutS may be; PROTOCOL, "The operator"
+PURE = "pure"
+
+
+class Columns(TypedDict):
+    ColumnNames: list[str]
+    Records: list[list[Any]]
+
+
+class Limits(TypedDict):
+    MaxHeaderBytes: NotRequired[int]
+    MaxBodyBytes: NotRequired[int]
+    HeaderTimeoutS: NotRequired[float]
+    IdleTimeoutS: NotRequired[float]
+
+
+class Config(TypedDict):
+    Revision: str
+    RouteList: Columns
+    ServiceList: Columns
+    Limits: NotRequired[Limits]
+    ParentVersion: NotRequired[Any]
+
+
+class Share(TypedDict):
+    Target: str
+    Share: float
+
+
+class RouteRow(TypedDict):
+    Label: str
+    Hostname: str
+    PathPrefix: str
+    RouteType: Literal["pure", "effectful"]
+    TimeoutS: NotRequired[float]
+    TargetLatencyS: NotRequired[float]
+    Priority: NotRequired[int]
+    WeightedTargets: NotRequired[list[Share]]
+    MaxAttempts: NotRequired[int]
+    Target: NotRequired[str]
+
+
+class ServiceRow(TypedDict):
+    Label: str
+    HealthPath: NotRequired[str]
+    MaxConns: NotRequired[int]
+    Sharded: NotRequired[bool]
+    WarmS: NotRequired[float]
+
+
+class Route(NamedTuple):
+    """One route; times in s. targets: (service, share), the shares above 0."""
+    label: str
+    host: str
+    prefix: str
+    pure: bool
+    timeout: float
+    aim: float
+    priority: int
+    attempts: int
+    targets: tuple[tuple[str, float], ...]
+
+    def service(self, chance: float) -> str:
+        """The service for a chance from 0 to 1."""
+        left = chance * sum(share for _, share in self.targets)
+        for service, share in self.targets:
+            left -= share
+            if left < 0:
+                return service
+        return self.targets[-1][0]
+
+
+class Service(NamedTuple):
+    label: str
+    health: str
+    connections: int
+    keyed: bool
+    warm: float
+
+
+class Edition(NamedTuple):
+    """A checked configuration. hosts: routes by host, then by prefix."""
+    number: int
+    parent: int
+    digest: str
+    hosts: dict[str, dict[str, Route]]
+    services: dict[str, Service]
+    limits: dict
+    raw: dict
+
+    def route(self, host: str, path: str) -> Route | None:
+        """The route whose prefix is the longest that begins the path, among this host's."""
+        routes = self.hosts.get(host.lower()) or self.hosts.get(host.lower().partition(":")[0])
+        if routes is None:
+            return None
+        path = path.partition("?")[0]
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            found = routes.get(path[:end + 1])
+            if found is not None:
+                return found
+        return None
+
+
+def number_of(version: Any) -> int | None:
+    """`r12` is 12; 0 stands for no version."""
+    if version in (0, "0", None, "", "r0") and version is not False:
+        return 0
+    found = re.fullmatch(r"r(\d{1,18})", version) if isinstance(version, str) else None
+    return int(found[1]) if found else None
+
+
+def rows(columns: Columns, shape: type, where: str) -> Result[list[dict], Fault]:
+    """Records as checked dictionaries; null is left out."""
+    made = []
+    for place, record in enumerate(columns["Records"]):
+        spot = f"{where}.Records.{place}"
+        if len(record) != len(columns["ColumnNames"]):
+            return Err(Fault(spot, f"{len(columns['ColumnNames'])} values", str(len(record))))
+        row = check({name: value for name, value in zip(columns["ColumnNames"], record, strict=True)
+                     if value is not None}, shape, spot)
+        if isinstance(row, Err):
+            return row
+        made.append(row.ok_value)
+    return Ok(made)
+
+
+def route_of(row: RouteRow, where: str, services: dict) -> Result[Route, Fault]:
+    if not row["PathPrefix"].startswith("/") or not row["PathPrefix"].endswith("/"):
+        return Err(Fault(f"{where}.PathPrefix", "a prefix that begins and ends with a slash", row["PathPrefix"][:60]))
+    timeout = row.get("TimeoutS", LONGEST)
+    if not 0 < timeout <= LONGEST:
+        return Err(Fault(f"{where}.TimeoutS", f"over 0 and at most {LONGEST:.0f} s", str(timeout)))
+    if row.get("MaxAttempts", 1) < 1:
+        return Err(Fault(f"{where}.MaxAttempts", "1 or more", str(row["MaxAttempts"])))
+    targets = [(part["Target"], part["Share"]) for part in row.get("WeightedTargets", [])]
+    if not targets and "Target" in row:
+        targets = [(row["Target"], 1.0)]
+    for service, share in targets:
+        if service not in services:
+            return Err(Fault(f"{where}.Target", "a service of ServiceList", service[:60]))
+        if share < 0:
+            return Err(Fault(f"{where}.WeightedTargets", "shares of 0 or more", str(share)))
+    targets = [(service, share) for service, share in targets if share > 0]
+    if not targets:
+        return Err(Fault(f"{where}.Target", "a service, or shares above 0", "none"))
+    return Ok(Route(row["Label"], row["Hostname"].lower(), row["PathPrefix"], row["RouteType"] == PURE, timeout,
+                    row.get("TargetLatencyS", timeout), row.get("Priority", 0), row.get("MaxAttempts", 1),
+                    tuple(targets)))
+
+
+def edition_of(raw: Any) -> Result[Edition, Fault]:
+    """A configuration as it was put, checked by itself; what stands now is not looked at here."""
+    told = check(raw, Config)
+    if isinstance(told, Err):
+        return told
+    config = told.ok_value
+    number, parent = number_of(config["Revision"]), number_of(config.get("ParentVersion"))
+    if not number:
+        return Err(Fault("Revision", "r and a number above 0", f"{config['Revision']!r:.60}"))
+    if parent is None:
+        return Err(Fault("ParentVersion", "0, or r and a number", f"{config['ParentVersion']!r:.60}"))
+    services = rows(config["ServiceList"], ServiceRow, "ServiceList")
+    if isinstance(services, Err):
+        return services
+    made = {row["Label"]: Service(row["Label"], row.get("HealthPath", "/health"), row.get("MaxConns", 100),
+                                  row.get("Sharded", False), row.get("WarmS", 0.0)) for row in services.ok_value}
+    routes = rows(config["RouteList"], RouteRow, "RouteList")
+    if isinstance(routes, Err):
+        return routes
+    hosts: dict[str, dict[str, Route]] = {}
+    for place, row in enumerate(routes.ok_value):
+        where = f"RouteList.Records.{place}"
+        route = route_of(row, where, made)
+        if isinstance(route, Err):
+            return route
+        route = route.ok_value
+        at_host = hosts.setdefault(route.host, {})
+        if route.prefix in at_host:
+            return Err(Fault(where, "a host and prefix of its own", f"those of {at_host[route.prefix].label[:40]}"))
+        at_host[route.prefix] = route
+    return Ok(Edition(number, parent, digest_of(raw), hosts, made, config.get("Limits", {}), raw))
+
+
+def digest_of(raw: dict) -> str:
+    """The same for the same configuration, however its fields were ordered."""
+    return hashlib.sha256(json.dumps(raw, sort_keys=True).encode()).hexdigest()[:32]
+
+
+def parse(body: bytes) -> Result[Edition, Fault]:
+    """The body of a call that puts a configuration."""
+    try:
+        raw = json.loads(body)
+    except (ValueError, RecursionError):
+        return Err(Fault("", "a whole JSON object", f"{len(body)} bytes that are none"))
+    return edition_of(raw)
--- /dev/null
+++ b/bramblewood/cli/rooms.py
@@ -0,0 +1,53 @@
+"""The commands of the gateway's programs: desk and archive. Not imported by `serve`."""
+
+import asyncio
+import signal
+import sys
+
+import click
+from result import Err
+
+from ..catalogue import bootfile
+from .codes import FAULTY
+
+BOOT = click.option("--boot", metavar="FILE", help=f"the settings file; else the one that {bootfile.VARIABLE} names")
+
+
+@click.group(help="bramblewood: a gateway. Exit codes: 0 done or ended by SIGTERM, 1 damage found or no such thing, "
+                  "2 faulty words, settings, folder or address.")
+def rooms() -> None:
+    pass
+
+
+def settings(path: str | None) -> bootfile.Settings:
+    told = bootfile.load(path)
+    if isinstance(told, Err):
+        click.echo(f"bramblewood: {told.err_value}", err=True)
+        sys.exit(FAULTY)
+    return told.ok_value
+
+
+def play(program) -> None:
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+    try:
+        code = asyncio.run(program.run())
+    except OSError as problem:
+        click.echo(f"bramblewood: {problem}", err=True)
+        code = FAULTY
+    sys.exit(code)
+
+
+@rooms.command()
+@BOOT
+def desk(boot: str | None) -> None:
+    """Run a desk: take clients' requests and carry them to workers."""
+    from ..desk.program import Desk
+    play(Desk(settings(boot)))
+
+
+@rooms.command()
+@BOOT
+def archive(boot: str | None) -> None:
+    """Run an archive: keep the configuration, the roll of workers and the tables."""
+    from ..archive.program import Archive
+    play(Archive(settings(boot)))
--- a/bramblewood/cli/words.py
+++ b/bramblewood/cli/words.py
@@ -7,7 +7,7 @@
 
 import typer
 
-DONE, FOUND, FAULTY = 0, 1, 2   # exit codes: done; damage or no such thing; faulty words, file or folder
+from .codes import DONE, FAULTY, FOUND  # noqa: F401
 
 
 FOLDER = typer.Argument(..., help="the store's folder")
--- /dev/null
+++ b/bramblewood/desk/__init__.py
@@ -0,0 +1,1 @@
+"""The desk: an edge machine that takes clients' requests and carries them to workers."""
--- /dev/null
+++ b/bramblewood/desk/errand.py
@@ -0,0 +1,136 @@
+"""Errand: one request's life, from its admission to its final answer. Pure; the shell carries out what it says.
+
+What may not repeat is sent to a second worker only where nothing of it went out, or the first said that it has not run
+it. Given up means a final answer at once: 503 with a time to come back where it has not run, else 502 or 504.
+"""
+
+from typing import NamedTuple
+
+from ..catalogue.edition import Route
+from .stacks import Answer, How
+
+HOLD_PART = 0.2       # of the aim that a request waits for a worker: refused within a quarter of it, it still counts
+LATER_PART = 0.3      # of the time left after which to come back: clients honour up to a third
+SOON = 0.25           # s to come back after where a queue was full: a few requests' work
+UNSENT_MOST = 4       # tries that never went out; each costs a dial
+SPARE = 0.012         # s kept back from a deadline for the way to the client
+USE_PART = 0.8        # of the shared budget that is used: the rules count arrivals in other windows than ours
+BUCKET = 1.0          # s
+
+
+class Send(NamedTuple):
+    life: str
+
+
+class Wait(NamedTuple):
+    until: float
+
+
+class Reply(NamedTuple):
+    """The final answer: the worker's, or one of our own with a reason."""
+    status: int
+    reason: str
+    later: float | None = None     # s after which to come back
+    answer: Answer | None = None
+
+
+class Budget:
+    """Further tries to a service, as far as this desk's share of the common budget goes."""
+
+    def __init__(self, ratio: float, window: float, slack: float) -> None:
+        self.ratio, self.window, self.slack, self.desks = ratio, window, slack, 1
+        self.counts: dict[str, dict[int, list[int]]] = {}
+
+    def bucket(self, service: str, now: float) -> list[int]:
+        buckets = self.counts.setdefault(service, {})
+        number = int(now / BUCKET)
+        if number not in buckets:
+            for old in [n for n in buckets if n < number - self.window / BUCKET]:
+                del buckets[old]
+            buckets[number] = [0, 0]
+        return buckets[number]
+
+    def arrived(self, service: str, now: float) -> None:
+        self.bucket(service, now)[0] += 1
+
+    def spend(self, service: str, now: float) -> bool:
+        """Take one further try, if there is one left in the window."""
+        bucket = self.bucket(service, now)
+        requests = sum(b[0] for b in self.counts[service].values())
+        further = sum(b[1] for b in self.counts[service].values())
+        if further + 1 > USE_PART * (self.ratio * requests + self.slack / max(self.desks, 1)):
+            return False
+        bucket[1] += 1
+        return True
+
+
+class Errand:
+    def __init__(self, now: float, route: Route, service: str, key: int | None, request: str, deadline: float) -> None:
+        self.route, self.service, self.key, self.request = route, service, key, request
+        self.begun = now
+        self.until = now + min(deadline - SPARE, route.timeout)
+        self.hold_until = now + HOLD_PART * route.aim
+        self.tried: set[str] = set()
+        self.sent = self.unsent = 0
+        self.last: Answer | None = None      # the newest answer of a worker that may be handed on
+
+    def next(self, now: float, choose, budget: Budget) -> Send | Wait | Reply:
+        """What to do now; choose(tried) gives a worker or None."""
+        if now >= self.until:
+            return self.give_up(now, "no answer in time")
+        if self.sent >= self.route.attempts:
+            return self.give_up(now, "all attempts used")
+        life = choose(self.tried)
+        if life is not None:
+            if self.sent and not budget.spend(self.service, now):
+                return self.give_up(now, "no further try left")
+            return Send(life)
+        if now < self.hold_until and not self.last:
+            return Wait(self.hold_until)
+        return self.give_up(now, "no worker may get it now", long=True)
+
+    def give_up(self, now: float, reason: str, long: bool = False) -> Reply:
+        if self.last is not None and not self.not_run(self.last):
+            return Reply(self.last.status, reason, None, self.last)
+        if self.ran_maybe:
+            return Reply(504 if now >= self.until else 502, reason)
+        left = max(self.until - now, 0.0)
+        return Reply(503, reason, round(min(LATER_PART * left, LATER_PART * left if long else SOON), 3))
+
+    ran_maybe = False
+
+    @staticmethod
+    def not_run(answer: Answer) -> bool:
+        return "X-Not-Run" in answer.named or answer.status == 421
+
+    def ended(self, now: float, life: str, how: How, answer: Answer | None) -> Reply | None:
+        """How a try ended; the final answer, or None where `next` is to be asked again."""
+        if how is How.UNSENT:
+            self.unsent += 1
+            self.tried.add(life)
+            return self.give_up(now, "no worker could be reached") if self.unsent >= UNSENT_MOST else None
+        self.sent += 1
+        if self.key is None:
+            self.tried.add(life)
+        if how is How.WHOLE:
+            if self.not_run(answer):
+                if answer.status == 421 and self.key is not None:
+                    self.sent -= 1       # it is elsewhere by now: the table will say where
+                    self.moved = True
+                return None
+            if 200 <= answer.status < 300 and not sound(answer):
+                self.ran_maybe = True    # no success of the worker's own
+                return None if self.route.pure else self.give_up(now, "the worker's answer is not whole")
+            if answer.status >= 500 and self.route.pure:
+                self.last = answer
+                return None
+            return Reply(answer.status, answer.reason, None, answer)
+        self.ran_maybe = True
+        if how is How.SILENT or not self.route.pure:
+            return self.give_up(now, "the worker broke off" if how is How.BROKEN else "no answer in time")
+        return None
+
+
+def sound(answer: Answer) -> bool:
+    """A success as workers give it: sealed and not encoded."""
+    return "X-Response-Seal" in answer.named and "Content-Encoding" not in answer.named
--- /dev/null
+++ b/bramblewood/desk/program.py
@@ -0,0 +1,310 @@
+"""The desk's shell: clients' connections, workers' connections, links to the archives, signals."""
+
+import asyncio
+import os
+import signal
+import zlib
+from typing import Any
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from ..archive.roll import GONE, Row
+from ..catalogue import daybook
+from ..catalogue.bootfile import Settings
+from ..catalogue.edition import Edition, edition_of
+from ..catalogue.links import Link, Links
+from .errand import Budget, Errand, Reply, Send, Wait
+from .stacks import How, Stacks
+from .steering import Steering
+
+REPORT = 1.0        # s between reports to the scribe; the design's cycle
+TIDY = 1.0          # s between looks at kept connections
+WANT_AGAIN = 0.4    # s after which what was asked for and did not come is asked elsewhere
+MISSES = 2.6        # s after which the platform has missed two of its looks and sends no new connections
+MEMORY_PART = 0.25  # of the process's memory that clients' bodies may take
+AT_ONCE = 2 ** 16   # bytes read from a body at once
+HOPS = {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
+        b"proxy-authenticate", b"proxy-authorization", b"expect"}
+OURS = {b"x-deadline-ms", b"x-target-instance", b"content-length"}
+NOTHING = {b"content-length", b"date", b"server"}
+BACK_MOST = 60.0    # s, a deadline where a client names none
+
+
+class Desk:
+    def __init__(self, told: Settings) -> None:
+        self.told = told
+        self.log = daybook.begin(told.name)
+        bounds = told.bounds
+        self.steering = Steering(bounds.DrainS)
+        self.budget = Budget(bounds.RetryRatio, bounds.RetryWindowS, bounds.RetrySlack)
+        self.stacks = Stacks()
+        self.edition: Edition | None = None
+        self.links = Links(self.hello, self.hear, self.link_told)
+        self.claims: dict[str, dict] = {}          # by archive: its newest pulse
+        self.wanted: dict[str, tuple[int, float]] = {}
+        self.scribe: str | None = None
+        self.ready = self.ending = False
+        self.flight, self.held = 0, 0
+        self.changed: asyncio.Event | None = None
+        self.reported_at = 0.0
+
+    async def run(self) -> int:
+        loop = self.loop = asyncio.get_running_loop()
+        self.leaving, self.changed = asyncio.Event(), asyncio.Event()
+        loop.add_signal_handler(signal.SIGTERM, self.leaving.set)
+        loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        for peer in self.told.seed_ips():
+            self.links.keep(peer, self.told.inner)
+        front = web.Server(self.serve, access_log=None, max_line_size=65536, max_field_size=65536, max_headers=256,
+                           keepalive_timeout=15.0, auto_decompress=False)
+        probe = web.Server(self.readiness, access_log=None, keepalive_timeout=5.0)
+        await loop.create_server(front, *self.told.listen["Front"], backlog=1024)
+        await loop.create_server(probe, *self.told.listen["ReadyProbe"], backlog=128)
+        self.reported_at = tidy_at = loop.time()
+        self.log.info("started", step="start")
+        while not self.leaving.is_set():
+            try:
+                async with asyncio.timeout(REPORT):
+                    await self.leaving.wait()
+            except TimeoutError:
+                pass
+            now = loop.time()
+            self.report(now)
+            if now >= tidy_at:
+                tidy_at = now + TIDY
+                self.stacks.tidy(now, {life for life, row in self.steering.roll.rows.items() if row.phase != GONE})
+                self.steering.roll.forget(now)
+                self.steering.forget()
+        return await self.end(loop.time())
+
+    async def end(self, now: float) -> int:
+        """SIGTERM: not ready, new connections still answered and closed, work in flight finished within GraceS."""
+        self.ending = True
+        self.log.info("ending", step="end", flight=self.flight)
+        last, calm = now + self.told.bounds.GraceS - 0.5, now + MISSES
+        while self.loop.time() < last and (self.flight or self.loop.time() < calm):
+            await asyncio.sleep(0.1)
+            self.report(self.loop.time())
+        self.log.info("stopped", step="end", flight=self.flight)
+        return 0
+
+    # --- the archives
+
+    def hello(self, peer: str) -> dict:
+        return {"k": "hello", "role": "desk", "from": self.told.name}
+
+    def link_told(self, peer: str, up: bool) -> None:
+        if not up:
+            self.claims.pop(peer, None)
+            if self.scribe == peer:
+                self.scribe = None
+
+    def hear(self, link: Link, message: dict) -> None:
+        now, kind = self.loop.time(), message["k"]
+        if kind == "pulse":
+            self.pulse(now, link.peer, message)
+        elif kind == "roll":
+            for life, row in message["rows"].items():
+                if self.steering.roll.merge(now, life, Row(*row)) and row[4] == GONE:
+                    self.stacks.drop(life)
+            self.stir()
+        elif kind == "config":
+            self.take_config(message)
+        elif kind == "table":
+            if not self.steering.take_table(message):
+                link.send({"k": "want", "r": "table", "have": 0})
+            self.stir()
+        self.look_ready()
+
+    def pulse(self, now: float, peer: str, message: dict) -> None:
+        self.claims[peer] = message
+        if message["scribe"]:
+            self.scribe = peer
+        if message["whole"]:
+            self.steering.silent = set(message["silent"])
+            self.budget.desks = max(message["desks"], 1)
+        for other in message["archives"]:
+            self.links.keep(other, self.told.inner)
+        for register, have in (("config", self.edition.number if self.edition else 0),
+                               ("table", self.steering.table_n)):
+            number = message["n"][register]
+            asked, at = self.wanted.get(register, (0, -1e9))
+            if number > have and (number > asked or now > at + WANT_AGAIN):
+                self.wanted[register] = (number, now)
+                self.links.send(peer, {"k": "want", "r": register, "have": have})
+
+    def take_config(self, message: dict) -> None:
+        if self.edition is not None and message["n"] <= self.edition.number:
+            return   # never back within one life
+        edition = edition_of(message["config"])
+        if edition.is_ok():
+            self.edition = edition.ok_value
+            self.log.info("configuration", step="take", number=self.edition.number)
+            self.stir()
+
+    def look_ready(self) -> None:
+        """Ready once the newest that an archive with a word of the majority tells of is here; then for this life."""
+        if self.ready or self.edition is None:
+            return
+        for told in self.claims.values():
+            if told["whole"] and told["n"]["config"] <= self.edition.number \
+                    and told["n"]["table"] <= self.steering.table_n and self.steering.table_n:
+                self.ready = True
+                self.log.info("ready", step="start", number=self.edition.number)
+                return
+
+    def stir(self) -> None:
+        """Requests that wait look again."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def report(self, now: float) -> None:
+        if self.scribe is not None and self.links.send(self.scribe, self.steering.report(now - self.reported_at)):
+            self.reported_at = now
+        for peer in list(self.links.up):
+            if peer != self.scribe:
+                self.links.send(peer, {"k": "here"})
+
+    # --- the platform
+
+    async def readiness(self, request: web.BaseRequest) -> web.Response:
+        ready = self.ready and not self.ending
+        return web.Response(status=200 if ready else 503)
+
+    # --- clients
+
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.flight += 1
+        try:
+            response = await self.request(request)
+        finally:
+            self.flight -= 1
+        if self.ending:
+            response.force_close()
+        return response
+
+    async def request(self, request: web.BaseRequest) -> web.StreamResponse:
+        now, edition = self.loop.time(), self.edition
+        if edition is None:
+            return own(503, "no configuration yet", 0.5)
+        route = edition.route(request.headers.get("Host", ""), request.raw_path)
+        if route is None:
+            return own(404, "no route")
+        name = request.headers.get("X-Attempt-Id", "") or f"{self.told.name}-{os.urandom(8).hex()}"
+        service = route.service(zlib.crc32(b"share" + name.encode()) / 2 ** 32)
+        key = None
+        if edition.services[service].keyed:
+            told = request.headers.get("X-Shard-Key", "")
+            if not told.isdigit() or int(told) > 65535:
+                return own(400, "X-Shard-Key: expected a number from 0 to 65535")
+            key = int(told)
+        told = request.headers.get("X-Deadline-Ms", "")
+        deadline = int(told) / 1000 if told.isdigit() else BACK_MOST
+        body = await self.body(request, edition.limits.get("MaxBodyBytes", 2 ** 26))
+        if isinstance(body, web.Response):
+            return body
+        try:
+            return await self.carry(request, body, Errand(now, route, service, key, name, deadline))
+        finally:
+            self.held -= len(body)
+
+    async def body(self, request: web.BaseRequest, most: int) -> bytes | web.Response:
+        """The whole body, within what the configuration and this machine's memory allow."""
+        if not request.can_read_body:
+            return b""
+        if request.headers.get("Expect", "").lower() == "100-continue" and request.transport is not None:
+            request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        parts, size = [], 0
+        async for part in request.content.iter_chunked(AT_ONCE):
+            size += len(part)
+            if size > most:
+                return own(413, f"at most {most} bytes", close=True)
+            if self.held + size > self.told.memory * MEMORY_PART:
+                return own(503, "too many bodies at once", 0.5, close=True)
+            parts.append(part)
+        self.held += size
+        return b"".join(parts)
+
+    async def carry(self, request: web.BaseRequest, body: bytes, errand: Errand) -> web.Response:
+        loop, steering = self.loop, self.steering
+        self.budget.arrived(errand.service, loop.time())
+        steering.counted(errand.service, steering.place(errand.service, errand.key, errand.request))
+        while True:
+            now, changed = loop.time(), self.changed
+            step = errand.next(now, lambda tried: steering.choose(
+                now, errand.service, errand.key, errand.request, tried), self.budget)   # noqa: B023
+            if isinstance(step, Wait):
+                try:
+                    async with asyncio.timeout_at(step.until):
+                        await changed.wait()
+                except TimeoutError:
+                    pass
+                continue
+            reply = step if isinstance(step, Reply) else await self.attempt(request, body, errand, step)
+            if reply is not None:
+                return finish(reply)
+
+    async def attempt(self, request: web.BaseRequest, body: bytes, errand: Errand, step: Send) -> Reply | None:
+        loop, steering, life = self.loop, self.steering, step.life
+        seen = steering.of(life)
+        seen.flight += 1
+        began, how, answer = loop.time(), How.UNSENT, None
+        try:
+            line = await self.stacks.lend(life, steering.roll.rows[life].address, began)
+            if line is not None:
+                now = loop.time()
+                how, answer = await line.exchange(head(request, body, errand, life, now) + body, errand.request,
+                                                  errand.until)
+                self.stacks.give_back(life, line)
+        finally:
+            seen.flight -= 1
+        now = loop.time()
+        if how is How.WHOLE:
+            steering.answered(now, life, now - began)
+            steering.loaded(now, life, answer.named.get("X-Server-Load", ""))
+        else:
+            steering.failed(now, life, how is not How.BROKEN)
+            self.log.info("try failed", step="attempt", peer=life, how=how.value, id=errand.request)
+            if how is How.UNSENT:
+                self.stacks.drop(life)
+        return errand.ended(now, life, how, answer)
+
+
+def head(request: web.BaseRequest, body: bytes, errand: Errand, life: str, now: float) -> bytes:
+    """The request as a worker gets it: unchanged but for what concerns one connection, the time left and its target."""
+    named = {name.strip().lower().encode() for name in request.headers.get("Connection", "").split(",")}
+    lines = [f"{request.method} {request.raw_path} HTTP/1.1".encode("utf-8", "surrogateescape")]
+    has_id = False
+    for name, value in request.raw_headers:
+        low = name.lower()
+        if low not in HOPS and low not in OURS and low not in named:
+            has_id = has_id or low == b"x-attempt-id"
+            lines.append(name + b": " + value)
+    if not has_id:
+        lines.append(f"X-Attempt-Id: {errand.request}".encode())
+    lines.append(f"X-Deadline-Ms: {max(int((errand.until - now) * 1000), 1)}".encode())
+    lines.append(f"X-Target-Instance: {life}".encode())
+    if body or "Content-Length" in request.headers or "Transfer-Encoding" in request.headers:
+        lines.append(f"Content-Length: {len(body)}".encode())
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def own(status: int, reason: str, later: float | None = None, close: bool = False) -> web.Response:
+    response = web.json_response({"Failure": reason}, status=status)
+    if later is not None:
+        response.headers["Retry-After"] = f"{later:.3f}"
+    if close:
+        response.force_close()
+    return response
+
+
+def finish(reply: Reply) -> web.Response:
+    if reply.answer is None:
+        return own(reply.status, reply.reason, reply.later)
+    headers: CIMultiDict[Any] = CIMultiDict()
+    for name, value in reply.answer.headers:
+        if name.lower() not in HOPS and name.lower() not in NOTHING:
+            headers.add(name.decode("utf-8", "surrogateescape"), value.decode("utf-8", "surrogateescape"))
+    return web.Response(status=reply.answer.status, reason=reply.answer.reason, body=reply.answer.body,
+                        headers=headers)
--- /dev/null
+++ b/bramblewood/desk/steering.py
@@ -0,0 +1,169 @@
+"""Steering: which worker a request goes to, by the agreed tables and what this desk has seen itself. Pure.
+
+The table gives each slice its worker and a second one. What this desk alone knows corrects it for its own requests: a
+worker that did not take its connections rests for a while, and one whose newest stated load is full gives way to the
+second while that has room.
+"""
+
+import zlib
+from typing import Any
+
+from ..archive.placement import KEYS, OLD, PART, SECOND, WORKER
+from ..archive.roll import DRAINING, GONE, READY, Roll
+
+REST = (0.5, 4.0)    # s that a worker rests here after a failure to connect or silence; doubled each time, at most
+LOAD_AGE = 1.0       # s that a stated load is believed; reports are about as old
+DRAIN_PART = 0.6     # of DrainS in which a keyed worker that leaves may still get what nobody else holds
+
+
+class Seen:
+    """What this desk saw of one worker."""
+    __slots__ = ("flight", "load", "load_at", "rests_until", "rest", "tries", "unanswered", "time", "said")
+
+    def __init__(self) -> None:
+        self.flight = 0
+        self.load, self.load_at = (0, 0, 0), -1e9      # running, waiting, slots, as the worker said
+        self.rests_until, self.rest = 0.0, REST[0]
+        self.tries = self.unanswered = 0               # since the last report
+        self.time, self.said = 0.0, False
+
+
+class Steering:
+    def __init__(self, drain: float) -> None:
+        self.roll = Roll()
+        self.table: dict[str, list] = {}
+        self.table_n = 0
+        self.silent: set[str] = set()
+        self.seen: dict[str, Seen] = {}
+        self.heat: dict[str, dict[int, int]] = {}
+        self.drain = drain
+
+    def of(self, life: str) -> Seen:
+        return self.seen.get(life) or self.seen.setdefault(life, Seen())
+
+    def take_table(self, message: dict) -> bool:
+        """A table or a difference to ours; false where its base is another than ours."""
+        if message["n"] <= self.table_n:
+            return True
+        if "s" in message:
+            self.table = {service: [*entries] for service, entries in message["s"].items()}
+        elif message["base"] != self.table_n:
+            return False
+        else:
+            for service, changes in message["d"].items():
+                if isinstance(changes, list):
+                    self.table[service] = changes
+                else:
+                    for place, entry in changes.items():
+                        self.table[service][int(place)] = entry
+        self.table_n = message["n"]
+        return True
+
+    # --- the choice
+
+    def place(self, service: str, key: int | None, request: str) -> int | None:
+        """The slice of a request: by its key, or by its id where the service has none."""
+        entries = self.table.get(service)
+        if not entries:
+            return None
+        if key is not None:
+            return self.of_key(key, len(entries))
+        return zlib.crc32(request.encode()) % len(entries)
+
+    @staticmethod
+    def of_key(key: int, count: int) -> int:
+        """The slice whose span holds the key; the inverse of `placement.span`."""
+        return ((key + 1) * count - 1) // KEYS
+
+    def open(self, now: float, life: str) -> bool:
+        """May get new requests: ready as far as known, and not resting here."""
+        row = self.roll.rows.get(life)
+        return (row is not None and row.phase == READY and life not in self.silent
+                and self.of(life).rests_until <= now)
+
+    def pressure(self, now: float, life: str) -> float:
+        """Requests per slot that it has, as far as this desk can tell."""
+        seen, row = self.of(life), self.roll.rows[life]
+        running, waiting, _ = seen.load if now - seen.load_at <= LOAD_AGE else (0, 0, 0)
+        return (max(running + waiting, seen.flight)) / row.slots
+
+    def choose(self, now: float, service: str, key: int | None, request: str, tried: set[str]) -> str | None:
+        """The worker for a request now, or None while there is none that may get it."""
+        place = self.place(service, key, request)
+        if place is None:
+            return None if key is not None else self.any(now, service, tried)
+        entry = self.table[service][place]
+        if key is not None:
+            life = entry[WORKER]
+            if not life or entry[OLD]:
+                return None
+            row = self.roll.rows.get(life)
+            if row is None or row.phase == GONE or self.of(life).rests_until > now:
+                return None
+            if row.phase == DRAINING and now - self.roll.since.get(life, 0.0) > self.drain * DRAIN_PART:
+                return None
+            return life
+        able = [life for life in (entry[WORKER], entry[SECOND])
+                if life and life not in tried and self.open(now, life)]
+        if not able:
+            return self.any(now, service, tried)
+        if len(able) == 1:
+            first = able[0]
+            if self.pressure(now, first) >= 1.0 and (other := self.any(now, service, {*tried, first})):
+                if self.pressure(now, other) < self.pressure(now, first):
+                    return other
+            return first
+        first, second = able
+        if entry[PART] > 0.1 or self.pressure(now, first) >= 1.0:
+            return min(able, key=lambda life: self.pressure(now, life))
+        return first
+
+    def any(self, now: float, service: str, tried: set[str]) -> str | None:
+        """The least pressed worker of a service that is open and was not tried."""
+        able = [life for life in self.roll.serving(service) if life not in tried and self.open(now, life)]
+        return min(able, key=lambda life: (self.pressure(now, life), zlib.crc32(f"{life}{now}".encode())), default=None)
+
+    # --- what was seen
+
+    def counted(self, service: str, place: int | None) -> None:
+        if place is not None:
+            heat = self.heat.setdefault(service, {})
+            heat[place] = heat.get(place, 0) + 1
+
+    def loaded(self, now: float, life: str, text: str) -> None:
+        """`X-Server-Load`: running, waiting, slots; anything else is let fall."""
+        parts = text.split(",")
+        if len(parts) == 3 and all(part.strip().isdigit() for part in parts):
+            seen = self.of(life)
+            seen.load, seen.load_at, seen.said = tuple(map(int, parts)), now, True
+
+    def answered(self, now: float, life: str, took: float) -> None:
+        seen = self.of(life)
+        seen.tries += 1
+        seen.time += took
+        seen.rest, seen.rests_until = REST[0], 0.0
+
+    def failed(self, now: float, life: str, rest: bool) -> None:
+        """A try without an answer; with `rest` it gets nothing from here for a while."""
+        seen = self.of(life)
+        seen.tries += 1
+        seen.unanswered += 1
+        if rest:
+            seen.rests_until = now + seen.rest
+            seen.rest = min(seen.rest * 2, REST[1])
+
+    def report(self, over: float) -> dict[str, Any]:
+        """What the scribe is told of the last second; counts begin anew."""
+        met = {}
+        for life, seen in self.seen.items():
+            if seen.tries or seen.said:
+                good = seen.tries - seen.unanswered
+                met[life] = (seen.tries, seen.unanswered, round(seen.time / good, 4) if good else 0.0,
+                             seen.load if seen.said else None)
+            seen.tries = seen.unanswered = 0
+            seen.time, seen.said = 0.0, False
+        heat, self.heat = self.heat, {}
+        return {"k": "report", "over": round(over, 3), "heat": heat, "met": met}
+
+    def forget(self) -> None:
+        self.seen = {life: seen for life, seen in self.seen.items() if life in self.roll.rows or seen.flight}
