Slices of any width: hot ones are split where their heat lies, their parts spread at once

Cause: the busy keys lie side by side, so that one slice of 512 keys had 18 of 60 requests a second, more than a worker can do; the design leaves open a slice hotter than any limit. Change: slices have bounds of their own (placement.py, Office.split); desks report heat by eight keys.

--- a/bramblewood/archive/holds.py
+++ b/bramblewood/archive/holds.py
@@ -8,7 +8,7 @@
 
 from typing import NamedTuple
 
-from .placement import FENCE, HANDOVER, OLD, WORKER, span
+from .placement import FENCE, HANDOVER, KEYS, OLD, WORKER, starts_of
 from .roll import GONE, Roll
 from .sessions import WORD
 
@@ -16,6 +16,7 @@
 RENEW_PART = 1 / 3  # of the hold after which it is renewed: two more tries fit
 SLOW_CLOCK = 1.02   # a worker's clock may run 2% slow; PROTOCOL
 TRAVEL = 0.3        # s for a call on its way, as the pages allow after a thaw (ThawSlackS)
+SAME = (WORKER, FENCE, HANDOVER, OLD)   # what slices of one call have in common
 AGAIN = 0.3         # s between tries of a call that failed
 
 
@@ -25,7 +26,7 @@
     service: str
     life: str
     address: str
-    places: tuple[int, ...]
+    starts: tuple[int, ...]
     first: int
     last: int
     fence: int
@@ -36,7 +37,7 @@
 class Freed(NamedTuple):
     """These slices are free of their old holder: to be agreed."""
     service: str
-    places: tuple[int, ...]
+    starts: tuple[int, ...]
     fence: int
     old: str
     handover: str
@@ -58,24 +59,27 @@
         calls, free, waiting = [], [], set()
         for service in keyed & table["s"].keys():
             entries = table["s"][service]
+            starts = starts_of(entries)
             run: list[int] = []
-            for place, entry in enumerate([*entries, None]):
-                same = run and entry is not None and entry[WORKER] and [entries[run[-1]][i] for i in (
-                    WORKER, FENCE, HANDOVER, OLD)] == [entry[i] for i in (WORKER, FENCE, HANDOVER, OLD)]
-                if run and not same:
-                    self.run_of(now, service, entries, run, roll, calls, free, waiting)
+            for place, start in enumerate(starts):
+                entry = entries[str(start)]
+                if run and tuple(entry[i] for i in SAME) != tuple(entries[str(run[0])][i] for i in SAME):
+                    self.run_of(now, service, entries, run, start - 1, roll, calls, free, waiting)
                     run = []
-                if entry is not None and entry[WORKER]:
-                    run.append(place)
+                if entry[WORKER]:
+                    run.append(start)
+                    if place + 1 == len(starts):
+                        self.run_of(now, service, entries, run, KEYS - 1, roll, calls, free, waiting)
         self.wait_from = {key: at for key, at in self.wait_from.items() if key in waiting}
         return calls, free
 
-    def run_of(self, now: float, service: str, entries: list, run: list[int], roll: Roll, calls: list, free: list,
-               waiting: set) -> None:
-        entry = entries[run[0]]
+    def run_of(self, now: float, service: str, entries: dict, run: list[int], last: int, roll: Roll, calls: list,
+               free: list, waiting: set) -> None:
+        """One run of slices next to each other with the same holder, fence, handover and old holder."""
+        entry = entries[str(run[0])]
         if not entry[OLD]:
             if self.due(now, service, entry, run):
-                self.call(now, "grant", service, entry[WORKER], entries, run, roll, calls)
+                self.call(now, "grant", service, entry[WORKER], entry, run, last, roll, calls)
             return
         key = (service, run[0], entry[FENCE], entry[OLD])
         waiting.add(key)
@@ -85,39 +89,37 @@
         if ended or now >= since + self.expiry:
             free.append(Freed(service, tuple(run), entry[FENCE], entry[OLD], ""))
         else:
-            self.call(now, "release", service, entry[OLD], entries, run, roll, calls)
+            self.call(now, "release", service, entry[OLD], entry, run, last, roll, calls)
 
     def due(self, now: float, service: str, entry: list, run: list[int]) -> bool:
-        for place in run:
-            life, fence, at = self.granted.get((service, place), ("", 0, 0.0))
+        for start in run:
+            life, fence, at = self.granted.get((service, start), ("", 0, 0.0))
             if (life, fence) != (entry[WORKER], entry[FENCE]) or now >= at + self.hold * RENEW_PART:
                 return True
         return False
 
-    def call(self, now: float, kind: str, service: str, life: str, entries: list, run: list[int], roll: Roll,
+    def call(self, now: float, kind: str, service: str, life: str, entry: list, run: list[int], last: int, roll: Roll,
              calls: list) -> None:
-        entry, row = entries[run[0]], roll.rows.get(life)
-        key = (kind, service, run[0], run[-1], entry[FENCE])
+        row, key = roll.rows.get(life), (kind, service, run[0], last, entry[FENCE])
         if row is None or row.phase == GONE and kind == "grant" or key in self.out or now < self.next_at.get(key, 0.0):
             return
         self.out.add(key)
-        first, last = span(run[0], len(entries))[0], span(run[-1], len(entries))[1]
-        calls.append(Call(kind, service, life, row.address, tuple(run), first, last, entry[FENCE], self.hold,
+        calls.append(Call(kind, service, life, row.address, tuple(run), run[0], last, entry[FENCE], self.hold,
                           entry[HANDOVER]))
 
     def answered(self, now: float, call: Call, sent: float, status: int, handover: str, ended: bool) -> Freed | None:
         """The end of a call; status 0 is no answer, -1 a dead port; ended: it took leave, or nobody hears it."""
-        key = (call.kind, call.service, call.places[0], call.places[-1], call.fence)
+        key = (call.kind, call.service, call.first, call.last, call.fence)
         self.out.discard(key)
         self.next_at = {k: at for k, at in self.next_at.items() if at > now}
         if call.kind == "grant":
             if status == 200:
-                for place in call.places:
-                    self.granted[call.service, place] = (call.life, call.fence, sent)
+                for start in call.starts:
+                    self.granted[call.service, start] = (call.life, call.fence, sent)
             else:
                 self.next_at[key] = now + AGAIN
             return None
         if status in (200, 421) or status == -1 and ended:   # 421: another life listens there, so this one ended
-            return Freed(call.service, call.places, call.fence, call.life, handover if status == 200 else "")
+            return Freed(call.service, call.starts, call.fence, call.life, handover if status == 200 else "")
         self.next_at[key] = now + AGAIN
         return None
--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -14,7 +14,7 @@
 from ..catalogue import daybook
 from ..catalogue.bootfile import Settings
 from ..catalogue.edition import edition_of
-from ..catalogue.links import Link, Links, accept, careful_socket
+from ..catalogue.links import QUIET, Link, Links, accept, careful_socket
 from . import placement
 from .accession import GetConfig, PutConfig, Refusal, Register, TakeLeave, decode, most, succeed
 from .ballots import CONFIG, NONE, REGISTERS, TABLE, VOTES, Ballots, Out
@@ -44,7 +44,8 @@
         self.life = int.from_bytes(os.urandom(4), "big")
         self.shelf = Shelf(told.data or "/tmp")
         self.roll, self.sessions = Roll(), Sessions(self.me)
-        self.links = Links(self.hello, self.hear, self.link_told)
+        self.links = Links(self.hello, self.hear, self.link_told, None)
+        self.up_since: dict[str, float] = {}
         self.desks: dict[str, Link] = {}
         self.holds = Holds(told.bounds.HoldMaxS)
         self.ids = itertools.count(1)
@@ -57,7 +58,7 @@
         self.writes = 0
         self.asking = False
         self.refused: dict[str, int] = {}
-        self.pulse_at = self.desk_pulse_at = self.turn_at = 0.0
+        self.heat_at = self.pulse_at = self.desk_pulse_at = self.turn_at = 0.0
         self.proposing = self.was_scribe = False
 
     # --- start and end
@@ -133,6 +134,10 @@
                    "acc": {name: ballots.acceptors[name].accepted for name in REGISTERS}, "dur": ballots.durable,
                    "desks": list(self.desks)}
         for peer in list(self.links.up):
+            heard = self.sessions.heard.get(peer)
+            if now - max(heard.at if heard else 0.0, self.up_since[peer]) > QUIET:
+                self.links.up[peer].close()   # its own link brings nothing any more: likely a cut
+                continue
             told = {**message, "e": self.sessions.stamps.get(peer, -1e9)}
             if int(now / PULSE) % 4 == 0:
                 told["heard"] = self.roll.ages(now, 2.0)
@@ -196,6 +201,13 @@
                 asyncio.ensure_future(self.call(call, until))
             for one in free:
                 self.free(one)
+        if now >= self.heat_at and table is not None:
+            self.heat_at = now + 2
+            for service, office in self.placement.offices.items():
+                m = office.manager
+                top = sorted(((round(p.estimate(), 1), p.number) for p in m.ours()), reverse=True)[:6]
+                loads = sorted(((round(w.load, 2), w.name[:5]) for w in m.workers.values()), reverse=True)
+                self.log.info("heat", s=service, top=top, loads=loads)
         if not self.proposing:
             aims: dict[str, float] = {}
             for routes in self.editions[1].hosts.values():
@@ -205,7 +217,7 @@
             wanted = self.placement.step(now, services, aims, self.roll, self.silent(now), table)
             if wanted:
                 self.proposing = True
-                moves = {service: len(changes) for service, changes in wanted.items()}
+                moves = {service: (len(c.lines), len(c.splits)) for service, c in wanted.items()}
                 self.log.info("moves", step="placement", moves=moves, table=self.ballots.version(TABLE))
                 self.propose(TABLE, lambda value: placement.apply(value, wanted, keyed), self.proposed, 1.0)
 
@@ -216,7 +228,7 @@
         self.learned()
 
     def free(self, one: Freed) -> None:
-        self.propose(TABLE, lambda value: placement.freed(value, one.service, list(one.places), one.fence, one.old,
+        self.propose(TABLE, lambda value: placement.freed(value, one.service, one.starts, one.fence, one.old,
                                                           one.handover), self.settled, 1.0)
 
     def settled(self, outcome: Any) -> None:
@@ -251,7 +263,7 @@
         if status != 200:
             self.log.info("call failed", step=call.kind, peer=call.life, status=status, keys=(call.first, call.last))
         if status == 409:
-            self.propose(TABLE, lambda value: placement.refenced(value, call.service, list(call.places), call.fence),
+            self.propose(TABLE, lambda value: placement.refenced(value, call.service, call.starts, call.fence),
                          self.settled, 1.0)
         free = self.holds.answered(now, call, sent, status, handover, ended)
         if free is not None:
@@ -309,6 +321,7 @@
                 "rows": {life: [*row] for life, row in self.roll.rows.items()}}
 
     def link_told(self, peer: str, up: bool) -> None:
+        self.up_since[peer] = self.loop.time()
         self.log.info("link up" if up else "link lost", step="link", peer=peer)
 
     def met(self, link: Link, message: dict) -> None:
@@ -366,32 +379,23 @@
             return
         changes = {}
         for service, entries in value["s"].items():
-            before = base["s"].get(service, [])
-            if len(before) != len(entries):
-                changes[service] = [*entries]
-            else:
-                changes[service] = {place: entry for place, entry in enumerate(entries) if entry != before[place]}
+            before = base["s"].get(service, {})
+            changes[service] = {start: entry for start, entry in entries.items() if entry != before.get(start)}
         link.send({"k": "table", "n": value["n"], "base": have, "d": {k: d for k, d in changes.items() if d}})
 
     def reported(self, now: float, link: Link, message: dict) -> None:
-        from .. import interface as door
-        over = message["over"]
-        events: dict[str, list] = {}
-        for service, heat in message["heat"].items():
-            events.setdefault(service, []).extend(
-                door.SliceHeat(int(place), link.peer, count, 0, over) for place, count in heat.items())
+        over, met = message["over"], {service: [] for service in message["heat"]}
         for life, (tries, unanswered, mean_time, load) in message["met"].items():
             row = self.roll.rows.get(life)
             if row is None:
                 continue
             if tries > unanswered:
                 self.roll.heard[life] = max(self.roll.heard.get(life, 0.0), now - over)
-            told = {"busy": load[0] / max(load[2], 1), "queued": load[1] / max(load[2], 1)} if load else {}
-            events.setdefault(row.service, []).append(
-                door.WorkerHeard(life, "", tries, unanswered, mean_time, over, told))
+            met.setdefault(row.service, []).append(
+                placement.met_of(life, tries, unanswered, mean_time, over, load))
         if self.was_scribe:
-            for service, some in events.items():
-                self.placement.report(service, some)
+            for service, some in met.items():
+                self.placement.report(service, link.peer, message["heat"].get(service, {}), over, some)
 
     def take_rows(self, rows: dict) -> None:
         now = self.loop.time()
--- a/bramblewood/catalogue/links.py
+++ b/bramblewood/catalogue/links.py
@@ -79,9 +79,12 @@
     """Dialled links, by peer."""
 
     def __init__(self, hello: Callable[[str], dict], hear: Callable[[Link, dict], None],
-                 told: Callable[[str, bool], None]) -> None:
-        """hello(peer) is the first message on each new link; told(peer, up) is called when one comes or goes."""
-        self.hello, self.hear, self.told = hello, hear, told
+                 told: Callable[[str, bool], None], quiet: float | None) -> None:
+        """hello(peer) is the first message on each new link; told(peer, up) is called when one comes or goes.
+
+        quiet: s without a message after which a link counts as cut; None where its peer says nothing on it.
+        """
+        self.hello, self.hear, self.told, self.quiet = hello, hear, told, quiet
         self.up: dict[str, Link] = {}
         self.tasks: dict[str, asyncio.Task] = {}
         self.session: aiohttp.ClientSession | None = None
@@ -107,12 +110,13 @@
                 self.up[peer] = link
                 self.told(peer, True)
                 wait = WAITS[0]
-                await listen(link, self.hear, QUIET)
+                await listen(link, self.hear, self.quiet)
             except (OSError, TimeoutError, aiohttp.ClientError, ValueError):
                 pass
             finally:
                 if link is not None:
                     link.close()
+                    await link.ws.close()
                     if self.up.get(peer) is link:
                         del self.up[peer]
                         self.told(peer, False)
--- a/bramblewood/desk/errand.py
+++ b/bramblewood/desk/errand.py
@@ -13,6 +13,7 @@
 LATER_PART = 0.3      # of the time left after which to come back: clients honour up to a third
 SOON = 0.25           # s to come back after where a queue was full: a few requests' work
 UNSENT_MOST = 4       # tries that never went out; each costs a dial
+SHY_PART = 0.15       # of the aim before the same worker is asked again: about half of a request's work
 SPARE = 0.012         # s kept back from a deadline for the way to the client
 USE_PART = 0.8        # of the shared budget that is used: the rules count arrivals in other windows than ours
 BUCKET = 1.0          # s
@@ -73,6 +74,8 @@
         self.tried: set[str] = set()
         self.sent = self.unsent = 0
         self.last: Answer | None = None      # the newest answer of a worker that may be handed on
+        self.ran_maybe = False
+        self.shy, self.shy_until = "", 0.0   # a worker that did not take it, and until when not to ask it again
 
     def next(self, now: float, choose, budget: Budget) -> Send | Wait | Reply:
         """What to do now; choose(tried) gives a worker or None."""
@@ -81,6 +84,8 @@
         if self.sent >= self.route.attempts:
             return self.give_up(now, "all attempts used")
         life = choose(self.tried)
+        if life is not None and life == self.shy and now < self.shy_until:
+            return Wait(self.shy_until)   # it said no a moment ago: let its queue go down, or a grant arrive
         if life is not None:
             if self.sent and not budget.spend(self.service, now):
                 return self.give_up(now, "no further try left")
@@ -97,8 +102,6 @@
         left = max(self.until - now, 0.0)
         return Reply(503, reason, round(min(LATER_PART * left, LATER_PART * left if long else SOON), 3))
 
-    ran_maybe = False
-
     @staticmethod
     def not_run(answer: Answer) -> bool:
         return "X-Not-Run" in answer.named or answer.status == 421
@@ -114,9 +117,7 @@
             self.tried.add(life)
         if how is How.WHOLE:
             if self.not_run(answer):
-                if answer.status == 421 and self.key is not None:
-                    self.sent -= 1       # it is elsewhere by now: the table will say where
-                    self.moved = True
+                self.shy, self.shy_until = life, now + SHY_PART * self.route.aim
                 return None
             if 200 <= answer.status < 300 and not sound(answer):
                 self.ran_maybe = True    # no success of the worker's own
@@ -126,6 +127,7 @@
                 return None
             return Reply(answer.status, answer.reason, None, answer)
         self.ran_maybe = True
+        self.shy, self.shy_until = life, now + SHY_PART * self.route.aim
         if how is How.SILENT or not self.route.pure:
             return self.give_up(now, "the worker broke off" if how is How.BROKEN else "no answer in time")
         return None
--- a/bramblewood/desk/program.py
+++ b/bramblewood/desk/program.py
@@ -13,7 +13,7 @@
 from ..catalogue import daybook
 from ..catalogue.bootfile import Settings
 from ..catalogue.edition import Edition, edition_of
-from ..catalogue.links import Link, Links
+from ..catalogue.links import QUIET, Link, Links
 from .errand import Budget, Errand, Reply, Send, Wait
 from .stacks import How, Stacks
 from .steering import Steering
@@ -40,7 +40,7 @@
         self.budget = Budget(bounds.RetryRatio, bounds.RetryWindowS, bounds.RetrySlack)
         self.stacks = Stacks()
         self.edition: Edition | None = None
-        self.links = Links(self.hello, self.hear, self.link_told)
+        self.links = Links(self.hello, self.hear, self.link_told, QUIET)
         self.claims: dict[str, dict] = {}          # by archive: its newest pulse
         self.wanted: dict[str, tuple[int, float]] = {}
         self.scribe: str | None = None
@@ -229,7 +229,7 @@
     async def carry(self, request: web.BaseRequest, body: bytes, errand: Errand) -> web.Response:
         loop, steering = self.loop, self.steering
         self.budget.arrived(errand.service, loop.time())
-        steering.counted(errand.service, steering.place(errand.service, errand.key, errand.request))
+        steering.counted(errand.service, steering.hashed(errand.request) if errand.key is None else errand.key)
         while True:
             now, changed = loop.time(), self.changed
             step = errand.next(now, lambda tried: steering.choose(
--- a/bramblewood/desk/steering.py
+++ b/bramblewood/desk/steering.py
@@ -6,9 +6,10 @@
 """
 
 import zlib
+from bisect import bisect_right
 from typing import Any
 
-from ..archive.placement import KEYS, OLD, PART, SECOND, WORKER
+from ..archive.placement import FINE, KEYS, OLD, PART, SECOND, WORKER, starts_of
 from ..archive.roll import DRAINING, GONE, READY, Roll
 
 REST = (0.5, 4.0)    # s that a worker rests here after a failure to connect or silence; doubled each time, at most
@@ -31,7 +32,8 @@
 class Steering:
     def __init__(self, drain: float) -> None:
         self.roll = Roll()
-        self.table: dict[str, list] = {}
+        self.table: dict[str, dict[str, list]] = {}
+        self.starts: dict[str, list[int]] = {}
         self.table_n = 0
         self.silent: set[str] = set()
         self.seen: dict[str, Seen] = {}
@@ -46,34 +48,31 @@
         if message["n"] <= self.table_n:
             return True
         if "s" in message:
-            self.table = {service: [*entries] for service, entries in message["s"].items()}
+            self.table = message["s"]
+            self.starts = {service: starts_of(entries) for service, entries in self.table.items()}
         elif message["base"] != self.table_n:
             return False
         else:
             for service, changes in message["d"].items():
-                if isinstance(changes, list):
-                    self.table[service] = changes
-                else:
-                    for place, entry in changes.items():
-                        self.table[service][int(place)] = entry
+                entries = self.table.setdefault(service, {})
+                split = changes.keys() - entries.keys()
+                entries.update(changes)
+                if split:
+                    self.starts[service] = starts_of(entries)
         self.table_n = message["n"]
         return True
 
     # --- the choice
 
-    def place(self, service: str, key: int | None, request: str) -> int | None:
-        """The slice of a request: by its key, or by its id where the service has none."""
-        entries = self.table.get(service)
-        if not entries:
-            return None
-        if key is not None:
-            return self.of_key(key, len(entries))
-        return zlib.crc32(request.encode()) % len(entries)
+    def entry(self, service: str, key: int) -> list | None:
+        """The entry of the slice that this key lies in."""
+        starts = self.starts.get(service)
+        return self.table[service][str(starts[bisect_right(starts, key) - 1])] if starts else None
 
     @staticmethod
-    def of_key(key: int, count: int) -> int:
-        """The slice whose span holds the key; the inverse of `placement.span`."""
-        return ((key + 1) * count - 1) // KEYS
+    def hashed(request: str) -> int:
+        """The key of a request whose service has none."""
+        return zlib.crc32(request.encode()) % KEYS
 
     def open(self, now: float, life: str) -> bool:
         """May get new requests: ready as far as known, and not resting here."""
@@ -89,10 +88,9 @@
 
     def choose(self, now: float, service: str, key: int | None, request: str, tried: set[str]) -> str | None:
         """The worker for a request now, or None while there is none that may get it."""
-        place = self.place(service, key, request)
-        if place is None:
+        entry = self.entry(service, self.hashed(request) if key is None else key)
+        if entry is None:
             return None if key is not None else self.any(now, service, tried)
-        entry = self.table[service][place]
         if key is not None:
             life = entry[WORKER]
             if not life or entry[OLD]:
@@ -121,14 +119,14 @@
     def any(self, now: float, service: str, tried: set[str]) -> str | None:
         """The least pressed worker of a service that is open and was not tried."""
         able = [life for life in self.roll.serving(service) if life not in tried and self.open(now, life)]
-        return min(able, key=lambda life: (self.pressure(now, life), zlib.crc32(f"{life}{now}".encode())), default=None)
+        return min(able, key=lambda life: (self.pressure(now, life), zlib.crc32(f"{life}{now}".encode())),
+                   default=None)
 
     # --- what was seen
 
-    def counted(self, service: str, place: int | None) -> None:
-        if place is not None:
-            heat = self.heat.setdefault(service, {})
-            heat[place] = heat.get(place, 0) + 1
+    def counted(self, service: str, key: int) -> None:
+        heat = self.heat.setdefault(service, {})
+        heat[key // FINE] = heat.get(key // FINE, 0) + 1
 
     def loaded(self, now: float, life: str, text: str) -> None:
         """`X-Server-Load`: running, waiting, slots; anything else is let fall."""
