--- a/bramblewood/archive/accession.py
+++ b/bramblewood/archive/accession.py
@@ -11,11 +11,11 @@
 from ..catalogue.typed import check
 from .roll import DRAINING, READY, Row
 
-BEAT_MOST = 64 * 2 ** 10        # bytes of a worker's call
-CONFIG_MOST = 32 * 2 ** 20      # bytes of a configuration
+BEAT_MOST = 64 * 2**10  # bytes of a worker's call
+CONFIG_MOST = 32 * 2**20  # bytes of a configuration
 INSTANCES = "/bramblewood/instances/"
 CONFIG_PATH = "/bramblewood/config"
-KEPT = 400                      # earlier versions whose digests are remembered, so that a repeat is known
+KEPT = 400  # earlier versions whose digests are remembered, so that a repeat is known
 
 
 class Summary(TypedDict):
@@ -40,6 +40,7 @@
 @dataclass(frozen=True)
 class Register:
     """A worker's call: it is ready or draining."""
+
     life: str
     row: Row
 
@@ -51,6 +52,7 @@
 @dataclass(frozen=True)
 class TakeLeave:
     """A worker's last call."""
+
     life: str
 
 
@@ -67,6 +69,7 @@
 @dataclass(frozen=True)
 class Refusal:
     """The answer to a call that can't be taken."""
+
     status: int
     reason: str
     allow: str = ""
@@ -89,7 +92,7 @@
             return parse(body).map(PutConfig).map_err(lambda fault: Refusal(400, str(fault)))
         return Err(Refusal(405, f"{method} is not for {CONFIG_PATH}", "GET, PUT"))
     if path.startswith(INSTANCES):
-        life = path[len(INSTANCES):]
+        life = path[len(INSTANCES) :]
         if not re.fullmatch(r"[\w.~-]{1,128}", life):
             return Err(Refusal(400, "the path holds no worker's id"))
         if method == "DELETE":
@@ -112,15 +115,27 @@
     if not host or not port.isdigit():
         return Err(Refusal(400, f"Address: expected host:port, found {told['Address']!r:.60}"))
     info, condition = told["Summary"], told["Condition"]
-    if not 0 <= condition["CallSeq"] < 2 ** 53 or not 0 < info.get("Slots", 1) < 2 ** 20:
+    if not 0 <= condition["CallSeq"] < 2**53 or not 0 < info.get("Slots", 1) < 2**20:
         return Err(Refusal(400, "CallSeq or Slots: out of range"))
-    return Ok(Register(life, Row(info["Target"], told["Address"], info.get("Zone", ""), info.get("Slots", 1),
-                                 condition["Phase"] if condition["Phase"] == DRAINING else READY,
-                                 condition["CallSeq"], max(condition.get("ColdLeftS", 0.0), 0.0))))
+    return Ok(
+        Register(
+            life,
+            Row(
+                info["Target"],
+                told["Address"],
+                info.get("Zone", ""),
+                info.get("Slots", 1),
+                condition["Phase"] if condition["Phase"] == DRAINING else READY,
+                condition["CallSeq"],
+                max(condition.get("ColdLeftS", 0.0), 0.0),
+            ),
+        )
+    )
 
 
 def succeed(edition: Edition, stands: dict | None) -> tuple[dict | None, tuple[int, str]]:
-    """What follows the register's value, and the answer: 200, 412 (another version stands) or 400 (it does not rise).
+    """What follows the register's value, and the answer: 200, 412 (another version stands) or 400 (it does
+    not rise).
 
     The value: {"n": number, "config": as it was put, "past": {number: digest}, "lost": ...}.
     """
@@ -132,4 +147,8 @@
     if edition.number <= number:
         return None, (400, f"Revision: expected above r{number}, found r{edition.number}")
     kept = dict(list(past.items())[-KEPT:])
-    return {"n": edition.number, "config": edition.raw, "past": {**kept, str(edition.number): edition.digest}}, (200, "")
+    return {
+        "n": edition.number,
+        "config": edition.raw,
+        "past": {**kept, str(edition.number): edition.digest},
+    }, (200, "")
--- a/bramblewood/archive/ballots.py
+++ b/bramblewood/archive/ballots.py
@@ -1,31 +1,34 @@
 """Agreement: registers whose every version is chosen by a round of ballots among a majority of the voters.
 
-Each register holds one value. A change reads what a majority holds, makes the next value from it and asks the same
-majority to accept that under a higher ballot; nobody stands above the others. State machines: inputs with the time
-handed in, and an Out of what to write, send and answer. Writes come first: the shell sends and answers only once all
-of an Out's writes are safe on disk. Messages are plain maps.
-
-A machine whose disk came back empty has forgotten what it promised. It does not vote until `relearn` has made so many
-others promise a ballot of its own that every majority it may have been part of is met by them; whatever it once voted
-for is then accepted there, or can be accepted no more.
+Each register holds one value. A change reads what a majority holds, makes the next value from it and asks the
+same majority to accept that under a higher ballot; nobody stands above the others. State machines: inputs
+with the time handed in, and an Out of what to write, send and answer. Writes come first: the shell sends and
+answers only once all of an Out's writes are safe on disk. Messages are plain maps.
+
+A machine whose disk came back empty has forgotten what it promised. It does not vote until `relearn` has made
+so many others promise a ballot of its own that every majority it may have been part of is met by them;
+whatever it once voted for is then accepted there, or can be accepted no more.
 """
 
 import zlib
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-Ballot = tuple[int, str, int]   # counter, archive, that archive's life; compared in turn
+Ballot = tuple[int, str, int]  # counter, archive, that archive's life; compared in turn
 NONE: Ballot = (0, "", 0)
 CONFIG, TABLE = "config", "table"
 REGISTERS = (CONFIG, TABLE)
-VOTES = {"prepare", "promise", "accept", "accepted", "refuse", "fetch", "chosen"}   # kinds of messages
-PATIENCE = 0.25    # s that a step of a round waits for its majority: many times the way between zones and a sync
-BACKOFF = 0.04     # s, the unit of waits after a lost ballot; some times a round's own length
-UNSETTLED = 0.4    # s that an accepted ballot may stay unchosen before somebody else ends its round
+VOTES = {"prepare", "promise", "accept", "accepted", "refuse", "fetch", "chosen"}  # kinds of messages
+PATIENCE = (
+    0.25  # s that a step of a round waits for its majority: many times the way between zones and a sync
+)
+BACKOFF = 0.04  # s, the unit of waits after a lost ballot; some times a round's own length
+UNSETTLED = 0.4  # s that an accepted ballot may stay unchosen before somebody else ends its round
 
 
 class Out(NamedTuple):
     """writes: (register, promised, accepted, value); sends: (peer, message); answers: (tag, outcome)."""
+
     writes: list
     sends: list
     answers: list
@@ -65,7 +68,9 @@
 class Ballots:
     """All registers at one archive: acceptor, proposer and learner."""
 
-    def __init__(self, me: str, voters: tuple[str, ...], life: int, stored: dict[str, tuple], voting: bool) -> None:
+    def __init__(
+        self, me: str, voters: tuple[str, ...], life: int, stored: dict[str, tuple], voting: bool
+    ) -> None:
         self.me, self.voters, self.life, self.voting, self.count = me, tuple(voters), life, voting, 0
         self.acceptors = {name: Acceptor(*stored.get(name, ())) for name in REGISTERS}
         self.durable = {name: a.accepted for name, a in self.acceptors.items()}
@@ -83,7 +88,7 @@
 
     def chance(self) -> float:
         self.count += 1
-        return zlib.crc32(f"{self.me}:{self.life}:{self.count}".encode()) / 2 ** 32
+        return zlib.crc32(f"{self.me}:{self.life}:{self.count}".encode()) / 2**32
 
     def value(self, register: str) -> Any:
         """The newest value known to be chosen, or None."""
@@ -96,7 +101,8 @@
     # --- the proposer
 
     def propose(self, now: float, register: str, change: Callable, tag: Any, within: float) -> Out:
-        """Queue a change: a function of the value that stands (or None) to (next value or None for none, outcome).
+        """Queue a change: a function of the value that stands (or None) to (next value or None for none,
+        outcome).
 
         Its answer is (tag, outcome), or (tag, None) where the outcome stayed unclear for `within` s.
         """
@@ -117,8 +123,12 @@
         round.ballot = (self.seen[round.register], self.me, self.life)
         round.step, round.step_until, round.promises, round.accepts = "prepare", now + PATIENCE, {}, set()
         round.tries += 1
-        message = {"k": "prepare", "r": round.register, "b": round.ballot,
-                   "have": self.acceptors[round.register].accepted}
+        message = {
+            "k": "prepare",
+            "r": round.register,
+            "b": round.ballot,
+            "have": self.acceptors[round.register].accepted,
+        }
         out.sends.extend((peer, message) for peer in self.voters if peer != self.me or round.tag != "relearn")
 
     def lost(self, now: float, round: Round) -> None:
@@ -134,7 +144,7 @@
         acceptor = self.acceptors[round.register]
         value = message["v"] if "v" in message else acceptor.value
         if "v" not in message and accepted != acceptor.accepted:
-            return   # it left out a value that we no longer hold at this ballot; the next try brings it
+            return  # it left out a value that we no longer hold at this ballot; the next try brings it
         round.promises[peer] = (accepted, value)
         if round.tag == "relearn":
             return self.relearned(now, round, out)
@@ -146,9 +156,14 @@
         if following is None and (best == NONE or all(b == best for b, _ in round.promises.values())):
             if best != NONE:
                 self.learn(round.register, best, stands)
-            return self.finish(now, round, out)   # what stands is chosen already: nothing to write
+            return self.finish(now, round, out)  # what stands is chosen already: nothing to write
         round.step, round.step_until = "accept", now + PATIENCE
-        message = {"k": "accept", "r": round.register, "b": round.ballot, "v": stands if following is None else following}
+        message = {
+            "k": "accept",
+            "r": round.register,
+            "b": round.ballot,
+            "v": stands if following is None else following,
+        }
         out.sends.extend((peer, message) for peer in self.voters)
 
     def finish(self, now: float, round: Round, out: Out) -> None:
@@ -185,7 +200,9 @@
         elif kind == "accept" and self.voting:
             if acceptor.accept(ballot, message["v"]):
                 out.writes.append((register, acceptor.promised, acceptor.accepted, acceptor.value))
-                out.sends.extend((other, {"k": "accepted", "r": register, "b": ballot}) for other in self.voters)
+                out.sends.extend(
+                    (other, {"k": "accepted", "r": register, "b": ballot}) for other in self.voters
+                )
                 if peer not in self.voters:
                     out.sends.append((peer, {"k": "accepted", "r": register, "b": ballot}))
             else:
@@ -248,8 +265,10 @@
                 self.ahead_since.pop(register, None)
             elif now >= self.ahead_since.setdefault(register, now) + UNSETTLED * (1 + self.chance()):
                 self.ahead_since[register] = now
-                if not self.rounds[register] and self.voting:   # its proposer may be gone: end the round
-                    self.rounds[register].append(Round(register, lambda value: (None, True), "settle", now + 1.0))
+                if not self.rounds[register] and self.voting:  # its proposer may be gone: end the round
+                    self.rounds[register].append(
+                        Round(register, lambda value: (None, True), "settle", now + 1.0)
+                    )
                     self.advance(now, register, out)
         if not self.voting:
             self.relearn(now, out)
--- a/bramblewood/archive/holds.py
+++ b/bramblewood/archive/holds.py
@@ -1,9 +1,11 @@
-"""Holds: which worker may hold which keys, until when. Pure; the shell makes the calls and tells their answers.
-
-A keyed slice whose entry has no old holder is granted to its worker and renewed. One with an old holder is first
-released there; it is free once the release is answered, once the old life is known to have ended, or once the longest
-grant that anyone may have sent has run out: WORD s after the change was chosen for the last renewal that rests on an
-older word, plus the hold itself on a clock that is 2% slow, plus the slack that a call may travel.
+"""Holds: which worker may hold which keys, until when. Pure; the shell makes the calls and tells their
+answers.
+
+A keyed slice whose entry has no old holder is granted to its worker and renewed. One with an old holder is
+first released there; it is free once the release is answered, once the old life is known to have ended, or
+once the longest grant that anyone may have sent has run out: WORD s after the change was chosen for the last
+renewal that rests on an older word, plus the hold itself on a clock that is 2% slow, plus the slack that a
+call may travel.
 """
 
 from typing import NamedTuple
@@ -12,16 +14,19 @@
 from .roll import GONE, Roll
 from .sessions import WORD
 
-HOLD_PART = 0.6     # of HoldMaxS: an unsettled core of some seconds costs nothing, a dead worker's keys wait as long
+HOLD_PART = (
+    0.6  # of HoldMaxS: an unsettled core of some seconds costs nothing, a dead worker's keys wait as long
+)
 RENEW_PART = 1 / 3  # of the hold after which it is renewed: two more tries fit
-SLOW_CLOCK = 1.02   # a worker's clock may run 2% slow; PROTOCOL
-TRAVEL = 0.3        # s for a call on its way, as the pages allow after a thaw (ThawSlackS)
-SAME = (WORKER, FENCE, HANDOVER, OLD)   # what slices of one call have in common
-AGAIN = 0.3         # s between tries of a call that failed
+SLOW_CLOCK = 1.02  # a worker's clock may run 2% slow; PROTOCOL
+TRAVEL = 0.3  # s for a call on its way, as the pages allow after a thaw (ThawSlackS)
+SAME = (WORKER, FENCE, HANDOVER, OLD)  # what slices of one call have in common
+AGAIN = 0.3  # s between tries of a call that failed
 
 
 class Call(NamedTuple):
     """One call to a worker: grant or release of a run of slices."""
+
     kind: str
     service: str
     life: str
@@ -36,6 +41,7 @@
 
 class Freed(NamedTuple):
     """These slices are free of their old holder: to be agreed."""
+
     service: str
     starts: tuple[int, ...]
     fence: int
@@ -46,10 +52,10 @@
 class Holds:
     def __init__(self, hold_most: float) -> None:
         self.hold = hold_most * HOLD_PART
-        self.granted: dict[tuple[str, int], tuple[str, int, float]] = {}   # slice: life, fence, when sent
-        self.wait_from: dict[tuple, float] = {}     # slice, fence, old holder: since when its change is known
-        self.next_at: dict[tuple, float] = {}       # by call: not before
-        self.out: set[tuple] = set()                # calls under way
+        self.granted: dict[tuple[str, int], tuple[str, int, float]] = {}  # slice: life, fence, when sent
+        self.wait_from: dict[tuple, float] = {}  # slice, fence, old holder: since when its change is known
+        self.next_at: dict[tuple, float] = {}  # by call: not before
+        self.out: set[tuple] = set()  # calls under way
 
     @property
     def expiry(self) -> float:
@@ -73,8 +79,18 @@
         self.wait_from = {key: at for key, at in self.wait_from.items() if key in waiting}
         return calls, free
 
-    def run_of(self, now: float, service: str, entries: dict, run: list[int], last: int, roll: Roll, calls: list,
-               free: list, waiting: set) -> None:
+    def run_of(
+        self,
+        now: float,
+        service: str,
+        entries: dict,
+        run: list[int],
+        last: int,
+        roll: Roll,
+        calls: list,
+        free: list,
+        waiting: set,
+    ) -> None:
         """One run of slices next to each other with the same holder, fence, handover and old holder."""
         entry = entries[str(run[0])]
         if not entry[OLD]:
@@ -98,17 +114,48 @@
                 return True
         return False
 
-    def call(self, now: float, kind: str, service: str, life: str, entry: list, run: list[int], last: int, roll: Roll,
-             calls: list) -> None:
+    def call(
+        self,
+        now: float,
+        kind: str,
+        service: str,
+        life: str,
+        entry: list,
+        run: list[int],
+        last: int,
+        roll: Roll,
+        calls: list,
+    ) -> None:
         row, key = roll.rows.get(life), (kind, service, run[0], last, entry[FENCE])
-        if row is None or row.phase == GONE and kind == "grant" or key in self.out or now < self.next_at.get(key, 0.0):
+        if (
+            row is None
+            or row.phase == GONE
+            and kind == "grant"
+            or key in self.out
+            or now < self.next_at.get(key, 0.0)
+        ):
             return
         self.out.add(key)
-        calls.append(Call(kind, service, life, row.address, tuple(run), run[0], last, entry[FENCE], self.hold,
-                          entry[HANDOVER]))
-
-    def answered(self, now: float, call: Call, sent: float, status: int, handover: str, ended: bool) -> Freed | None:
-        """The end of a call; status 0 is no answer, -1 a dead port; ended: it took leave, or nobody hears it."""
+        calls.append(
+            Call(
+                kind,
+                service,
+                life,
+                row.address,
+                tuple(run),
+                run[0],
+                last,
+                entry[FENCE],
+                self.hold,
+                entry[HANDOVER],
+            )
+        )
+
+    def answered(
+        self, now: float, call: Call, sent: float, status: int, handover: str, ended: bool
+    ) -> Freed | None:
+        """The end of a call; status 0 is no answer, -1 a dead port; ended: it took leave, or nobody hears it.
+        """
         key = (call.kind, call.service, call.first, call.last, call.fence)
         self.out.discard(key)
         self.next_at = {k: at for k, at in self.next_at.items() if at > now}
@@ -119,7 +166,9 @@
             else:
                 self.next_at[key] = now + AGAIN
             return None
-        if status in (200, 421) or status == -1 and ended:   # 421: another life listens there, so this one ended
+        if (
+            status in (200, 421) or status == -1 and ended
+        ):  # 421: another life listens there, so this one ended
             return Freed(call.service, call.starts, call.fence, call.life, handover if status == 200 else "")
         self.next_at[key] = now + AGAIN
         return None
--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -23,18 +23,20 @@
 from .sessions import PULSE, Sessions
 from .shelf import Shelf
 
-TICK = 0.1          # s between looks at what is due
-DESK_PULSE = 0.5    # s between pulses to desks; two lost ones are noticed within their QUIET
-TURN = 0.5          # s between turns of placement, the manager's own
-CALL_WITHIN = 0.85  # s for an operator's or worker's call: callers go elsewhere after a second of silence; PROTOCOL
+TICK = 0.1  # s between looks at what is due
+DESK_PULSE = 0.5  # s between pulses to desks; two lost ones are noticed within their QUIET
+TURN = 0.5  # s between turns of placement, the manager's own
+CALL_WITHIN = (
+    0.85  # s for an operator's or worker's call: callers go elsewhere after a second of silence; PROTOCOL
+)
 SEEN_BY_ANOTHER = 0.6  # s that a leave waits for another archive's word, within that second
-STALL = 0.3         # s that a write may take before this archive leaves the proposing to others
-DESK_QUIET = 3.5    # s without a desk's word after which its link is dropped; it reports each second
+STALL = 0.3  # s that a write may take before this archive leaves the proposing to others
+DESK_QUIET = 3.5  # s without a desk's word after which its link is dropped; it reports each second
 GRANT_FIRST = 0.025  # s that a table waits for its grants before desks follow it: ways to a worker and back
 BEATS_MISSED = 3.2  # beats after which a worker that nobody heard counts as gone
-DELTAS = 60         # versions of the table from which a difference is sent
-ASK = 1.0           # s for a call to a worker
-UPHELD = 0.9        # part of a word's time in which a call may still be sent
+DELTAS = 60  # versions of the table from which a difference is sent
+ASK = 1.0  # s for a call to a worker
+UPHELD = 0.9  # part of a word's time in which a call may still be sent
 
 
 class Archive:
@@ -72,7 +74,9 @@
         facts, stored = found.ok_value["facts"], found.ok_value["registers"]
         kept = "voters" in facts
         voters = tuple(facts["voters"]) if kept else tuple(sorted(set(self.told.seed_ips())))
-        self.ballots = Ballots(self.me, voters, self.life, stored if kept else {}, kept or self.told.first_boot)
+        self.ballots = Ballots(
+            self.me, voters, self.life, stored if kept else {}, kept or self.told.first_boot
+        )
         self.placement = placement.Placement(loop.time(), self.told.beat, self.told.first_boot)
         self.shelf.start(lambda done, problem: loop.call_soon_threadsafe(done, problem))
         if not kept and self.told.first_boot:
@@ -130,13 +134,20 @@
 
     def pulse(self, now: float) -> None:
         ballots = self.ballots
-        message = {"k": "pulse", "t": now, "v": ballots.voting, "w": self.whole(now), "voters": ballots.voters,
-                   "acc": {name: ballots.acceptors[name].accepted for name in REGISTERS}, "dur": ballots.durable,
-                   "desks": list(self.desks)}
+        message = {
+            "k": "pulse",
+            "t": now,
+            "v": ballots.voting,
+            "w": self.whole(now),
+            "voters": ballots.voters,
+            "acc": {name: ballots.acceptors[name].accepted for name in REGISTERS},
+            "dur": ballots.durable,
+            "desks": list(self.desks),
+        }
         for peer in list(self.links.up):
             heard = self.sessions.heard.get(peer)
             if now - max(heard.at if heard else 0.0, self.up_since[peer]) > QUIET:
-                self.links.up[peer].close()   # its own link brings nothing any more: likely a cut
+                self.links.up[peer].close()  # its own link brings nothing any more: likely a cut
                 continue
             told = {**message, "e": self.sessions.stamps.get(peer, -1e9)}
             if int(now / PULSE) % 4 == 0:
@@ -146,10 +157,18 @@
     def pulse_desks(self, now: float) -> None:
         whole = self.whole(now)
         scribe = self.sessions.scribe(now, whole)
-        message = json.dumps({
-            "k": "pulse", "n": self.shown, "whole": whole, "scribe": scribe == self.me,
-            "desks": len(self.sessions.all_desks(now, list(self.desks))), "archives": self.ballots.voters,
-            "silent": sorted(self.silent(now))}, separators=(",", ":"))
+        message = json.dumps(
+            {
+                "k": "pulse",
+                "n": self.shown,
+                "whole": whole,
+                "scribe": scribe == self.me,
+                "desks": len(self.sessions.all_desks(now, list(self.desks))),
+                "archives": self.ballots.voters,
+                "silent": sorted(self.silent(now)),
+            },
+            separators=(",", ":"),
+        )
         for link in list(self.desks.values()):
             link.send(message)
 
@@ -170,7 +189,10 @@
             else:
                 self.show(register, version)
         if self.editions[0] != self.ballots.version(CONFIG):
-            self.editions = (self.ballots.version(CONFIG), edition_of(self.ballots.value(CONFIG)["config"]).ok())
+            self.editions = (
+                self.ballots.version(CONFIG),
+                edition_of(self.ballots.value(CONFIG)["config"]).ok(),
+            )
 
     def show(self, register: str, version: int) -> None:
         if version > self.shown[register]:
@@ -187,7 +209,7 @@
             self.was_scribe = scribe
             self.log.info("scribe" if scribe else "not scribe", step="steer")
             if scribe:
-                self.placement.offices.clear()   # others have moved things since
+                self.placement.offices.clear()  # others have moved things since
                 self.holds.out.clear()
         if not scribe:
             return
@@ -224,12 +246,16 @@
     def proposed(self, outcome: Any) -> None:
         self.proposing = False
         if outcome is None:
-            self.placement.offices.clear()   # unclear: begin again from what stands
+            self.placement.offices.clear()  # unclear: begin again from what stands
         self.learned()
 
     def free(self, one: Freed) -> None:
-        self.propose(TABLE, lambda value: placement.freed(value, one.service, one.starts, one.fence, one.old,
-                                                          one.handover), self.settled, 1.0)
+        self.propose(
+            TABLE,
+            lambda value: placement.freed(value, one.service, one.starts, one.fence, one.old, one.handover),
+            self.settled,
+            1.0,
+        )
 
     def settled(self, outcome: Any) -> None:
         self.learned()
@@ -247,8 +273,11 @@
         try:
             async with asyncio.timeout(within):
                 if call.kind == "release" or sent < until:
-                    async with self.calls.post(f"http://{call.address}/bramblewood/{call.kind}", json=body,
-                                               headers={"X-Target-Instance": call.life}) as answer:
+                    async with self.calls.post(
+                        f"http://{call.address}/bramblewood/{call.kind}",
+                        json=body,
+                        headers={"X-Target-Instance": call.life},
+                    ) as answer:
                         status, handover = answer.status, answer.headers.get("X-Handover", "")
                         await answer.read()
         except aiohttp.ClientConnectorError as problem:
@@ -259,12 +288,20 @@
         row = self.roll.rows.get(call.life)
         self.refused[call.life] = self.refused.get(call.life, 0) + 1 if status == -1 else 0
         unheard = now - self.roll.heard.get(call.life, 0.0)
-        ended = row is None or row.phase == GONE or self.refused[call.life] > 1 and unheard > 1.3 * self.told.beat
+        ended = (
+            row is None or row.phase == GONE or self.refused[call.life] > 1 and unheard > 1.3 * self.told.beat
+        )
         if status != 200:
-            self.log.info("call failed", step=call.kind, peer=call.life, status=status, keys=(call.first, call.last))
+            self.log.info(
+                "call failed", step=call.kind, peer=call.life, status=status, keys=(call.first, call.last)
+            )
         if status == 409:
-            self.propose(TABLE, lambda value: placement.refenced(value, call.service, call.starts, call.fence),
-                         self.settled, 1.0)
+            self.propose(
+                TABLE,
+                lambda value: placement.refenced(value, call.service, call.starts, call.fence),
+                self.settled,
+                1.0,
+            )
         free = self.holds.answered(now, call, sent, status, handover, ended)
         if free is not None:
             self.free(free)
@@ -317,8 +354,12 @@
     # --- other managers
 
     def hello(self, peer: str) -> dict:
-        return {"k": "hello", "role": "archive", "from": self.me,
-                "rows": {life: [*row] for life, row in self.roll.rows.items()}}
+        return {
+            "k": "hello",
+            "role": "archive",
+            "from": self.me,
+            "rows": {life: [*row] for life, row in self.roll.rows.items()},
+        }
 
     def link_told(self, peer: str, up: bool) -> None:
         self.up_since[peer] = self.loop.time()
@@ -380,7 +421,9 @@
         changes = {}
         for service, entries in value["s"].items():
             before = base["s"].get(service, {})
-            changes[service] = {start: entry for start, entry in entries.items() if entry != before.get(start)}
+            changes[service] = {
+                start: entry for start, entry in entries.items() if entry != before.get(start)
+            }
         link.send({"k": "table", "n": value["n"], "base": have, "d": {k: d for k, d in changes.items() if d}})
 
     def reported(self, now: float, link: Link, message: dict) -> None:
@@ -392,7 +435,8 @@
             if tries > unanswered:
                 self.roll.heard[life] = max(self.roll.heard.get(life, 0.0), now - over)
             met.setdefault(row.service, []).append(
-                placement.met_of(life, tries, unanswered, mean_time, over, load))
+                placement.met_of(life, tries, unanswered, mean_time, over, load)
+            )
         if self.was_scribe:
             for service, some in met.items():
                 self.placement.report(service, link.peer, message["heat"].get(service, {}), over, some)
@@ -429,7 +473,7 @@
         method, path = request.method, request.raw_path
         body = b""
         bound = most(method, path)
-        async for chunk in request.content.iter_chunked(2 ** 16):
+        async for chunk in request.content.iter_chunked(2**16):
             body += chunk
             if len(body) > bound:
                 return answer(413, f"at most {bound} bytes")
@@ -450,7 +494,9 @@
                 return await self.registered(life, row._replace(phase=GONE, seq=row.seq + 1), True)
             case PutConfig(edition):
                 told = await self.agreed(CONFIG, lambda stands: succeed(edition, stands))
-                self.log.info("configuration", step="put", number=edition.number, parent=edition.parent, told=told)
+                self.log.info(
+                    "configuration", step="put", number=edition.number, parent=edition.parent, told=told
+                )
                 return answer(*told) if told else answer(503, "no majority heard in time")
             case GetConfig():
                 told = await self.agreed(CONFIG, lambda stands: (None, [stands]))
@@ -462,7 +508,9 @@
 
     async def agreed(self, register: str, change: Any) -> Any:
         waiting = self.loop.create_future()
-        self.propose(register, change, lambda outcome: waiting.done() or waiting.set_result(outcome), CALL_WITHIN)
+        self.propose(
+            register, change, lambda outcome: waiting.done() or waiting.set_result(outcome), CALL_WITHIN
+        )
         try:
             async with asyncio.timeout(CALL_WITHIN + TICK):
                 return await waiting
@@ -474,7 +522,9 @@
         number = self.note(life, row)
         if not leaving or (life, row.phase) in self.confirmed:
             return web.json_response({})
-        if number is None:   # known already, perhaps from another archive, but never confirmed here: say it again
+        if (
+            number is None
+        ):  # known already, perhaps from another archive, but never confirmed here: say it again
             number, rows = next(self.ids), {life: [*self.roll.rows[life]]}
             for peer in list(self.links.up):
                 self.links.send(peer, {"k": "roll", "id": number, "rows": rows})
--- a/bramblewood/archive/roll.py
+++ b/bramblewood/archive/roll.py
@@ -1,15 +1,15 @@
 """The roll of workers: a mergeable map of registrations, kept by every archive and every desk.
 
-A row is (service, address, zone, slots, phase, call number). Of two rows of one life the one with the higher call
-number stands; of equal ones the later phase (ready, draining, gone). "Gone" is final. When a worker was last heard
-travels as an age, never as a time of day.
+A row is (service, address, zone, slots, phase, call number). Of two rows of one life the one with the higher
+call number stands; of equal ones the later phase (ready, draining, gone). "Gone" is final. When a worker was
+last heard travels as an age, never as a time of day.
 """
 
 from typing import NamedTuple
 
 READY, DRAINING, GONE = "ready", "draining", "gone"
 ORDER = {READY: 0, DRAINING: 1, GONE: 2}
-KEPT = 600.0   # s that a worker that is gone stays on the roll, so that a late word of it changes nothing
+KEPT = 600.0  # s that a worker that is gone stays on the roll, so that a late word of it changes nothing
 
 
 class Row(NamedTuple):
@@ -19,7 +19,7 @@
     slots: int
     phase: str
     seq: int
-    cold: float = 0.0   # s that it was still slow when this was said
+    cold: float = 0.0  # s that it was still slow when this was said
 
     def rank(self) -> tuple:
         return (self.phase == GONE, self.seq, ORDER.get(self.phase, 0))
@@ -28,10 +28,10 @@
 class Roll:
     def __init__(self) -> None:
         self.rows: dict[str, Row] = {}
-        self.heard: dict[str, float] = {}      # when a life was last heard to live, steady clock
-        self.since: dict[str, float] = {}      # when its row last changed phase, here
+        self.heard: dict[str, float] = {}  # when a life was last heard to live, steady clock
+        self.since: dict[str, float] = {}  # when its row last changed phase, here
         self.warm_at: dict[str, float] = {}
-        self.homes: dict[str, str] = {}        # by address: the life that was registered there last
+        self.homes: dict[str, str] = {}  # by address: the life that was registered there last
 
     def merge(self, now: float, life: str, row: Row, age: float = 0.0) -> bool:
         """Take a row; true if the phase, the address or the slots that others should know of have changed."""
@@ -47,7 +47,12 @@
             self.warm_at[life] = now + row.cold
             if row.phase != GONE:
                 before = self.homes.get(row.address)
-                if before is not None and before != life and (was := self.rows.get(before)) and was.phase != GONE:
+                if (
+                    before is not None
+                    and before != life
+                    and (was := self.rows.get(before))
+                    and was.phase != GONE
+                ):
                     # a new life at this address: the one before it has ended
                     self.rows[before] = was._replace(phase=GONE)
                     self.since[before] = now
@@ -65,14 +70,20 @@
 
     def silent(self, now: float, after: float) -> set[str]:
         """Lives that no archive has heard for so long though they did not take leave."""
-        return {life for life, row in self.rows.items()
-                if row.phase != GONE and now - self.heard.get(life, 0.0) > after}
+        return {
+            life
+            for life, row in self.rows.items()
+            if row.phase != GONE and now - self.heard.get(life, 0.0) > after
+        }
 
     def serving(self, service: str) -> list[str]:
         return [life for life, row in self.rows.items() if row.service == service and row.phase == READY]
 
     def forget(self, now: float) -> None:
-        for life in [life for life, row in self.rows.items()
-                     if row.phase == GONE and now - self.since.get(life, 0.0) > KEPT]:
+        for life in [
+            life
+            for life, row in self.rows.items()
+            if row.phase == GONE and now - self.since.get(life, 0.0) > KEPT
+        ]:
             for kept in (self.rows, self.heard, self.since, self.warm_at):
                 kept.pop(life, None)
--- a/bramblewood/archive/sessions.py
+++ b/bramblewood/archive/sessions.py
@@ -1,35 +1,36 @@
-"""Who is there: sessions between archives and of desks with archives, and how fresh the word of the majority is.
+"""Who is there: sessions between archives and of desks with archives, and how fresh the word of the majority
+is.
 
-An archive pulses each other one. A pulse says what its sender has accepted and gives back the stamp of the last pulse
-heard from the receiver, in the receiver's own clock. So the receiver knows that the sender had accepted nothing newer
-when that stamp was set, or later. A word rests on the stamps of a majority and is good for WORD s from the oldest of
-them: whatever a majority chooses later is chosen after that stamp, so whoever moves keys on a chosen change need wait
-no longer than WORD for the last renewal that rested on an older word.
+An archive pulses each other one. A pulse says what its sender has accepted and gives back the stamp of the
+last pulse heard from the receiver, in the receiver's own clock. So the receiver knows that the sender had
+accepted nothing newer when that stamp was set, or later. A word rests on the stamps of a majority and is good
+for WORD s from the oldest of them: whatever a majority chooses later is chosen after that stamp, so whoever
+moves keys on a chosen change need wait no longer than WORD for the last renewal that rested on an older word.
 """
 
 from typing import NamedTuple
 
 from .ballots import NONE, Ballot
 
-PULSE = 0.25     # s between pulses; three of them fit into WORD
-WORD = 1.0       # s that a word of the majority is good for; callers give a manager a second, PROTOCOL
-SILENT = 0.9     # s without a pulse after which an archive counts as away: three pulses and some way
+PULSE = 0.25  # s between pulses; three of them fit into WORD
+WORD = 1.0  # s that a word of the majority is good for; callers give a manager a second, PROTOCOL
+SILENT = 0.9  # s without a pulse after which an archive counts as away: three pulses and some way
 
 
 class Heard(NamedTuple):
-    at: float                      # when the pulse came, our clock
-    stamp: float                   # our own stamp that it gave back, our clock
-    accepted: dict[str, Ballot]    # newest accepted ballot by register, on disk or not yet
+    at: float  # when the pulse came, our clock
+    stamp: float  # our own stamp that it gave back, our clock
+    accepted: dict[str, Ballot]  # newest accepted ballot by register, on disk or not yet
     votes: bool
-    whole: bool                    # it has a word of the majority itself and its disk answers
+    whole: bool  # it has a word of the majority itself and its disk answers
 
 
 class Sessions:
     def __init__(self, me: str) -> None:
         self.me = me
         self.heard: dict[str, Heard] = {}
-        self.stamps: dict[str, float] = {}      # last stamp of each other archive, to give back
-        self.desks: dict[str, dict[str, float]] = {}   # by archive, desks and when they were last said
+        self.stamps: dict[str, float] = {}  # last stamp of each other archive, to give back
+        self.desks: dict[str, dict[str, float]] = {}  # by archive, desks and when they were last said
 
     def pulse(self, now: float, peer: str, message: dict) -> None:
         accepted = {name: tuple(ballot) for name, ballot in message["acc"].items()}
@@ -37,8 +38,12 @@
         self.stamps[peer] = message["t"]
         self.desks[peer] = dict.fromkeys(message["desks"], now)
 
-    def word_until(self, now: float, voters: tuple[str, ...], register: str, known: Ballot, votes: bool) -> float:
-        """Until when the word holds that nothing newer than `known` is chosen in this register; 0 where none does."""
+    def word_until(
+        self, now: float, voters: tuple[str, ...], register: str, known: Ballot, votes: bool
+    ) -> float:
+        """Until when the word holds that nothing newer than `known` is chosen in this register; 0 where none
+        does.
+        """
         stamps = [now] if votes and self.me in voters else []
         for peer, heard in self.heard.items():
             if peer in voters and heard.votes and heard.accepted.get(register, NONE) <= known:
@@ -60,6 +65,10 @@
         return min([*self.present(now), *([self.me] if whole else [])], default=None)
 
     def all_desks(self, now: float, mine: list[str]) -> set[str]:
-        others = [name for peer, names in self.desks.items() for name in names
-                  if peer in self.heard and now - self.heard[peer].at <= SILENT]
+        others = [
+            name
+            for peer, names in self.desks.items()
+            for name in names
+            if peer in self.heard and now - self.heard[peer].at <= SILENT
+        ]
         return {*mine, *others}
--- a/bramblewood/archive/shelf.py
+++ b/bramblewood/archive/shelf.py
@@ -1,8 +1,9 @@
-"""What the archive keeps on disk: one sqlite file, one writer thread, one place that knows what "safe on disk" is.
+"""What the archive keeps on disk: one sqlite file, one writer thread, one place that knows what "safe on
+disk" is.
 
-Write-ahead mode with synchronous=FULL: a commit returns once the log is synced, and each frame of the log has a
-checksum, so a torn end is an end. locking_mode=EXCLUSIVE, since the index of the log would else lie in shared memory,
-which these machines don't have.
+Write-ahead mode with synchronous=FULL: a commit returns once the log is synced, and each frame of the log has
+a checksum, so a torn end is an end. locking_mode=EXCLUSIVE, since the index of the log would else lie in
+shared memory, which these machines don't have.
 """
 
 import json
@@ -16,7 +17,7 @@
 from result import Err, Ok, Result
 
 NAME = "shelf.db"
-FORM = 1   # the form of the tables; a later one is not opened
+FORM = 1  # the form of the tables; a later one is not opened
 
 
 class Shelf:
@@ -40,13 +41,17 @@
                 return Err(f"{self.path}: form {form}, and this program knows {FORM}")
             base.execute("begin immediate")
             base.execute("create table if not exists facts (name text primary key, value text not null)")
-            base.execute("create table if not exists registers (name text primary key, promised text not null,"
-                         " accepted text not null, value text not null)")
+            base.execute(
+                "create table if not exists registers (name text primary key, promised text not null,"
+                " accepted text not null, value text not null)"
+            )
             base.execute(f"pragma user_version={FORM}")
             base.execute("commit")
             facts = {name: json.loads(value) for name, value in base.execute("select name, value from facts")}
-            registers = {name: (tuple(json.loads(promised)), tuple(json.loads(accepted)), json.loads(value))
-                         for name, promised, accepted, value in base.execute("select * from registers")}
+            registers = {
+                name: (tuple(json.loads(promised)), tuple(json.loads(accepted)), json.loads(value))
+                for name, promised, accepted, value in base.execute("select * from registers")
+            }
         except (sqlite3.Error, OSError, ValueError) as problem:
             return Err(f"{self.path}: {problem}")
         self.base = base
@@ -83,14 +88,18 @@
         latest: dict[str, tuple] = {}
         facts: dict[str, Any] = {}
         for registers, some, _ in batch:
-            latest.update({name: (promised, accepted, value) for name, promised, accepted, value in registers})
+            latest.update(
+                {name: (promised, accepted, value) for name, promised, accepted, value in registers}
+            )
             facts.update(some)
         base = self.base
         try:
             base.execute("begin immediate")
             for name, (promised, accepted, value) in latest.items():
-                base.execute("insert or replace into registers values (?, ?, ?, ?)",
-                             (name, json.dumps(promised), json.dumps(accepted), json.dumps(value)))
+                base.execute(
+                    "insert or replace into registers values (?, ?, ?, ?)",
+                    (name, json.dumps(promised), json.dumps(accepted), json.dumps(value)),
+                )
             for name, value in facts.items():
                 base.execute("insert or replace into facts values (?, ?)", (name, json.dumps(value)))
             base.execute("commit")
--- a/bramblewood/catalogue/bootfile.py
+++ b/bramblewood/catalogue/bootfile.py
@@ -19,6 +19,7 @@
 
 class Boot(TypedDict):
     """The fields that are read, as the users' pages name them."""
+
     NodeName: str
     Ip: str
     Zone: str
@@ -35,7 +36,10 @@
 
 @dataclass(frozen=True)
 class Bounds:
-    """The rules' figures (seconds and plain numbers), by their names in `Bounds`; the defaults are the pages' own."""
+    """The rules' figures (seconds and plain numbers), by their names in `Bounds`; the defaults are the pages'
+    own.
+    """
+
     ReuseAfterS: float = 2.0
     ContactS: float = 3.0
     AckS: float = 5.0
@@ -53,16 +57,17 @@
 @dataclass(frozen=True)
 class Settings:
     """One process's settings, checked."""
+
     name: str
     ip: str
     zone: str
     ports: tuple[int, int]
-    seeds: tuple[str, ...]           # Control addresses, host:port
+    seeds: tuple[str, ...]  # Control addresses, host:port
     first_boot: bool
     data: str | None
-    beat: float                      # s between a worker's calls
+    beat: float  # s between a worker's calls
     listen: dict[str, tuple[str, int]]
-    memory: float                    # bytes
+    memory: float  # bytes
     descriptors: int
     bounds: Bounds
 
@@ -119,10 +124,22 @@
     if isinstance(bounds, Err):
         return bounds
     limits = boot.get("Limits", {})
-    return Ok(Settings(
-        boot["NodeName"], boot["Ip"], boot["Zone"], tuple(boot["PortRange"]), tuple(boot["SeedNodes"]),
-        boot.get("FirstBoot", False), boot.get("DataDir"), boot.get("BeatIntervalS", 1.5), listen,
-        limits.get("MemoryMb", 256.0) * 2 ** 20, limits.get("MaxFds", 1024), bounds.ok_value))
+    return Ok(
+        Settings(
+            boot["NodeName"],
+            boot["Ip"],
+            boot["Zone"],
+            tuple(boot["PortRange"]),
+            tuple(boot["SeedNodes"]),
+            boot.get("FirstBoot", False),
+            boot.get("DataDir"),
+            boot.get("BeatIntervalS", 1.5),
+            listen,
+            limits.get("MemoryMb", 256.0) * 2**20,
+            limits.get("MaxFds", 1024),
+            bounds.ok_value,
+        )
+    )
 
 
 def load(path: str | None = None) -> Result[Settings, str]:
--- a/bramblewood/catalogue/daybook.py
+++ b/bramblewood/catalogue/daybook.py
@@ -6,7 +6,7 @@
 
 import logbook
 
-A_SECOND = 40   # lines; a storm of faults must not cost the processor that the work needs
+A_SECOND = 40  # lines; a storm of faults must not cost the processor that the work needs
 
 
 class Daybook(logbook.Handler):
@@ -20,13 +20,17 @@
         second = int(time.monotonic())
         if second != self.second:
             if self.dropped:
-                self.put({"node": self.name, "level": "warning", "event": "lines dropped", "count": self.dropped})
+                self.put(
+                    {"node": self.name, "level": "warning", "event": "lines dropped", "count": self.dropped}
+                )
             self.second, self.written, self.dropped = second, 0, 0
         self.written += 1
         if self.written > A_SECOND:
             self.dropped += 1
             return
-        self.put({"node": self.name, "level": record.level_name.lower(), "event": record.message, **record.kwargs})
+        self.put(
+            {"node": self.name, "level": record.level_name.lower(), "event": record.message, **record.kwargs}
+        )
 
     def put(self, line: dict) -> None:
         print(json.dumps(line, default=str), file=sys.stdout, flush=True)
--- a/bramblewood/catalogue/edition.py
+++ b/bramblewood/catalogue/edition.py
@@ -1,4 +1,6 @@
-"""A configuration (an edition): read whole, each invalid kind refused with its place, and an index of its routes."""
+"""A configuration (an edition): read whole, each invalid kind refused with its place, and an index of its
+routes.
+"""
 
 import hashlib
 import json
@@ -9,7 +11,7 @@
 
 from .typed import Fault, check
 
-LONGEST = 600.0   # s, ten minutes: the most that a TimeoutS may be; PROTOCOL, "The operator"
+LONGEST = 600.0  # s, ten minutes: the most that a TimeoutS may be; PROTOCOL, "The operator"
 PURE = "pure"
 
 
@@ -61,6 +63,7 @@
 
 class Route(NamedTuple):
     """One route; times in s. targets: (service, share), the shares above 0."""
+
     label: str
     host: str
     prefix: str
@@ -91,6 +94,7 @@
 
 class Edition(NamedTuple):
     """A checked configuration. hosts: routes by host, then by prefix."""
+
     number: int
     parent: int
     digest: str
@@ -107,7 +111,7 @@
         path = path.partition("?")[0]
         end = len(path)
         while (end := path.rfind("/", 0, end)) >= 0:
-            found = routes.get(path[:end + 1])
+            found = routes.get(path[: end + 1])
             if found is not None:
                 return found
         return None
@@ -128,8 +132,15 @@
         spot = f"{where}.Records.{place}"
         if len(record) != len(columns["ColumnNames"]):
             return Err(Fault(spot, f"{len(columns['ColumnNames'])} values", str(len(record))))
-        row = check({name: value for name, value in zip(columns["ColumnNames"], record, strict=True)
-                     if value is not None}, shape, spot)
+        row = check(
+            {
+                name: value
+                for name, value in zip(columns["ColumnNames"], record, strict=True)
+                if value is not None
+            },
+            shape,
+            spot,
+        )
         if isinstance(row, Err):
             return row
         made.append(row.ok_value)
@@ -138,7 +149,9 @@
 
 def route_of(row: RouteRow, where: str, services: dict) -> Result[Route, Fault]:
     if not row["PathPrefix"].startswith("/") or not row["PathPrefix"].endswith("/"):
-        return Err(Fault(f"{where}.PathPrefix", "a prefix that begins and ends with a slash", row["PathPrefix"][:60]))
+        return Err(
+            Fault(f"{where}.PathPrefix", "a prefix that begins and ends with a slash", row["PathPrefix"][:60])
+        )
     timeout = row.get("TimeoutS", LONGEST)
     if not 0 < timeout <= LONGEST:
         return Err(Fault(f"{where}.TimeoutS", f"over 0 and at most {LONGEST:.0f} s", str(timeout)))
@@ -155,9 +168,19 @@
     targets = [(service, share) for service, share in targets if share > 0]
     if not targets:
         return Err(Fault(f"{where}.Target", "a service, or shares above 0", "none"))
-    return Ok(Route(row["Label"], row["Hostname"].lower(), row["PathPrefix"], row["RouteType"] == PURE, timeout,
-                    row.get("TargetLatencyS", timeout), row.get("Priority", 0), row.get("MaxAttempts", 1),
-                    tuple(targets)))
+    return Ok(
+        Route(
+            row["Label"],
+            row["Hostname"].lower(),
+            row["PathPrefix"],
+            row["RouteType"] == PURE,
+            timeout,
+            row.get("TargetLatencyS", timeout),
+            row.get("Priority", 0),
+            row.get("MaxAttempts", 1),
+            tuple(targets),
+        )
+    )
 
 
 def edition_of(raw: Any) -> Result[Edition, Fault]:
@@ -174,8 +197,16 @@
     services = rows(config["ServiceList"], ServiceRow, "ServiceList")
     if isinstance(services, Err):
         return services
-    made = {row["Label"]: Service(row["Label"], row.get("HealthPath", "/health"), row.get("MaxConns", 100),
-                                  row.get("Sharded", False), row.get("WarmS", 0.0)) for row in services.ok_value}
+    made = {
+        row["Label"]: Service(
+            row["Label"],
+            row.get("HealthPath", "/health"),
+            row.get("MaxConns", 100),
+            row.get("Sharded", False),
+            row.get("WarmS", 0.0),
+        )
+        for row in services.ok_value
+    }
     routes = rows(config["RouteList"], RouteRow, "RouteList")
     if isinstance(routes, Err):
         return routes
@@ -188,7 +219,9 @@
         route = route.ok_value
         at_host = hosts.setdefault(route.host, {})
         if route.prefix in at_host:
-            return Err(Fault(where, "a host and prefix of its own", f"those of {at_host[route.prefix].label[:40]}"))
+            return Err(
+                Fault(where, "a host and prefix of its own", f"those of {at_host[route.prefix].label[:40]}")
+            )
         at_host[route.prefix] = route
     return Ok(Edition(number, parent, digest_of(raw), hosts, made, config.get("Limits", {}), raw))
 
--- a/bramblewood/catalogue/links.py
+++ b/bramblewood/catalogue/links.py
@@ -1,6 +1,8 @@
-"""Links between managers: one websocket to each peer, dialled again when it breaks, silent ones given up in time.
+"""Links between managers: one websocket to each peer, dialled again when it breaks, silent ones given up in
+time.
 
-A link promises nothing but order: what was on its way when it broke is lost, and whoever sent it says it again.
+A link promises nothing but order: what was on its way when it broke is lost, and whoever sent it says it
+again.
 """
 
 import asyncio
@@ -12,12 +14,12 @@
 import aiohttp
 from aiohttp import web
 
-DIAL = 0.6        # s for a link to come up; many times the way between zones
-QUIET = 1.2       # s without a message after which a link counts as cut; pulses come each quarter of a second
+DIAL = 0.6  # s for a link to come up; many times the way between zones
+QUIET = 1.2  # s without a message after which a link counts as cut; pulses come each quarter of a second
 WAITS = (0.1, 0.5)  # s between dials, growing
-BACKLOG = 400     # messages that may wait for a slow peer; more, and the link is given up
-LARGEST = 16 * 2 ** 20  # bytes of one message: a configuration of thousands of routes and its table
-UNHEARD_MS = 1000   # ms that sent bytes may stay unacknowledged (TCP_USER_TIMEOUT)
+BACKLOG = 400  # messages that may wait for a slow peer; more, and the link is given up
+LARGEST = 16 * 2**20  # bytes of one message: a configuration of thousands of routes and its table
+UNHEARD_MS = 1000  # ms that sent bytes may stay unacknowledged (TCP_USER_TIMEOUT)
 
 
 def careful(sock: socket.socket | None) -> None:
@@ -47,7 +49,9 @@
         if self.waiting.qsize() > BACKLOG:
             self.close()
             return
-        self.waiting.put_nowait(message if isinstance(message, str) else json.dumps(message, separators=(",", ":")))
+        self.waiting.put_nowait(
+            message if isinstance(message, str) else json.dumps(message, separators=(",", ":"))
+        )
 
     async def _write(self) -> None:
         try:
@@ -60,7 +64,7 @@
         self.writer.cancel()
         transport = getattr(getattr(self.ws, "_writer", None), "transport", None)
         if transport is not None:
-            transport.abort()   # a close handshake would wait for a peer that may be gone
+            transport.abort()  # a close handshake would wait for a peer that may be gone
 
 
 async def listen(link: Link, hear: Callable[[Link, dict], None], quiet: float | None) -> None:
@@ -68,7 +72,7 @@
     while True:
         try:
             message = await link.ws.receive(timeout=quiet)
-        except (TimeoutError, asyncio.TimeoutError):
+        except TimeoutError:
             return
         if message.type is not aiohttp.WSMsgType.TEXT:
             return
@@ -78,8 +82,13 @@
 class Links:
     """Dialled links, by peer."""
 
-    def __init__(self, hello: Callable[[str], dict], hear: Callable[[Link, dict], None],
-                 told: Callable[[str, bool], None], quiet: float | None) -> None:
+    def __init__(
+        self,
+        hello: Callable[[str], dict],
+        hear: Callable[[Link, dict], None],
+        told: Callable[[str, bool], None],
+        quiet: float | None,
+    ) -> None:
         """hello(peer) is the first message on each new link; told(peer, up) is called when one comes or goes.
 
         quiet: s without a message after which a link counts as cut; None where its peer says nothing on it.
@@ -103,8 +112,9 @@
             link = None
             try:
                 async with asyncio.timeout(DIAL):
-                    ws = await self.session.ws_connect(f"http://{peer}:{port}/link", compress=0, autoping=True,
-                                                       max_msg_size=LARGEST)
+                    ws = await self.session.ws_connect(
+                        f"http://{peer}:{port}/link", compress=0, autoping=True, max_msg_size=LARGEST
+                    )
                 link = Link(peer, ws)
                 link.send(self.hello(peer))
                 self.up[peer] = link
@@ -130,8 +140,13 @@
         return link is not None
 
 
-async def accept(request: web.BaseRequest, met: Callable[[Link, dict], None], hear: Callable[[Link, dict], None],
-                 left: Callable[[Link], None], quiet: float) -> web.WebSocketResponse:
+async def accept(
+    request: web.BaseRequest,
+    met: Callable[[Link, dict], None],
+    hear: Callable[[Link, dict], None],
+    left: Callable[[Link], None],
+    quiet: float,
+) -> web.WebSocketResponse:
     """Serve one link that a peer dialled: its first message says who it is."""
     ws = web.WebSocketResponse(compress=False, max_msg_size=LARGEST)
     await ws.prepare(request)
@@ -142,7 +157,7 @@
         if first.type is aiohttp.WSMsgType.TEXT:
             met(link, json.loads(first.data))
             await listen(link, hear, quiet)
-    except (TimeoutError, asyncio.TimeoutError, ValueError, ConnectionError):
+    except (TimeoutError, ValueError, ConnectionError):
         pass
     finally:
         left(link)
--- a/bramblewood/catalogue/typed.py
+++ b/bramblewood/catalogue/typed.py
@@ -1,7 +1,8 @@
-"""A small checker for typed dictionaries: what comes from outside becomes plain values, or one fault with its place.
+"""A small checker for typed dictionaries: what comes from outside becomes plain values, or one fault with its
+place.
 
-Shapes are TypedDict classes (fields may be NotRequired), str, int, float (whole numbers too), bool, Any, Literal,
-list[X], dict[str, X] and X | None. Unknown fields are left out.
+Shapes are TypedDict classes (fields may be NotRequired), str, int, float (whole numbers too), bool, Any,
+Literal, list[X], dict[str, X] and X | None. Unknown fields are left out.
 """
 
 import math
@@ -25,6 +26,7 @@
 
 class Fault(NamedTuple):
     """What is wrong with a value: where it stands, what was expected, what was found."""
+
     where: str
     expected: str
     found: str
@@ -60,7 +62,13 @@
         return value
     if shape in PLAIN:
         fits = isinstance(value, shape) or shape is float and isinstance(value, int)
-        if not fits or shape is not bool and isinstance(value, bool) or shape is float and not math.isfinite(value):
+        if (
+            not fits
+            or shape is not bool
+            and isinstance(value, bool)
+            or shape is float
+            and not math.isfinite(value)
+        ):
             raise wrong(where, PLAIN[shape], value)
         return value
     if is_typeddict(shape):
--- a/bramblewood/cli/rooms.py
+++ b/bramblewood/cli/rooms.py
@@ -10,11 +10,15 @@
 from ..catalogue import bootfile
 from .codes import FAULTY
 
-BOOT = click.option("--boot", metavar="FILE", help=f"the settings file; else the one that {bootfile.VARIABLE} names")
+BOOT = click.option(
+    "--boot", metavar="FILE", help=f"the settings file; else the one that {bootfile.VARIABLE} names"
+)
 
 
-@click.group(help="bramblewood: a gateway. Exit codes: 0 done or ended by SIGTERM, 1 damage found or no such thing, "
-                  "2 faulty words, settings, folder or address.")
+@click.group(
+    help="bramblewood: a gateway. Exit codes: 0 done or ended by SIGTERM, 1 damage found or no such thing, "
+    "2 faulty words, settings, folder or address."
+)
 def rooms() -> None:
     pass
 
@@ -42,6 +46,7 @@
 def desk(boot: str | None) -> None:
     """Run a desk: take clients' requests and carry them to workers."""
     from ..desk.program import Desk
+
     play(Desk(settings(boot)))
 
 
@@ -50,4 +55,5 @@
 def archive(boot: str | None) -> None:
     """Run an archive: keep the configuration, the roll of workers and the tables."""
     from ..archive.program import Archive
+
     play(Archive(settings(boot)))
--- a/bramblewood/cli/words.py
+++ b/bramblewood/cli/words.py
@@ -9,7 +9,6 @@
 
 from .codes import DONE, FAULTY, FOUND  # noqa: F401
 
-
 FOLDER = typer.Argument(..., help="the store's folder")
 JSON = typer.Option(False, "--json", help="one JSON value")
 
--- a/bramblewood/desk/errand.py
+++ b/bramblewood/desk/errand.py
@@ -1,22 +1,27 @@
-"""Errand: one request's life, from its admission to its final answer. Pure; the shell carries out what it says.
+"""Errand: one request's life, from its admission to its final answer. Pure; the shell carries out what it
+says.
 
-What may not repeat is sent to a second worker only where nothing of it went out, or the first said that it has not run
-it. Given up means a final answer at once: 503 with a time to come back where it has not run, else 502 or 504.
+What may not repeat is sent to a second worker only where nothing of it went out, or the first said that it
+has not run it. Given up means a final answer at once: 503 with a time to come back where it has not run, else
+502 or 504.
 """
 
 from typing import NamedTuple
 
 from ..catalogue.edition import Route
 from .stacks import Answer, How
+from .steering import Steering
 
-HOLD_PART = 0.2       # of the aim that a request waits for a worker: refused within a quarter of it, it still counts
-LATER_PART = 0.3      # of the time left after which to come back: clients honour up to a third
-SOON = 0.25           # s to come back after where a queue was full: a few requests' work
-UNSENT_MOST = 4       # tries that never went out; each costs a dial
-SHY_PART = 0.15       # of the aim before the same worker is asked again: about half of a request's work
-SPARE = 0.012         # s kept back from a deadline for the way to the client
-USE_PART = 0.8        # of the shared budget that is used: the rules count arrivals in other windows than ours
-BUCKET = 1.0          # s
+HOLD_PART = (
+    0.2  # of the aim that a request waits for a worker: refused within a quarter of it, it still counts
+)
+LATER_PART = 0.3  # of the time left after which to come back: clients honour up to a third
+SOON = 0.25  # s to come back after where a queue was full: a few requests' work
+UNSENT_MOST = 4  # tries that never went out; each costs a dial
+SHY_PART = 0.15  # of the aim before the same worker is asked again: about half of a request's work
+SPARE = 0.012  # s kept back from a deadline for the way to the client
+USE_PART = 0.8  # of the shared budget that is used: the rules count arrivals in other windows than ours
+BUCKET = 1.0  # s
 
 
 class Send(NamedTuple):
@@ -29,9 +34,10 @@
 
 class Reply(NamedTuple):
     """The final answer: the worker's, or one of our own with a reason."""
+
     status: int
     reason: str
-    later: float | None = None     # s after which to come back
+    later: float | None = None  # s after which to come back
     answer: Answer | None = None
 
 
@@ -66,26 +72,31 @@
 
 
 class Errand:
-    def __init__(self, now: float, route: Route, service: str, key: int | None, request: str, deadline: float) -> None:
+    def __init__(
+        self, now: float, route: Route, service: str, key: int | None, request: str, deadline: float
+    ) -> None:
         self.route, self.service, self.key, self.request = route, service, key, request
         self.begun = now
         self.until = now + min(deadline - SPARE, route.timeout)
         self.hold_until = now + HOLD_PART * route.aim
         self.tried: set[str] = set()
         self.sent = self.unsent = 0
-        self.last: Answer | None = None      # the newest answer of a worker that may be handed on
+        self.last: Answer | None = None  # the newest answer of a worker that may be handed on
         self.ran_maybe = False
-        self.shy, self.shy_until = "", 0.0   # a worker that did not take it, and until when not to ask it again
+        self.shy, self.shy_until = (
+            "",
+            0.0,
+        )  # a worker that did not take it, and until when not to ask it again
 
-    def next(self, now: float, choose, budget: Budget) -> Send | Wait | Reply:
-        """What to do now; choose(tried) gives a worker or None."""
+    def next(self, now: float, steering: Steering, budget: Budget) -> Send | Wait | Reply:
+        """What to do now."""
         if now >= self.until:
             return self.give_up(now, "no answer in time")
         if self.sent >= self.route.attempts:
             return self.give_up(now, "all attempts used")
-        life = choose(self.tried)
+        life = steering.choose(now, self.service, self.key, self.request, self.tried)
         if life is not None and life == self.shy and now < self.shy_until:
-            return Wait(self.shy_until)   # it said no a moment ago: let its queue go down, or a grant arrive
+            return Wait(self.shy_until)  # it said no a moment ago: let its queue go down, or a grant arrive
         if life is not None:
             if self.sent and not budget.spend(self.service, now):
                 return self.give_up(now, "no further try left")
@@ -120,7 +131,7 @@
                 self.shy, self.shy_until = life, now + SHY_PART * self.route.aim
                 return None
             if 200 <= answer.status < 300 and not sound(answer):
-                self.ran_maybe = True    # no success of the worker's own
+                self.ran_maybe = True  # no success of the worker's own
                 return None if self.route.pure else self.give_up(now, "the worker's answer is not whole")
             if answer.status >= 500 and self.route.pure:
                 self.last = answer
--- a/bramblewood/desk/program.py
+++ b/bramblewood/desk/program.py
@@ -18,17 +18,27 @@
 from .stacks import How, Stacks
 from .steering import Steering
 
-REPORT = 1.0        # s between reports to the scribe; the design's cycle
-TIDY = 1.0          # s between looks at kept connections
-WANT_AGAIN = 0.4    # s after which what was asked for and did not come is asked elsewhere
-MISSES = 2.6        # s after which the platform has missed two of its looks and sends no new connections
+REPORT = 1.0  # s between reports to the scribe; the design's cycle
+TIDY = 1.0  # s between looks at kept connections
+WANT_AGAIN = 0.4  # s after which what was asked for and did not come is asked elsewhere
+MISSES = 2.6  # s after which the platform has missed two of its looks and sends no new connections
 MEMORY_PART = 0.25  # of the process's memory that clients' bodies may take
-AT_ONCE = 2 ** 16   # bytes read from a body at once
-HOPS = {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
-        b"proxy-authenticate", b"proxy-authorization", b"expect"}
+AT_ONCE = 2**16  # bytes read from a body at once
+HOPS = {
+    b"connection",
+    b"keep-alive",
+    b"proxy-connection",
+    b"te",
+    b"trailer",
+    b"transfer-encoding",
+    b"upgrade",
+    b"proxy-authenticate",
+    b"proxy-authorization",
+    b"expect",
+}
 OURS = {b"x-deadline-ms", b"x-target-instance", b"content-length"}
 NOTHING = {b"content-length", b"date", b"server"}
-BACK_MOST = 60.0    # s, a deadline where a client names none
+BACK_MOST = 60.0  # s, a deadline where a client names none
 
 
 class Desk:
@@ -41,7 +51,7 @@
         self.stacks = Stacks()
         self.edition: Edition | None = None
         self.links = Links(self.hello, self.hear, self.link_told, QUIET)
-        self.claims: dict[str, dict] = {}          # by archive: its newest pulse
+        self.claims: dict[str, dict] = {}  # by archive: its newest pulse
         self.wanted: dict[str, tuple[int, float]] = {}
         self.scribe: str | None = None
         self.ready = self.ending = False
@@ -56,8 +66,15 @@
         loop.add_signal_handler(signal.SIGHUP, lambda: None)
         for peer in self.told.seed_ips():
             self.links.keep(peer, self.told.inner)
-        front = web.Server(self.serve, access_log=None, max_line_size=65536, max_field_size=65536, max_headers=256,
-                           keepalive_timeout=15.0, auto_decompress=False)
+        front = web.Server(
+            self.serve,
+            access_log=None,
+            max_line_size=65536,
+            max_field_size=65536,
+            max_headers=256,
+            keepalive_timeout=15.0,
+            auto_decompress=False,
+        )
         probe = web.Server(self.readiness, access_log=None, keepalive_timeout=5.0)
         await loop.create_server(front, *self.told.listen["Front"], backlog=1024)
         await loop.create_server(probe, *self.told.listen["ReadyProbe"], backlog=128)
@@ -73,13 +90,17 @@
             self.report(now)
             if now >= tidy_at:
                 tidy_at = now + TIDY
-                self.stacks.tidy(now, {life for life, row in self.steering.roll.rows.items() if row.phase != GONE})
+                self.stacks.tidy(
+                    now, {life for life, row in self.steering.roll.rows.items() if row.phase != GONE}
+                )
                 self.steering.roll.forget(now)
                 self.steering.forget()
         return await self.end(loop.time())
 
     async def end(self, now: float) -> int:
-        """SIGTERM: not ready, new connections still answered and closed, work in flight finished within GraceS."""
+        """SIGTERM: not ready, new connections still answered and closed, work in flight finished within
+        GraceS.
+        """
         self.ending = True
         self.log.info("ending", step="end", flight=self.flight)
         last, calm = now + self.told.bounds.GraceS - 0.5, now + MISSES
@@ -126,8 +147,10 @@
             self.budget.desks = max(message["desks"], 1)
         for other in message["archives"]:
             self.links.keep(other, self.told.inner)
-        for register, have in (("config", self.edition.number if self.edition else 0),
-                               ("table", self.steering.table_n)):
+        for register, have in (
+            ("config", self.edition.number if self.edition else 0),
+            ("table", self.steering.table_n),
+        ):
             number = message["n"][register]
             asked, at = self.wanted.get(register, (0, -1e9))
             if number > have and (number > asked or now > at + WANT_AGAIN):
@@ -136,7 +159,7 @@
 
     def take_config(self, message: dict) -> None:
         if self.edition is not None and message["n"] <= self.edition.number:
-            return   # never back within one life
+            return  # never back within one life
         edition = edition_of(message["config"])
         if edition.is_ok():
             self.edition = edition.ok_value
@@ -144,12 +167,18 @@
             self.stir()
 
     def look_ready(self) -> None:
-        """Ready once the newest that an archive with a word of the majority tells of is here; then for this life."""
+        """Ready once the newest that an archive with a word of the majority tells of is here; then for this
+        life.
+        """
         if self.ready or self.edition is None:
             return
         for told in self.claims.values():
-            if told["whole"] and told["n"]["config"] <= self.edition.number \
-                    and told["n"]["table"] <= self.steering.table_n and self.steering.table_n:
+            if (
+                told["whole"]
+                and told["n"]["config"] <= self.edition.number
+                and told["n"]["table"] <= self.steering.table_n
+                and self.steering.table_n
+            ):
                 self.ready = True
                 self.log.info("ready", step="start", number=self.edition.number)
                 return
@@ -160,7 +189,9 @@
         self.changed = asyncio.Event()
 
     def report(self, now: float) -> None:
-        if self.scribe is not None and self.links.send(self.scribe, self.steering.report(now - self.reported_at)):
+        if self.scribe is not None and self.links.send(
+            self.scribe, self.steering.report(now - self.reported_at)
+        ):
             self.reported_at = now
         for peer in list(self.links.up):
             if peer != self.scribe:
@@ -192,7 +223,7 @@
         if route is None:
             return own(404, "no route")
         name = request.headers.get("X-Attempt-Id", "") or f"{self.told.name}-{os.urandom(8).hex()}"
-        service = route.service(zlib.crc32(b"share" + name.encode()) / 2 ** 32)
+        service = route.service(zlib.crc32(b"share" + name.encode()) / 2**32)
         key = None
         if edition.services[service].keyed:
             told = request.headers.get("X-Shard-Key", "")
@@ -201,7 +232,7 @@
             key = int(told)
         told = request.headers.get("X-Deadline-Ms", "")
         deadline = int(told) / 1000 if told.isdigit() else BACK_MOST
-        body = await self.body(request, edition.limits.get("MaxBodyBytes", 2 ** 26))
+        body = await self.body(request, edition.limits.get("MaxBodyBytes", 2**26))
         if isinstance(body, web.Response):
             return body
         try:
@@ -229,11 +260,12 @@
     async def carry(self, request: web.BaseRequest, body: bytes, errand: Errand) -> web.Response:
         loop, steering = self.loop, self.steering
         self.budget.arrived(errand.service, loop.time())
-        steering.counted(errand.service, steering.hashed(errand.request) if errand.key is None else errand.key)
+        steering.counted(
+            errand.service, steering.hashed(errand.request) if errand.key is None else errand.key
+        )
         while True:
-            now, changed = loop.time(), self.changed
-            step = errand.next(now, lambda tried: steering.choose(
-                now, errand.service, errand.key, errand.request, tried), self.budget)   # noqa: B023
+            changed = self.changed
+            step = errand.next(loop.time(), steering, self.budget)
             if isinstance(step, Wait):
                 try:
                     async with asyncio.timeout_at(step.until):
@@ -245,7 +277,9 @@
             if reply is not None:
                 return finish(reply)
 
-    async def attempt(self, request: web.BaseRequest, body: bytes, errand: Errand, step: Send) -> Reply | None:
+    async def attempt(
+        self, request: web.BaseRequest, body: bytes, errand: Errand, step: Send
+    ) -> Reply | None:
         loop, steering, life = self.loop, self.steering, step.life
         seen = steering.of(life)
         seen.flight += 1
@@ -254,8 +288,9 @@
             line = await self.stacks.lend(life, steering.roll.rows[life].address, began)
             if line is not None:
                 now = loop.time()
-                how, answer = await line.exchange(head(request, body, errand, life, now) + body, errand.request,
-                                                  errand.until)
+                how, answer = await line.exchange(
+                    head(request, body, errand, life, now) + body, errand.request, errand.until
+                )
                 self.stacks.give_back(life, line)
         finally:
             seen.flight -= 1
@@ -272,7 +307,9 @@
 
 
 def head(request: web.BaseRequest, body: bytes, errand: Errand, life: str, now: float) -> bytes:
-    """The request as a worker gets it: unchanged but for what concerns one connection, the time left and its target."""
+    """The request as a worker gets it: unchanged but for what concerns one connection, the time left and its
+    target.
+    """
     named = {name.strip().lower().encode() for name in request.headers.get("Connection", "").split(",")}
     lines = [f"{request.method} {request.raw_path} HTTP/1.1".encode("utf-8", "surrogateescape")]
     has_id = False
@@ -306,5 +343,6 @@
     for name, value in reply.answer.headers:
         if name.lower() not in HOPS and name.lower() not in NOTHING:
             headers.add(name.decode("utf-8", "surrogateescape"), value.decode("utf-8", "surrogateescape"))
-    return web.Response(status=reply.answer.status, reason=reply.answer.reason, body=reply.answer.body,
-                        headers=headers)
+    return web.Response(
+        status=reply.answer.status, reason=reply.answer.reason, body=reply.answer.body, headers=headers
+    )
--- a/bramblewood/desk/stacks.py
+++ b/bramblewood/desk/stacks.py
@@ -1,8 +1,10 @@
-"""Connections to workers: kept, lent for one exchange at a time, and given up when their bytes can't be trusted.
+"""Connections to workers: kept, lent for one exchange at a time, and given up when their bytes can't be
+trusted.
 
-Aiohttp's client sends a GET or a PUT a second time by itself when a connection that it took up again closes; so its
-own parser is used here under a protocol that sends once and says whether anything went out. What a connection brings
-is told apart by `X-Attempt-Id`: an answer with another id belongs to nobody here, bytes while nothing is asked end it.
+Aiohttp's client sends a GET or a PUT a second time by itself when a connection that it took up again closes;
+so its own parser is used here under a protocol that sends once and says whether anything went out. What a
+connection brings is told apart by `X-Attempt-Id`: an answer with another id belongs to nobody here, bytes
+while nothing is asked end it.
 """
 
 import asyncio
@@ -13,27 +15,28 @@
 
 from aiohttp.http import HttpResponseParser
 
-DIAL = 0.35          # s for a connection to come up: a dropped opening packet is sent again after a second or more
-UNHEARD_MS = 500     # ms that sent bytes may stay unacknowledged: a worker's machine answers packets in a few ms
-ANSWER_MOST = 32 * 2 ** 20   # bytes of one answer that is held here
-KEPT_PART = 0.6      # of the time that a worker says it keeps an idle connection
-KEPT_UNSAID = 0.8    # s, where it says none; it gives whole seconds if there are any
+DIAL = 0.35  # s for a connection to come up: a dropped opening packet is sent again after a second or more
+UNHEARD_MS = 500  # ms that sent bytes may stay unacknowledged: a worker's machine answers packets in a few ms
+ANSWER_MOST = 32 * 2**20  # bytes of one answer that is held here
+KEPT_PART = 0.6  # of the time that a worker says it keeps an idle connection
+KEPT_UNSAID = 0.8  # s, where it says none; it gives whole seconds if there are any
 ID = "X-Attempt-Id"
 
 
 class How(Enum):
     """How a try ended."""
-    WHOLE = "whole"        # a whole answer of this request
-    UNSENT = "unsent"      # nothing of it went out
-    BROKEN = "broken"      # it went out, and no answer of it can come any more
-    SILENT = "silent"      # it went out, and the time is over
+
+    WHOLE = "whole"  # a whole answer of this request
+    UNSENT = "unsent"  # nothing of it went out
+    BROKEN = "broken"  # it went out, and no answer of it can come any more
+    SILENT = "silent"  # it went out, and the time is over
 
 
 class Answer(NamedTuple):
     status: int
     reason: str
-    headers: tuple          # raw (name, value) pairs
-    named: dict             # by name, any case
+    headers: tuple  # raw (name, value) pairs
+    named: dict  # by name, any case
     body: bytes
 
 
@@ -42,8 +45,15 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self.loop, self.transport = loop, None
-        self.parser = HttpResponseParser(self, loop, 2 ** 26, max_line_size=16384, max_field_size=32768,
-                                         max_headers=256, auto_decompress=False)
+        self.parser = HttpResponseParser(
+            self,
+            loop,
+            2**26,
+            max_line_size=16384,
+            max_field_size=32768,
+            max_headers=256,
+            auto_decompress=False,
+        )
         self.came: deque = deque()
         self.waiting: asyncio.Future | None = None
         self.wanted, self.got = "", 0
@@ -61,12 +71,12 @@
 
     def data_received(self, data: bytes) -> None:
         if self.waiting is None:
-            self.close()   # bytes that nobody asked for
+            self.close()  # bytes that nobody asked for
             return
         self.got += len(data)
         try:
             messages, _, tail = self.parser.feed_data(data)
-        except Exception:   # the parser's many kinds: bytes that form no answer
+        except Exception:  # the parser's many kinds: bytes that form no answer
             self.look()
             self.fail()
             return
@@ -131,7 +141,7 @@
         except TimeoutError:
             return How.SILENT, None
         finally:
-            if self.waiting is not None:   # given up with the answer still to come
+            if self.waiting is not None:  # given up with the answer still to come
                 self.waiting = None
                 self.close()
 
--- a/bramblewood/desk/steering.py
+++ b/bramblewood/desk/steering.py
@@ -1,8 +1,8 @@
 """Steering: which worker a request goes to, by the agreed tables and what this desk has seen itself. Pure.
 
-The table gives each slice its worker and a second one. What this desk alone knows corrects it for its own requests: a
-worker that did not take its connections rests for a while, and one whose newest stated load is full gives way to the
-second while that has room.
+The table gives each slice its worker and a second one. What this desk alone knows corrects it for its own
+requests: a worker that did not take its connections rests for a while, and one whose newest stated load is
+full gives way to the second while that has room.
 """
 
 import zlib
@@ -12,20 +12,24 @@
 from ..archive.placement import FINE, KEYS, OLD, PART, SECOND, WORKER, starts_of
 from ..archive.roll import DRAINING, GONE, READY, Roll
 
-REST = (0.5, 4.0)    # s that a worker rests here after a failure to connect or silence; doubled each time, at most
-LOAD_AGE = 1.0       # s that a stated load is believed; reports are about as old
-DRAIN_PART = 0.6     # of DrainS in which a keyed worker that leaves may still get what nobody else holds
+REST = (
+    0.5,
+    4.0,
+)  # s that a worker rests here after a failure to connect or silence; doubled each time, at most
+LOAD_AGE = 1.0  # s that a stated load is believed; reports are about as old
+DRAIN_PART = 0.6  # of DrainS in which a keyed worker that leaves may still get what nobody else holds
 
 
 class Seen:
     """What this desk saw of one worker."""
+
     __slots__ = ("flight", "load", "load_at", "rests_until", "rest", "tries", "unanswered", "time", "said")
 
     def __init__(self) -> None:
         self.flight = 0
-        self.load, self.load_at = (0, 0, 0), -1e9      # running, waiting, slots, as the worker said
+        self.load, self.load_at = (0, 0, 0), -1e9  # running, waiting, slots, as the worker said
         self.rests_until, self.rest = 0.0, REST[0]
-        self.tries = self.unanswered = 0               # since the last report
+        self.tries = self.unanswered = 0  # since the last report
         self.time, self.said = 0.0, False
 
 
@@ -77,8 +81,12 @@
     def open(self, now: float, life: str) -> bool:
         """May get new requests: ready as far as known, and not resting here."""
         row = self.roll.rows.get(life)
-        return (row is not None and row.phase == READY and life not in self.silent
-                and self.of(life).rests_until <= now)
+        return (
+            row is not None
+            and row.phase == READY
+            and life not in self.silent
+            and self.of(life).rests_until <= now
+        )
 
     def pressure(self, now: float, life: str) -> float:
         """Requests per slot that it has, as far as this desk can tell."""
@@ -101,8 +109,11 @@
             if row.phase == DRAINING and now - self.roll.since.get(life, 0.0) > self.drain * DRAIN_PART:
                 return None
             return life
-        able = [life for life in (entry[WORKER], entry[SECOND])
-                if life and life not in tried and self.open(now, life)]
+        able = [
+            life
+            for life in (entry[WORKER], entry[SECOND])
+            if life and life not in tried and self.open(now, life)
+        ]
         if not able:
             return self.any(now, service, tried)
         if len(able) == 1:
@@ -119,8 +130,11 @@
     def any(self, now: float, service: str, tried: set[str]) -> str | None:
         """The least pressed worker of a service that is open and was not tried."""
         able = [life for life in self.roll.serving(service) if life not in tried and self.open(now, life)]
-        return min(able, key=lambda life: (self.pressure(now, life), zlib.crc32(f"{life}{now}".encode())),
-                   default=None)
+        return min(
+            able,
+            key=lambda life: (self.pressure(now, life), zlib.crc32(f"{life}{now}".encode())),
+            default=None,
+        )
 
     # --- what was seen
 
@@ -156,8 +170,12 @@
         for life, seen in self.seen.items():
             if seen.tries or seen.said:
                 good = seen.tries - seen.unanswered
-                met[life] = (seen.tries, seen.unanswered, round(seen.time / good, 4) if good else 0.0,
-                             seen.load if seen.said else None)
+                met[life] = (
+                    seen.tries,
+                    seen.unanswered,
+                    round(seen.time / good, 4) if good else 0.0,
+                    seen.load if seen.said else None,
+                )
             seen.tries = seen.unanswered = 0
             seen.time, seen.said = 0.0, False
         heat, self.heat = self.heat, {}
