--- a/bramblewood/archive/ballots.py
+++ b/bramblewood/archive/ballots.py
@@ -19,9 +19,8 @@
 CONFIG, TABLE = "config", "table"
 REGISTERS = (CONFIG, TABLE)
 VOTES = {"prepare", "promise", "accept", "accepted", "refuse", "fetch", "chosen"}  # kinds of messages
-PATIENCE = (
-    0.25  # s that a step of a round waits for its majority: many times the way between zones and a sync
-)
+# s that a step of a round waits for its majority: many times the way between zones and a sync
+PATIENCE = 0.25
 BACKOFF = 0.04  # s, the unit of waits after a lost ballot; some times a round's own length
 UNSETTLED = 0.4  # s that an accepted ballot may stay unchosen before somebody else ends its round
 
--- a/bramblewood/archive/placement.py
+++ b/bramblewood/archive/placement.py
@@ -26,10 +26,11 @@
 FINE = 8  # keys that a count of heat covers: the finest that a slice is split to
 FADE = 0.8  # part of a fine count that a cycle leaves: five reports, as the design averages
 PARTS = 16  # parts that a hot slice is split into at most at one time
+JAM = 1.0  # load of a worker, by its own word, at which all its slots are taken
 COLD_FROM = 0.5  # part of its speed that a new worker is taken to have; the protocol says "slow" only
-WARM_AFTER = (
-    1.0  # s that a worker back from a doubt is taken to be new, where no worker told that it was cold
-)
+# s that a worker back from a doubt is taken to be new, where no worker told that it was cold
+CYCLE = 0.5  # s, the cycle of the rule: as desks report; a crowd of keys is spread in seconds
+WARM_AFTER = 1.0
 STATES = {READY: door.READY, DRAINING: door.DRAINING, GONE: door.GONE}
 SETTLE = 2.2  # beats before a service's first table, so that every worker that is up has called once
 
@@ -141,7 +142,7 @@
             "managers": 1,
             "pick": "pair",
             "single_owner": keyed,
-            "cycle": 1.0,
+            "cycle": CYCLE,
             "load_fields": ["busy", "queued"],
             "warm_after": WARM_AFTER,
             "cold_from": COLD_FROM,
@@ -152,17 +153,28 @@
         self.listed: dict[str, tuple] = {}
         self.known: dict[int, tuple] = {}  # lines that the manager was last told or itself asked for
         self.fine: Counter = Counter()  # heat by FINE keys, fading
-        self.split_at = -1e9
+        self.came: Counter = Counter()  # what came by FINE keys since the last cycle
+        self.split_at = self.heat_at = -1e9
+        self.lines: dict[int, tuple] = {}  # what `relieve` asks for
 
-    def heat_of(self, desk: str, counts: dict[str, int], over: float) -> list:
-        """A desk's counts by FINE keys as heat of slices."""
-        starts, sums = sorted(self.known), Counter()
+    def add_heat(self, counts: dict[str, int]) -> None:
+        """A desk's counts by FINE keys."""
         for fine, count in counts.items():
-            key = int(fine) * FINE
             self.fine[int(fine)] += count
-            if starts:
-                sums[starts[bisect_right(starts, key) - 1]] += count
-        return [door.SliceHeat(start, desk, count, 0, over) for start, count in sums.items()]
+            self.came[int(fine)] += count
+
+    def heat(self, now: float) -> list:
+        """Once a cycle, what came at all desks as heat of every slice: none came is heat too."""
+        over = now - self.heat_at
+        if over < self.facts["cycle"] or not self.known:
+            return []
+        starts, sums = sorted(self.known), Counter()
+        for fine, count in self.came.items():
+            sums[starts[bisect_right(starts, fine * FINE) - 1]] += count
+        self.came, self.heat_at = Counter(), now
+        if over > 2 * self.facts["cycle"]:
+            return []  # the first reports of this scribe: they span nobody knows what
+        return [door.SliceHeat(start, "all", sums[start], 0, over) for start in starts]
 
     def split(self, now: float, entries: dict) -> list[tuple[int, int, tuple]]:
         """Slices hotter than a worker's limit, over three reports: their parts go to the least loaded at
@@ -176,6 +188,9 @@
             if self.fine[fine] < 0.05:
                 del self.fine[fine]
         manager, made, starts = self.manager, [], sorted(self.known)
+        self.lines = self.relieve(now, entries)
+        if self.lines:
+            return []
         for piece in [
             p for p in manager.ours() if p.main and p.main.usable and not entries[str(p.number)][OLD]
         ]:
@@ -199,6 +214,32 @@
                 piece.estimates.clear()
         return made
 
+    def relieve(self, now: float, entries: dict) -> dict[int, tuple]:
+        """The hottest slices of a worker that can't do what comes, over three reports, go where they fit at
+        once.
+
+        Such a worker has all slots taken and a queue by its own word, and more heat than the stand-in
+        capacity; its smallest slices, one a cycle, would take minutes.
+        """
+        planner, lines = self.manager.planner, {}
+        for worker, pieces in planner.by_main.items() if hasattr(planner, "by_main") else ():
+            levels = [*worker.levels][-HELD:] if worker else []
+            if len(levels) < HELD or min(levels) < JAM or not worker.usable:
+                continue
+            limit = planner.capacity(worker)
+            excess = min(sum(p.estimate() for p in pieces), planner.loads[worker]) - limit
+            for piece in sorted(pieces, key=lambda p: (-p.estimate(), p.number)):
+                heat = piece.estimate()
+                if excess <= 0 or heat > limit or entries[str(piece.number)][OLD]:
+                    continue
+                target = planner.least_loaded(heat, worker)
+                if target is None or planner.loads[target] + heat > LIMIT * planner.capacity(target):
+                    continue
+                excess -= heat
+                planner.move(piece, target, True)
+                lines[piece.number] = (target.name, "", 0.0)
+        return lines
+
     def cuts(self, start: int, end: int, parts: int) -> list[int]:
         """First keys of further parts, so that each has about the same of the heat seen of late."""
         inside = sorted((fine * FINE, heat) for fine, heat in self.fine.items() if start <= fine * FINE < end)
@@ -222,10 +263,11 @@
         self.first_at: dict[str, float] = {}
         self.start, self.beat, self.first = start, beat, first
 
-    def report(self, service: str, desk: str, heat: dict[str, int], over: float, met: list) -> None:
+    def report(self, service: str, heat: dict[str, int], met: list) -> None:
         office = self.offices.get(service)
         if office is not None:
-            self.events.setdefault(service, []).extend([*office.heat_of(desk, heat, over), *met])
+            office.add_heat(heat)
+            self.events.setdefault(service, []).extend(met)
 
     def step(
         self,
@@ -246,6 +288,9 @@
                 if not ready or now < self.first_at.setdefault(service, now + self.beat * SETTLE):
                     continue
             entries = stands.get(service)
+            if entries and now < self.start + self.beat * SETTLE:
+                if any(entry[WORKER] and entry[WORKER] not in roll.rows for entry in entries.values()):
+                    continue  # just started: a worker not heard yet is not a worker that is gone
             count = len(entries) if entries else slices_for(len(ready))
             office = self.offices.get(service)
             if office is None or office.keyed != told.keyed:
@@ -284,13 +329,18 @@
         events += self.told_anew(
             office, {int(start): tuple(entry[:FENCE]) for start, entry in entries.items()}
         )
-        orders = office.manager.handle(now, events)
+        orders = office.manager.handle(now, [*events, *office.heat(now)])
         lines = {}
         for start in {order.table for order in orders if isinstance(order, door.SetLine)}:
             line = self.line(office.manager.slices[start])
             if line and line != office.known[start]:
                 lines[start] = office.known[start] = line
-        return lines, office.split(now, entries) if office.keyed and not lines else []
+        if not office.keyed or lines:
+            return lines, []
+        splits = office.split(now, entries)
+        office.known.update(office.lines)
+        lines, office.lines = office.lines, {}
+        return lines, splits
 
     @staticmethod
     def told_anew(office: Office, lines: dict[int, tuple]) -> list:
--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -26,9 +26,8 @@
 TICK = 0.1  # s between looks at what is due
 DESK_PULSE = 0.5  # s between pulses to desks; two lost ones are noticed within their QUIET
 TURN = 0.5  # s between turns of placement, the manager's own
-CALL_WITHIN = (
-    0.85  # s for an operator's or worker's call: callers go elsewhere after a second of silence; PROTOCOL
-)
+# s for an operator's or worker's call: callers go elsewhere after a second of silence; PROTOCOL
+CALL_WITHIN = 0.85
 SEEN_BY_ANOTHER = 0.6  # s that a leave waits for another archive's word, within that second
 STALL = 0.3  # s that a write may take before this archive leaves the proposing to others
 DESK_QUIET = 3.5  # s without a desk's word after which its link is dropped; it reports each second
@@ -61,7 +60,7 @@
         self.asking = False
         self.refused: dict[str, int] = {}
         self.pulse_at = self.desk_pulse_at = self.turn_at = 0.0
-        self.proposing = self.was_scribe = False
+        self.proposing = self.was_scribe = self.was_whole = False
 
     # --- start and end
 
@@ -115,7 +114,7 @@
         if now >= self.pulse_at:
             self.pulse_at = now + PULSE
             self.pulse(now)
-        if now >= self.desk_pulse_at:
+        if now >= self.desk_pulse_at or self.whole(now) and not self.was_whole:
             self.desk_pulse_at = now + DESK_PULSE
             self.pulse_desks(now)
         self.learned()
@@ -133,7 +132,7 @@
         ballots = self.ballots
         return self.sessions.word_until(now, ballots.voters, TABLE, ballots.learned[TABLE][0], ballots.voting)
 
-    def pulse(self, now: float) -> None:
+    def pulse(self, now: float, only: str | None = None) -> None:
         ballots = self.ballots
         message = {
             "k": "pulse",
@@ -145,7 +144,9 @@
             "dur": ballots.durable,
             "desks": list(self.desks),
         }
-        for peer in list(self.links.up):
+        for peer in [only] if only else list(self.links.up):
+            if peer not in self.links.up:
+                continue
             heard = self.sessions.heard.get(peer)
             if now - max(heard.at if heard else 0.0, self.up_since[peer]) > QUIET:
                 self.links.up[peer].close()  # its own link brings nothing any more: likely a cut
@@ -156,7 +157,7 @@
             self.links.send(peer, told)
 
     def pulse_desks(self, now: float) -> None:
-        whole = self.whole(now)
+        whole = self.was_whole = self.whole(now)
         scribe = self.sessions.scribe(now, whole)
         message = json.dumps(
             {
@@ -356,7 +357,9 @@
         }
 
     def link_told(self, peer: str, up: bool) -> None:
-        self.up_since[peer] = self.loop.time()
+        now = self.up_since[peer] = self.loop.time()
+        if up:
+            self.pulse(now, peer)
         self.log.info("link up" if up else "link lost", step="link", peer=peer)
 
     def met(self, link: Link, message: dict) -> None:
@@ -376,12 +379,17 @@
         now, kind = self.loop.time(), message["k"]
         if kind == "pulse":
             self.sessions.pulse(now, link.peer, message)
+            if message["e"] < 0:  # it has no stamp of ours yet: at a start nobody waits for the next turn
+                self.pulse(now, link.peer)
             self.roll.listen(now, message.get("heard", {}))
             out = Out([], [], [])
             for register, ballot in message["dur"].items():
                 if tuple(ballot) != NONE and message["v"]:
                     self.ballots.voted(now, link.peer, register, tuple(ballot), out)
             self.carry(out)
+            self.learned()
+            if not self.was_whole and self.whole(now):
+                self.pulse_desks(now)
             if not self.ballots.voting and message["v"]:
                 self.ballots.voters = tuple(message["voters"])
             for peer in message["voters"]:
@@ -433,7 +441,7 @@
             )
         if self.was_scribe:
             for service, some in met.items():
-                self.placement.report(service, link.peer, message["heat"].get(service, {}), over, some)
+                self.placement.report(service, message["heat"].get(service, {}), some)
 
     def take_rows(self, rows: dict) -> None:
         now = self.loop.time()
--- a/bramblewood/catalogue/links.py
+++ b/bramblewood/catalogue/links.py
@@ -156,7 +156,10 @@
 ) -> web.WebSocketResponse:
     """Serve one link that a peer dialled: its first message says who it is."""
     ws = web.WebSocketResponse(compress=False, max_msg_size=LARGEST)
-    await ws.prepare(request)
+    try:
+        await ws.prepare(request)
+    except ConnectionError:  # the dialler has gone meanwhile
+        return ws
     careful(request.transport.get_extra_info("socket") if request.transport else None)
     link = Link(request.remote or "", ws)
     try:
--- a/bramblewood/desk/errand.py
+++ b/bramblewood/desk/errand.py
@@ -12,13 +12,16 @@
 from .stacks import Answer, How
 from .steering import Steering
 
-HOLD_PART = (
-    0.2  # of the aim that a request waits for a worker: refused within a quarter of it, it still counts
-)
+# of the aim that a request waits for a worker: refused within a quarter of it, it still counts
+HOLD_PART = 0.2
+# of the aim, where its key is on its way from one live worker to another: tenths of a second
+MOVING_PART = 0.6
 LATER_PART = 0.3  # of the time left after which to come back: clients honour up to a third
 SOON = 0.25  # s to come back after where a queue was full: a few requests' work
 UNSENT_MOST = 4  # tries that never went out; each costs a dial
-SHY_PART = 0.15  # of the aim before the same worker is asked again: about half of a request's work
+SHY_PART = 0.4  # of the aim before the same worker is asked again: a full queue's time, at usual work
+FULL_PART = 0.3  # of the aim that a request waits while its only worker is known to be full
+LOOK = 0.04  # s between looks at a full worker: a part of a request's work
 SPARE = 0.012  # s kept back from a deadline for the way to the client
 USE_PART = 0.8  # of the shared budget that is used: the rules count arrivals in other windows than ours
 BUCKET = 1.0  # s
@@ -98,11 +101,16 @@
         if life is not None and life == self.shy and now < self.shy_until:
             return Wait(self.shy_until)  # it said no a moment ago: let its queue go down, or a grant arrive
         if life is not None:
+            if self.key is not None and not self.sent and steering.full(now, life):
+                if now < self.begun + FULL_PART * self.route.aim:
+                    return Wait(now + LOOK)
             if self.sent and not budget.spend(self.service, now):
                 return self.give_up(now, "no further try left")
             return Send(life)
-        if now < self.hold_until and not self.last:
-            return Wait(self.hold_until)
+        moving = self.key is not None and steering.moving(self.service, self.key)
+        until = self.begun + MOVING_PART * self.route.aim if moving else self.hold_until
+        if now < until and not self.last:
+            return Wait(until)
         return self.give_up(now, "no worker may get it now", long=True)
 
     def give_up(self, now: float, reason: str, long: bool = False) -> Reply:
--- a/bramblewood/desk/program.py
+++ b/bramblewood/desk/program.py
@@ -18,7 +18,8 @@
 from .stacks import How, Stacks
 from .steering import Steering
 
-REPORT = 1.0  # s between reports to the scribe; the design's cycle
+REPORT = 0.5  # s between reports to the scribe: the design's cycle, whose length is free
+START_WAIT = 0.25  # s that a request waits for the first configuration: a restart of all is over soon
 TIDY = 1.0  # s between looks at kept connections
 WANT_AGAIN = 0.4  # s after which what was asked for and did not come is asked elsewhere
 MISSES = 2.6  # s after which the platform has missed two of its looks and sends no new connections
@@ -189,6 +190,14 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    async def stirred(self, until: float) -> None:
+        """Wait for news of the archives, at most until then."""
+        try:
+            async with asyncio.timeout_at(until):
+                await self.changed.wait()
+        except TimeoutError:
+            pass
+
     def report(self, now: float) -> None:
         if self.scribe is not None and self.links.send(
             self.scribe, self.steering.report(now - self.reported_at)
@@ -217,7 +226,10 @@
         return response
 
     async def request(self, request: web.BaseRequest) -> web.StreamResponse:
-        now, edition = self.loop.time(), self.edition
+        now = self.loop.time()
+        while self.edition is None and self.loop.time() < now + START_WAIT:
+            await self.stirred(now + START_WAIT)
+        edition = self.edition
         if edition is None:
             return own(503, "no configuration yet", 0.5)
         route = edition.route(request.headers.get("Host", ""), request.raw_path)
@@ -265,14 +277,9 @@
             errand.service, steering.hashed(errand.request) if errand.key is None else errand.key
         )
         while True:
-            changed = self.changed
             step = errand.next(loop.time(), steering, self.budget)
             if isinstance(step, Wait):
-                try:
-                    async with asyncio.timeout_at(step.until):
-                        await changed.wait()
-                except TimeoutError:
-                    pass
+                await self.stirred(step.until)
                 continue
             reply = step if isinstance(step, Reply) else await self.attempt(request, body, errand, step)
             if reply is not None:
@@ -299,8 +306,12 @@
         if how is How.WHOLE:
             steering.answered(now, life, now - began)
             steering.loaded(now, life, answer.named.get("X-Server-Load", ""))
+            if answer.status in (429, 503):
+                steering.turned_away(now, life)
         else:
             steering.failed(now, life, how is not How.BROKEN)
+            if how is How.BROKEN:
+                steering.turned_away(now, life)  # workers of some services reset what they have no room for
             self.log.info("try failed", step="attempt", peer=life, how=how.value, id=errand.request)
             if how is How.UNSENT:
                 self.stacks.drop(life)
--- a/bramblewood/desk/steering.py
+++ b/bramblewood/desk/steering.py
@@ -17,18 +17,32 @@
     4.0,
 )  # s that a worker rests here after a failure to connect or silence; doubled each time, at most
 LOAD_AGE = 1.0  # s that a stated load is believed; reports are about as old
+FRESH = 0.15  # s that a full queue is believed: about a request's work
+QUEUED = 3  # requests waiting at a worker at which it counts as full; "queues a few more", PROTOCOL
+FULL_FOR = 0.1  # s that a worker is left alone by requests bound to it after it turned one away
 DRAIN_PART = 0.6  # of DrainS in which a keyed worker that leaves may still get what nobody else holds
 
 
 class Seen:
     """What this desk saw of one worker."""
 
-    __slots__ = ("flight", "load", "load_at", "rests_until", "rest", "tries", "unanswered", "time", "said")
+    __slots__ = (
+        "flight",
+        "load",
+        "load_at",
+        "rests_until",
+        "rest",
+        "full_until",
+        "tries",
+        "unanswered",
+        "time",
+        "said",
+    )
 
     def __init__(self) -> None:
         self.flight = 0
         self.load, self.load_at = (0, 0, 0), -1e9  # running, waiting, slots, as the worker said
-        self.rests_until, self.rest = 0.0, REST[0]
+        self.rests_until, self.rest, self.full_until = 0.0, REST[0], 0.0
         self.tries = self.unanswered = 0  # since the last report
         self.time, self.said = 0.0, False
 
@@ -73,6 +87,12 @@
         starts = self.starts.get(service)
         return self.table[service][str(starts[bisect_right(starts, key) - 1])] if starts else None
 
+    def moving(self, service: str, key: int) -> bool:
+        """Whether a key is being released by a worker that can be expected to answer."""
+        entry = self.entry(service, key)
+        row = self.roll.rows.get(entry[OLD]) if entry and entry[OLD] else None
+        return row is not None and row.phase != GONE and entry[OLD] not in self.silent
+
     @staticmethod
     def hashed(request: str) -> int:
         """The key of a request whose service has none."""
@@ -94,6 +114,14 @@
         running, waiting, _ = seen.load if now - seen.load_at <= LOAD_AGE else (0, 0, 0)
         return (max(running + waiting, seen.flight)) / row.slots
 
+    def full(self, now: float, life: str) -> bool:
+        """Whether a worker would likely turn a request away: by its word of a moment ago, or since it did."""
+        seen, row = self.of(life), self.roll.rows[life]
+        if now < seen.full_until:
+            return True
+        running, waiting, _ = seen.load if now - seen.load_at <= FRESH else (0, 0, 0)
+        return running + waiting >= row.slots + QUEUED
+
     def choose(self, now: float, service: str, key: int | None, request: str, tried: set[str]) -> str | None:
         """The worker for a request now, or None while there is none that may get it."""
         entry = self.entry(service, self.hashed(request) if key is None else key)
@@ -155,6 +183,9 @@
         seen.time += took
         seen.rest, seen.rests_until = REST[0], 0.0
 
+    def turned_away(self, now: float, life: str) -> None:
+        self.of(life).full_until = now + FULL_FOR
+
     def failed(self, now: float, life: str, rest: bool) -> None:
         """A try without an answer; with `rest` it gets nothing from here for a while."""
         seen = self.of(life)
