Heat by the time reports span; parts and relief go by heat; relief rests until reports can show it

Cause: parts of a split slice stayed where they were, as the books go by the load that a worker tells, and a full one can't tell how much more comes (13 where 27 came). Reports come in crowds: none in one cycle, two in the next.

--- a/bramblewood/archive/placement.py
+++ b/bramblewood/archive/placement.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from .. import interface as door
-from ..balance import HELD, LIMIT, Manager
+from ..balance import HELD, LIMIT, UNSEEN, Manager
 from .roll import DRAINING, GONE, READY, Roll
 
 WORKER, SECOND, PART, FENCE, HANDOVER, OLD = range(6)
@@ -153,27 +153,33 @@
         self.listed: dict[str, tuple] = {}
         self.known: dict[int, tuple] = {}  # lines that the manager was last told or itself asked for
         self.fine: Counter = Counter()  # heat by FINE keys, fading
+        self.spans: dict[str, float] = {}  # s that the desks' reports span, since the last cycle
+        self.desks: dict[str, float] = {}  # when each desk last reported
         self.came: Counter = Counter()  # what came by FINE keys since the last cycle
         self.split_at = self.heat_at = -1e9
+        self.relieved: dict[str, float] = {}  # when each worker was last relieved
         self.lines: dict[int, tuple] = {}  # what `relieve` asks for
 
-    def add_heat(self, counts: dict[str, int]) -> None:
-        """A desk's counts by FINE keys."""
+    def add_heat(self, desk: str, now: float, counts: dict[str, int], over: float) -> None:
+        """A desk's counts by FINE keys over so many seconds."""
+        self.spans[desk] = self.spans.get(desk, 0.0) + over
+        self.desks[desk] = now
         for fine, count in counts.items():
             self.fine[int(fine)] += count
             self.came[int(fine)] += count
 
     def heat(self, now: float) -> list:
         """Once a cycle, what came at all desks as heat of every slice: none came is heat too."""
-        over = now - self.heat_at
-        if over < self.facts["cycle"] or not self.known:
+        if now < self.heat_at + self.facts["cycle"] or not self.known:
+            return []
+        self.desks = {desk: at for desk, at in self.desks.items() if now - at < 3 * self.facts["cycle"] + 1.0}
+        over = sum(self.spans.values()) / max(len(self.desks), 1)  # reports come in crowds: none, then two
+        if over <= self.facts["cycle"] / 4:
             return []
         starts, sums = sorted(self.known), Counter()
         for fine, count in self.came.items():
             sums[starts[bisect_right(starts, fine * FINE) - 1]] += count
-        self.came, self.heat_at = Counter(), now
-        if over > 2 * self.facts["cycle"]:
-            return []  # the first reports of this scribe: they span nobody knows what
+        self.came, self.heat_at, self.spans = Counter(), now, {}
         return [door.SliceHeat(start, "all", sums[start], 0, over) for start in starts]
 
     def split(self, now: float, entries: dict) -> list[tuple[int, int, tuple]]:
@@ -203,17 +209,35 @@
             cuts = self.cuts(piece.number, end, min(int(2 * piece.estimate() / limit) + 1, PARTS))
             heat = piece.estimate() / (len(cuts) + 1)
             for start in cuts:
-                target = manager.planner.least_loaded(heat, piece.main)
-                if target is None or manager.planner.loads[target] + heat > manager.planner.loads[piece.main]:
+                target = self.lightest(heat, piece.main)
+                if target is None or self.carries(target) + heat > self.carries(piece.main):
                     target = piece.main
-                manager.planner.loads[target] += heat
-                manager.planner.loads[piece.main] -= heat
-                manager.planner.moves.append((now, piece.main, target, heat))
+                else:
+                    self.shift(now, piece.main, target, heat)
                 made.append((piece.number, start, (target.name, "", 0.0)))
             if cuts:
                 piece.estimates.clear()
         return made
 
+    def carries(self, worker: Any) -> float:
+        """Heat that a worker carries: by its word or by what comes for it, as a full one can't tell how much
+        more.
+        """
+        return max(self.manager.planner.loads[worker], self.manager.planner.own[worker])
+
+    def lightest(self, heat: float, but: Any) -> Any:
+        """The worker that carries least of those that may take this heat."""
+        able = [w for w in self.manager.usable() if w is not but and self.manager.planner.has_room(w, heat)]
+        return min(able, key=lambda w: (self.carries(w) / w.weight, w.name), default=None)
+
+    def shift(self, now: float, source: Any, target: Any, heat: float) -> None:
+        """Book a move that the manager did not make itself."""
+        planner = self.manager.planner
+        for books in (planner.loads, planner.own):
+            books[source] = max(books[source] - heat, 0.0)
+            books[target] += heat
+        planner.moves.append((now, source, target, heat))
+
     def relieve(self, now: float, entries: dict) -> dict[int, tuple]:
         """The hottest slices of a worker that can't do what comes, over three reports, go where they fit at
         once.
@@ -226,17 +250,20 @@
             levels = [*worker.levels][-HELD:] if worker else []
             if len(levels) < HELD or min(levels) < JAM or not worker.usable:
                 continue
+            if now < self.relieved.get(worker.name, -1e9) + UNSEEN:
+                continue  # no report can show the last relief yet
             limit = planner.capacity(worker)
-            excess = min(sum(p.estimate() for p in pieces), planner.loads[worker]) - limit
             for piece in sorted(pieces, key=lambda p: (-p.estimate(), p.number)):
                 heat = piece.estimate()
-                if excess <= 0 or heat > limit or entries[str(piece.number)][OLD]:
+                if self.carries(worker) <= limit or heat < limit / PARTS:
+                    break  # relieved, or down to slices that only cost
+                if heat > limit or entries[str(piece.number)][OLD]:
                     continue
-                target = planner.least_loaded(heat, worker)
-                if target is None or planner.loads[target] + heat > LIMIT * planner.capacity(target):
+                target = self.lightest(heat, worker)
+                if target is None or self.carries(target) + heat > LIMIT * planner.capacity(target):
                     continue
-                excess -= heat
-                planner.move(piece, target, True)
+                self.shift(now, worker, target, heat)
+                self.relieved[worker.name] = now
                 lines[piece.number] = (target.name, "", 0.0)
         return lines
 
@@ -263,10 +290,12 @@
         self.first_at: dict[str, float] = {}
         self.start, self.beat, self.first = start, beat, first
 
-    def report(self, service: str, heat: dict[str, int], met: list) -> None:
+    def report(
+        self, now: float, service: str, desk: str, heat: dict[str, int], over: float, met: list
+    ) -> None:
         office = self.offices.get(service)
         if office is not None:
-            office.add_heat(heat)
+            office.add_heat(desk, now, heat, over)
             self.events.setdefault(service, []).extend(met)
 
     def step(
--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -441,7 +441,7 @@
             )
         if self.was_scribe:
             for service, some in met.items():
-                self.placement.report(service, message["heat"].get(service, {}), some)
+                self.placement.report(now, service, link.peer, message["heat"].get(service, {}), over, some)
 
     def take_rows(self, rows: dict) -> None:
         now = self.loop.time()
--- a/bramblewood/catalogue/links.py
+++ b/bramblewood/catalogue/links.py
@@ -153,13 +153,13 @@
     hear: Callable[[Link, dict], None],
     left: Callable[[Link], None],
     quiet: float,
-) -> web.WebSocketResponse:
+) -> web.StreamResponse:
     """Serve one link that a peer dialled: its first message says who it is."""
     ws = web.WebSocketResponse(compress=False, max_msg_size=LARGEST)
     try:
         await ws.prepare(request)
     except ConnectionError:  # the dialler has gone meanwhile
-        return ws
+        return web.Response(status=503)
     careful(request.transport.get_extra_info("socket") if request.transport else None)
     link = Link(request.remote or "", ws)
     try:
