--- a/bramblewood/archive/ballots.py
+++ b/bramblewood/archive/ballots.py
@@ -16,8 +16,9 @@
 
 Ballot = tuple[int, str, int]  # counter, archive, that archive's life; compared in turn
 NONE: Ballot = (0, "", 0)
-CONFIG, TABLE = "config", "table"
+CONFIG, TABLE, VOTERS = "config", "table", "voters"
 REGISTERS = (CONFIG, TABLE)
+FOUNDING = (VOTERS,)  # agreed once, by the seeds of the first boot
 VOTES = {"prepare", "promise", "accept", "accepted", "refuse", "fetch", "chosen"}  # kinds of messages
 # s that a step of a round waits for its majority: many times the way between zones and a sync
 PATIENCE = 0.25
@@ -68,16 +69,23 @@
     """All registers at one archive: acceptor, proposer and learner."""
 
     def __init__(
-        self, me: str, voters: tuple[str, ...], life: int, stored: dict[str, tuple], voting: bool
+        self,
+        me: str,
+        voters: tuple[str, ...],
+        life: int,
+        stored: dict[str, tuple],
+        voting: bool,
+        registers: tuple[str, ...] = REGISTERS,
     ) -> None:
+        self.registers = registers
         self.me, self.voters, self.life, self.voting, self.count = me, tuple(voters), life, voting, 0
-        self.acceptors = {name: Acceptor(*stored.get(name, ())) for name in REGISTERS}
+        self.acceptors = {name: Acceptor(*stored.get(name, ())) for name in registers}
         self.durable = {name: a.accepted for name, a in self.acceptors.items()}
         self.seen = {name: a.promised[0] for name, a in self.acceptors.items()}
-        self.votes: dict[str, dict[str, Ballot]] = {name: {} for name in REGISTERS}
-        self.learned: dict[str, tuple[Ballot, Any]] = {name: (NONE, None) for name in REGISTERS}
+        self.votes: dict[str, dict[str, Ballot]] = {name: {} for name in self.registers}
+        self.learned: dict[str, tuple[Ballot, Any]] = {name: (NONE, None) for name in self.registers}
         self.ahead_since: dict[str, float] = {}
-        self.rounds: dict[str, list[Round]] = {name: [] for name in REGISTERS}
+        self.rounds: dict[str, list[Round]] = {name: [] for name in self.registers}
         self.relearning: dict[str, Round] = {}
         self.asked_at: dict[str, float] = {}
 
@@ -254,7 +262,7 @@
 
     def tick(self, now: float) -> Out:
         out = Out([], [], [])
-        for register in REGISTERS:
+        for register in self.registers:
             for round in [self.relearning.get(register), *self.rounds[register][:1]]:
                 if round is not None and round.step in ("prepare", "accept") and now >= round.step_until:
                     self.lost(now, round)
@@ -269,14 +277,14 @@
                         Round(register, lambda value: (None, True), "settle", now + 1.0)
                     )
                     self.advance(now, register, out)
-        if not self.voting:
+        if not self.voting and self.me in self.voters:
             self.relearn(now, out)
         return out
 
     # --- after a lost disk
 
     def relearn(self, now: float, out: Out) -> None:
-        for register in REGISTERS:
+        for register in self.registers:
             round = self.relearning.get(register)
             if round is None:
                 round = self.relearning[register] = Round(register, None, "relearn", 0.0)
@@ -293,6 +301,6 @@
         acceptor.promised, acceptor.accepted, acceptor.value = round.ballot, best, value
         round.step = "done"
         out.writes.append((round.register, acceptor.promised, acceptor.accepted, acceptor.value))
-        if all(self.relearning[name].step == "done" for name in REGISTERS):
+        if all(self.relearning[name].step == "done" for name in self.registers):
             self.voting, self.relearning = True, {}
             out.answers.append(("relearn", True))
--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -17,7 +17,7 @@
 from ..catalogue.links import QUIET, Link, Links, accept, careful_socket
 from . import placement
 from .accession import GetConfig, PutConfig, Refusal, Register, TakeLeave, decode, most, succeed
-from .ballots import CONFIG, NONE, REGISTERS, TABLE, VOTES, Ballots, Out
+from .ballots import CONFIG, FOUNDING, NONE, REGISTERS, TABLE, VOTERS, VOTES, Ballots, Out
 from .holds import Call, Freed, Holds
 from .roll import GONE, Roll, Row
 from .sessions import PULSE, Sessions
@@ -29,6 +29,7 @@
 # s for an operator's or worker's call: callers go elsewhere after a second of silence; PROTOCOL
 CALL_WITHIN = 0.85
 SEEN_BY_ANOTHER = 0.6  # s that a leave waits for another archive's word, within that second
+FOUND_WITHIN = 3.0  # s of the first boot in which more archives may show themselves; all start at once
 STALL = 0.3  # s that a write may take before this archive leaves the proposing to others
 DESK_QUIET = 3.5  # s without a desk's word after which its link is dropped; it reports each second
 GRANT_FIRST = 0.025  # s that a table waits for its grants before desks follow it: ways to a worker and back
@@ -47,6 +48,8 @@
         self.roll, self.sessions = Roll(), Sessions(self.me)
         self.links = Links(self.hello, self.hear, self.link_told, None)
         self.up_since: dict[str, float] = {}
+        self.archives: set[str] = set()
+        self.founding: Ballots | None = None
         self.desks: dict[str, Link] = {}
         self.holds = Holds(told.bounds.HoldMaxS)
         self.ids = itertools.count(1)
@@ -59,6 +62,8 @@
         self.writes = 0
         self.asking = False
         self.refused: dict[str, int] = {}
+        self.to_free: dict[tuple, Freed] = {}
+        self.freeing = False
         self.pulse_at = self.desk_pulse_at = self.turn_at = 0.0
         self.proposing = self.was_scribe = self.was_whole = False
 
@@ -71,18 +76,18 @@
             self.log.error("no shelf", step="open", problem=found.err_value)
             return 2
         facts, stored = found.ok_value["facts"], found.ok_value["registers"]
-        kept = "voters" in facts
-        voters = tuple(facts["voters"]) if kept else tuple(sorted(set(self.told.seed_ips())))
-        self.ballots = Ballots(
-            self.me, voters, self.life, stored if kept else {}, kept or self.told.first_boot
-        )
+        self.born = "born" in facts  # else the disk is new, or was lost: FirstBoot tells which
+        self.ballots = Ballots(self.me, tuple(facts.get("voters", ())), self.life, stored, self.born)
         self.placement = placement.Placement(loop.time(), self.told.beat, self.told.first_boot)
         self.shelf.start(lambda done, problem: loop.call_soon_threadsafe(done, problem))
-        if not kept and self.told.first_boot:
-            self.shelf.write([], {"voters": voters}, lambda problem: None)
-        for peer in voters:
-            if peer != self.me:
-                self.links.keep(peer, self.told.inner)
+        if not self.born and self.told.first_boot:
+            self.shelf.write([], {"born": True}, lambda problem: None)
+        seeds = tuple(sorted(set(self.told.seed_ips())))
+        if "voters" not in facts and self.told.first_boot and self.me in seeds:
+            self.founding = Ballots(self.me, seeds, self.life, stored, True, FOUNDING)
+        for peer in {*seeds, *facts.get("archives", ()), *self.ballots.voters}:
+            self.know(peer)
+        self.started = loop.time()
         self.leaving = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, self.leaving.set)
         servers = []
@@ -91,7 +96,7 @@
             servers.append(server)
         connector = aiohttp.TCPConnector(socket_factory=careful_socket, limit=0, keepalive_timeout=4.0)
         self.calls = aiohttp.ClientSession(connector=connector, auto_decompress=False)
-        self.log.info("started", step="start", voters=voters, kept=kept, voting=self.ballots.voting)
+        self.log.info("started", step="start", voters=self.ballots.voters, voting=self.ballots.voting)
         while not self.leaving.is_set():
             self.tick(loop.time())
             try:
@@ -107,10 +112,56 @@
         self.shelf.close()
         return 0
 
+    # --- who votes
+
+    def know(self, peer: str) -> None:
+        if peer != self.me and peer not in self.archives:
+            self.archives.add(peer)
+            self.links.keep(peer, self.told.inner)
+
+    def found(self, now: float) -> None:
+        """At the first boot the seeds agree once on who votes: so many archives that the losses to be borne
+        leave a majority, or all that have shown themselves by then.
+        """
+        enough = 2 * self.told.losses + 1
+        known = sorted({self.me, *self.archives})
+        if self.founding.rounds[VOTERS] or len(known) < enough and now < self.started + FOUND_WITHIN:
+            return
+        count = min(len(known), enough)
+        chosen = [
+            *sorted(set(self.told.seed_ips())),
+            *(one for one in known if one not in self.told.seed_ips()),
+        ]
+        value = {"n": 1, "voters": sorted(chosen[: count - (count % 2 == 0)])}
+        change = lambda stands: (None if stands else value, True)  # noqa: E731
+        self.carry(self.founding.propose(now, VOTERS, change, None, 1.0))
+
+    def adopt(self, voters: tuple[str, ...]) -> None:
+        """Who votes is agreed: known for good once it is on the disk."""
+        if self.ballots.voters or not voters:
+            return
+        fresh = self.born or self.told.first_boot
+        self.log.info("voters", step="found", voters=voters, voting=fresh)
+        stored = {name: (a.promised, a.accepted, a.value) for name, a in self.ballots.acceptors.items()}
+
+        def kept(problem: str | None) -> None:
+            if problem is None and not self.ballots.voters:
+                self.ballots = Ballots(self.me, voters, self.life, stored, fresh)
+
+        facts = {"voters": voters} if fresh else {}
+        self.shelf.write([], facts, kept)
+
     # --- turns
 
     def tick(self, now: float) -> None:
         self.carry(self.ballots.tick(now))
+        if self.founding is not None:
+            self.carry(self.founding.tick(now))
+            if not self.ballots.voters:
+                if value := self.founding.value(VOTERS):
+                    self.adopt(tuple(value["voters"]))
+                else:
+                    self.found(now)
         if now >= self.pulse_at:
             self.pulse_at = now + PULSE
             self.pulse(now)
@@ -140,6 +191,7 @@
             "v": ballots.voting,
             "w": self.whole(now),
             "voters": ballots.voters,
+            "archives": sorted({self.me, *self.archives}),
             "acc": {name: ballots.acceptors[name].accepted for name in REGISTERS},
             "dur": ballots.durable,
             "desks": list(self.desks),
@@ -166,7 +218,7 @@
                 "whole": whole,
                 "scribe": scribe == self.me,
                 "desks": len(self.sessions.all_desks(now, list(self.desks))),
-                "archives": self.ballots.voters,
+                "archives": sorted({self.me, *self.archives}),
                 "silent": sorted(self.silent(now)),
             },
             separators=(",", ":"),
@@ -245,16 +297,33 @@
         self.learned()
 
     def free(self, one: Freed) -> None:
-        self.propose(
-            TABLE,
-            lambda value: placement.freed(value, one.service, one.starts, one.fence, one.old, one.handover),
-            self.settled,
-            1.0,
-        )
+        """Ask for a slice to be free of its old holder; all that wait go in one change."""
+        self.to_free[one.service, one.starts, one.fence] = one
+        if not self.freeing:
+            self.freeing, some = True, list(self.to_free.values())
+            self.to_free.clear()
+
+            def change(value: dict | None) -> tuple[dict | None, bool]:
+                made, changed = value, False
+                for each in some:
+                    after, found = placement.freed(
+                        made, each.service, each.starts, each.fence, each.old, each.handover
+                    )
+                    made, changed = (after, True) if found else (made, changed)
+                return ({**made, "n": value["n"] + 1}, True) if changed else (None, False)
+
+            self.propose(TABLE, change, self.settled, 1.0)
 
     def settled(self, outcome: Any) -> None:
+        self.freeing = False
+        self.learned()
+        if self.to_free:
+            self.free(next(iter(self.to_free.values())))
+        else:
+            self.steer(self.loop.time())
+
+    def refreshed(self, outcome: Any) -> None:
         self.learned()
-        self.steer(self.loop.time())
 
     async def call(self, call: Call, until: float) -> None:
         """One grant or release at a worker. A grant leaves at once and on a fresh word, or not at all."""
@@ -294,7 +363,7 @@
             self.propose(
                 TABLE,
                 lambda value: placement.refenced(value, call.service, call.starts, call.fence),
-                self.settled,
+                self.refreshed,
                 1.0,
             )
         free = self.holds.answered(now, call, sent, status, handover, ended)
@@ -317,7 +386,7 @@
         if self.writing_since is None:
             self.writing_since = self.loop.time()
         self.writes += 1
-        facts = {"voters": self.ballots.voters} if ("relearn", True) in out.answers else {}
+        facts = {"voters": self.ballots.voters, "born": True} if ("relearn", True) in out.answers else {}
         self.shelf.write(out.writes, facts, lambda problem: self.written(out, problem))
 
     def written(self, out: Out, problem: str | None) -> None:
@@ -327,7 +396,7 @@
             self.log.error("not written", step="write", problem=problem)
             return
         for register, _, accepted, _ in out.writes:
-            self.ballots.stored(register, accepted)
+            (self.founding if register == VOTERS else self.ballots).stored(register, accepted)
         self.dispatch(out)
 
     def dispatch(self, out: Out) -> None:
@@ -338,13 +407,15 @@
                 self.links.send(peer, message)
         for tag, outcome in out.answers:
             if callable(tag):
-                tag(outcome)
+                self.loop.call_soon(tag, outcome)
             elif tag == "relearn":
                 self.log.info("votes again", step="relearn")
         self.learned()
 
     def hear_ballot(self, peer: str, message: dict) -> None:
-        self.carry(self.ballots.hear(self.loop.time(), peer, message))
+        machine = self.founding if message["r"] == VOTERS else self.ballots
+        if machine is not None:
+            self.carry(machine.hear(self.loop.time(), peer, message))
 
     # --- other managers
 
@@ -365,6 +436,7 @@
     def met(self, link: Link, message: dict) -> None:
         link.peer, link.role = str(message["from"]), message["role"]
         if link.role == "archive":
+            self.know(link.peer)
             self.take_rows(message.get("rows", {}))
             return
         self.desks[link.peer] = link
@@ -390,11 +462,9 @@
             self.learned()
             if not self.was_whole and self.whole(now):
                 self.pulse_desks(now)
-            if not self.ballots.voting and message["v"]:
-                self.ballots.voters = tuple(message["voters"])
-            for peer in message["voters"]:
-                if peer != self.me:
-                    self.links.keep(peer, self.told.inner)
+            self.adopt(tuple(message["voters"]))
+            for peer in message["archives"]:
+                self.know(peer)
         elif kind == "roll":
             self.take_rows(message["rows"])
             self.links.send(link.peer, {"k": "rolled", "id": message["id"]})
--- a/bramblewood/catalogue/bootfile.py
+++ b/bramblewood/catalogue/bootfile.py
@@ -17,6 +17,10 @@
     MaxFds: NotRequired[int]
 
 
+class Tolerance(TypedDict):
+    Machines: NotRequired[int]
+
+
 class Boot(TypedDict):
     """The fields that are read, as the users' pages name them."""
 
@@ -32,6 +36,7 @@
     Bounds: NotRequired[list[str]]
     BindMap: dict[str, str]
     Limits: NotRequired[LimitsOfMachine]
+    Tolerance: NotRequired[Tolerance]
 
 
 @dataclass(frozen=True)
@@ -70,6 +75,7 @@
     memory: float  # bytes
     descriptors: int
     bounds: Bounds
+    losses: int = 1  # machines with a disk that may be away at once
 
     @property
     def inner(self) -> int:
@@ -138,6 +144,7 @@
             limits.get("MemoryMb", 256.0) * 2**20,
             limits.get("MaxFds", 1024),
             bounds.ok_value,
+            boot.get("Tolerance", {}).get("Machines", 1),
         )
     )
 
