--- a/bramblewood/archive/shelf.py
+++ b/bramblewood/archive/shelf.py
@@ -1,9 +1,12 @@
 """What the archive keeps on disk: one sqlite file, one writer thread, one place that knows what "safe on
 disk" is.
 
-Write-ahead mode with synchronous=FULL: a commit returns once the log is synced, and each frame of the log has
-a checksum, so a torn end is an end. locking_mode=EXCLUSIVE, since the index of the log would else lie in
-shared memory, which these machines don't have.
+Write-ahead mode: a commit returns once the log is synced, and each frame of the log has a checksum, so a torn
+end is an end. locking_mode=EXCLUSIVE, since the index of the log would else lie in shared memory, which these
+machines don't have. synchronous=EXTRA, and before the switch to the write-ahead log: the switch itself is a
+transaction with a rollback journal, and with FULL the removal of that journal may not last; the next start
+after a power cut then rolls the switch back and takes no look at the log, with all that was acknowledged in
+it.
 """
 
 import json
@@ -21,7 +24,11 @@
 
 
 class Shelf:
-    def __init__(self, folder: str) -> None:
+    def __init__(self, folder: str, connect: Callable[[str], Any] | None = None) -> None:
+        """connect(path) opens the base, sqlite3's own way unless a test gives another."""
+        self.connect = connect or (
+            lambda path: sqlite3.connect(path, isolation_level=None, check_same_thread=False)
+        )
         self.path = os.path.join(folder, NAME)
         self.inbox: queue.SimpleQueue = queue.SimpleQueue()
         self.thread = threading.Thread(target=self._work, daemon=True, name="shelf")
@@ -32,10 +39,7 @@
         """What lies there: {"facts": ..., "registers": {name: (promised, accepted, value)}}."""
         try:
             os.makedirs(os.path.dirname(self.path), exist_ok=True)
-            base = sqlite3.connect(self.path, isolation_level=None, check_same_thread=False)
-            base.execute("pragma locking_mode=exclusive")
-            base.execute("pragma journal_mode=wal")
-            base.execute("pragma synchronous=full")
+            base = self.ready()
             form = base.execute("pragma user_version").fetchone()[0]
             if form not in (0, FORM):
                 return Err(f"{self.path}: form {form}, and this program knows {FORM}")
@@ -57,6 +61,15 @@
         self.base = base
         return Ok({"facts": facts, "registers": registers})
 
+    def ready(self) -> Any:
+        """An open base in the modes that "safe on disk" rests on."""
+        base = self.connect(self.path)
+        base.execute("pragma locking_mode=exclusive")
+        base.execute("pragma synchronous=extra")  # before the log: see above
+        if base.execute("pragma journal_mode=wal").fetchone()[0] != "wal":
+            raise sqlite3.OperationalError("no write-ahead log can be kept here")
+        return base
+
     def start(self, tell: Callable[[Callable, Any], None]) -> None:
         """Begin writing; tell(call, problem or None) is called in the writer's thread after each write."""
         self.tell = tell
@@ -76,14 +89,14 @@
                 batch.append(self.inbox.get())
             leaving = None in batch
             batch = [item for item in batch if item is not None]
-            problem = self._commit(batch) if batch else None
+            problem = self.commit(batch) if batch else None
             for _, _, done in batch:
                 self.tell(done, problem)
             if leaving:
                 self.base.close()
                 return
 
-    def _commit(self, batch: list) -> str | None:
+    def commit(self, batch: list) -> str | None:
         """All of a batch in one transaction: one sync serves all that wait."""
         latest: dict[str, tuple] = {}
         facts: dict[str, Any] = {}
@@ -92,8 +105,8 @@
                 {name: (promised, accepted, value) for name, promised, accepted, value in registers}
             )
             facts.update(some)
-        base = self.base
         try:
+            base = self.base
             base.execute("begin immediate")
             for name, (promised, accepted, value) in latest.items():
                 base.execute(
@@ -104,10 +117,10 @@
                 base.execute("insert or replace into facts values (?, ?)", (name, json.dumps(value)))
             base.execute("commit")
         except sqlite3.Error as problem:
-            if base.in_transaction:
-                try:
-                    base.execute("rollback")
-                except sqlite3.Error:
-                    pass
+            try:
+                if self.base.in_transaction:
+                    self.base.execute("rollback")
+            except sqlite3.Error:
+                pass  # the next transaction tells whether the disk is back
             return str(problem)
         return None
