--- a/bramblewood/__main__.py
+++ b/bramblewood/__main__.py
@@ -11,12 +11,20 @@
 signal.signal(signal.SIGHUP, lambda _number, _frame: None)
 signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
-ROOMS = ("desk", "archive")   # the gateway's programs; what they need is not imported by the manager
+# the gateway's commands; what they need is not imported by the manager
+ROOMS = ("desk", "archive", "config", "roll", "holds", "sessions", "explain", "shelf")
+
+
+def gateway(words: list[str]) -> bool:
+    """Whether a call is for the gateway; `check` is the manager's where that one's file is named."""
+    if words[:1] == ["check"]:
+        return "--boot" in words or "--config" in words or "EDGE_CONFIG" not in os.environ and len(words) == 1
+    return words[:1] != [] and words[0] in ROOMS
 
 
 def run() -> None:
     """The installed command."""
-    if sys.argv[1:2] and sys.argv[1] in ROOMS:
+    if gateway(sys.argv[1:]):
         from .cli.rooms import rooms
         rooms(prog_name="bramblewood")
     from .cli.app import main
--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 from result import Err
 
-from ..catalogue import daybook
+from ..catalogue import counters, daybook
 from ..catalogue.bootfile import Settings
 from ..catalogue.edition import edition_of
 from ..catalogue.links import QUIET, Link, Links, accept, careful_socket
@@ -61,6 +61,7 @@
         self.writing_since: float | None = None
         self.writes = 0
         self.asking = False
+        self.counts = dict.fromkeys(("archive_grants", "archive_releases", "archive_calls_failed"), 0)
         self.refused: dict[str, int] = {}
         self.to_free: dict[tuple, Freed] = {}
         self.freeing = False
@@ -348,6 +349,8 @@
             status = -1 if isinstance(problem.os_error, ConnectionRefusedError) else 0
         except (OSError, TimeoutError, aiohttp.ClientError):
             pass
+        self.counts[f"archive_{call.kind}s"] += 1
+        self.counts["archive_calls_failed"] += status != 200
         now = self.loop.time()
         row = self.roll.rows.get(call.life)
         self.refused[call.life] = self.refused.get(call.life, 0) + 1 if status == -1 else 0
@@ -543,6 +546,8 @@
         if request.path == "/link" and request.transport.get_extra_info("sockname")[1] == self.told.inner:
             return await accept(request, self.met, self.hear, self.left, DESK_QUIET)
         method, path = request.method, request.raw_path
+        if request.transport.get_extra_info("sockname")[1] == self.told.inner:
+            return self.view(path)
         body = b""
         bound = most(method, path)
         async for chunk in request.content.iter_chunked(2**16):
@@ -578,6 +583,74 @@
                     return answer(404, "no configuration yet")
                 return web.json_response(told[0]["config"])
 
+    def view(self, path: str) -> web.Response:
+        """What operators' tools read, on the listener for other managers; changes nothing."""
+        now = self.loop.time()
+        if path == "/view/roll":
+            silent = self.silent(now)
+            return web.json_response(
+                {
+                    life: {
+                        **row._asdict(),
+                        "heard": round(now - self.roll.heard.get(life, 0.0), 2),
+                        "silent": life in silent,
+                    }
+                    for life, row in self.roll.rows.items()
+                }
+            )
+        if path == "/view/table":
+            return web.json_response(self.ballots.value(TABLE) or {"n": 0, "s": {}})
+        if path == "/view/holds":
+            return web.json_response(
+                [
+                    {
+                        "service": service,
+                        "from": start,
+                        "life": life,
+                        "fence": fence,
+                        "until": round(at + self.holds.hold - now, 2),
+                    }
+                    for (service, start), (life, fence, at) in sorted(self.holds.granted.items())
+                ]
+            )
+        if path == "/view/sessions":
+            return web.json_response(
+                {
+                    "me": self.me,
+                    "voters": self.ballots.voters,
+                    "votes": self.ballots.voting,
+                    "whole": self.whole(now),
+                    "scribe": self.sessions.scribe(now, self.whole(now)),
+                    "archives": {
+                        peer: {"heard": round(now - heard.at, 2), "whole": heard.whole, "votes": heard.votes}
+                        for peer, heard in self.sessions.heard.items()
+                    },
+                    "desks": sorted(self.sessions.all_desks(now, list(self.desks))),
+                }
+            )
+        if path == "/view/history":
+            value = self.ballots.value(CONFIG)
+            return web.json_response(value["past"] if value else {})
+        if path == "/metrics":
+            ballots = self.ballots
+            return web.Response(
+                text=counters.text(
+                    {
+                        "archive_whole": int(self.whole(now)),
+                        "archive_votes": int(ballots.voting),
+                        "archive_scribe": int(self.was_scribe),
+                        "archive_desks": len(self.desks),
+                        "archive_workers": len(self.roll.rows),
+                        "archive_silent_workers": len(self.silent(now)),
+                        "archive_config_version": ballots.version(CONFIG),
+                        "archive_table_version": ballots.version(TABLE),
+                        "archive_writes_waiting": self.writes,
+                        **self.counts,
+                    }
+                )
+            )
+        return answer(404, "no such view")
+
     async def agreed(self, register: str, change: Any) -> Any:
         waiting = self.loop.create_future()
         self.propose(
--- a/bramblewood/catalogue/edition.py
+++ b/bramblewood/catalogue/edition.py
@@ -125,33 +125,27 @@
     return int(found[1]) if found else None
 
 
-def rows(columns: Columns, shape: type, where: str) -> Result[list[dict], Fault]:
-    """Records as checked dictionaries; null is left out."""
-    made = []
+def rows(columns: Columns, shape: type, where: str, faults: list[Fault]) -> dict[str, dict]:
+    """Records as checked dictionaries by their place; null is left out, faulty ones are told and left out."""
+    made = {}
     for place, record in enumerate(columns["Records"]):
         spot = f"{where}.Records.{place}"
         if len(record) != len(columns["ColumnNames"]):
-            return Err(Fault(spot, f"{len(columns['ColumnNames'])} values", str(len(record))))
-        row = check(
-            {
-                name: value
-                for name, value in zip(columns["ColumnNames"], record, strict=True)
-                if value is not None
-            },
-            shape,
-            spot,
-        )
+            faults.append(Fault(spot, f"{len(columns['ColumnNames'])} values", str(len(record))))
+            continue
+        named = zip(columns["ColumnNames"], record, strict=True)
+        row = check({name: value for name, value in named if value is not None}, shape, spot)
         if isinstance(row, Err):
-            return row
-        made.append(row.ok_value)
-    return Ok(made)
+            faults.append(row.err_value)
+        else:
+            made[spot] = row.ok_value
+    return made
 
 
 def route_of(row: RouteRow, where: str, services: dict) -> Result[Route, Fault]:
     if not row["PathPrefix"].startswith("/") or not row["PathPrefix"].endswith("/"):
-        return Err(
-            Fault(f"{where}.PathPrefix", "a prefix that begins and ends with a slash", row["PathPrefix"][:60])
-        )
+        expected = "a prefix that begins and ends with a slash"
+        return Err(Fault(f"{where}.PathPrefix", expected, row["PathPrefix"][:60]))
     timeout = row.get("TimeoutS", LONGEST)
     if not 0 < timeout <= LONGEST:
         return Err(Fault(f"{where}.TimeoutS", f"over 0 and at most {LONGEST:.0f} s", str(timeout)))
@@ -183,21 +177,21 @@
     )
 
 
-def edition_of(raw: Any) -> Result[Edition, Fault]:
-    """A configuration as it was put, checked by itself; what stands now is not looked at here."""
+def survey(raw: Any) -> tuple[Edition | None, list[Fault]]:
+    """A configuration as it was put, checked by itself; what stands now is not looked at here.
+
+    The edition, and all faults; with a fault the edition is not to be used.
+    """
     told = check(raw, Config)
     if isinstance(told, Err):
-        return told
-    config = told.ok_value
+        return None, [told.err_value]
+    config, faults = told.ok_value, []
     number, parent = number_of(config["Revision"]), number_of(config.get("ParentVersion"))
     if not number:
-        return Err(Fault("Revision", "r and a number above 0", f"{config['Revision']!r:.60}"))
+        faults.append(Fault("Revision", "r and a number above 0", f"{config['Revision']!r:.60}"))
     if parent is None:
-        return Err(Fault("ParentVersion", "0, or r and a number", f"{config['ParentVersion']!r:.60}"))
-    services = rows(config["ServiceList"], ServiceRow, "ServiceList")
-    if isinstance(services, Err):
-        return services
-    made = {
+        faults.append(Fault("ParentVersion", "0, or r and a number", f"{config['ParentVersion']!r:.60}"))
+    services = {
         row["Label"]: Service(
             row["Label"],
             row.get("HealthPath", "/health"),
@@ -205,25 +199,29 @@
             row.get("Sharded", False),
             row.get("WarmS", 0.0),
         )
-        for row in services.ok_value
+        for row in rows(config["ServiceList"], ServiceRow, "ServiceList", faults).values()
     }
-    routes = rows(config["RouteList"], RouteRow, "RouteList")
-    if isinstance(routes, Err):
-        return routes
     hosts: dict[str, dict[str, Route]] = {}
-    for place, row in enumerate(routes.ok_value):
-        where = f"RouteList.Records.{place}"
-        route = route_of(row, where, made)
+    for where, row in rows(config["RouteList"], RouteRow, "RouteList", faults).items():
+        route = route_of(row, where, services)
         if isinstance(route, Err):
-            return route
+            faults.append(route.err_value)
+            continue
         route = route.ok_value
         at_host = hosts.setdefault(route.host, {})
         if route.prefix in at_host:
-            return Err(
+            faults.append(
                 Fault(where, "a host and prefix of its own", f"those of {at_host[route.prefix].label[:40]}")
             )
-        at_host[route.prefix] = route
-    return Ok(Edition(number, parent, digest_of(raw), hosts, made, config.get("Limits", {}), raw))
+        at_host.setdefault(route.prefix, route)
+    limits = config.get("Limits", {})
+    return Edition(number or 0, parent or 0, digest_of(raw), hosts, services, limits, raw), faults
+
+
+def edition_of(raw: Any) -> Result[Edition, Fault]:
+    """A configuration, or its first fault."""
+    edition, faults = survey(raw)
+    return Err(faults[0]) if faults else Ok(edition)
 
 
 def digest_of(raw: dict) -> str:
--- /dev/null
+++ b/bramblewood/cli/boot.py
@@ -0,0 +1,25 @@
+"""The settings file, as the gateway's commands take it."""
+
+import sys
+
+import click
+from result import Err
+
+from ..catalogue import bootfile
+from .codes import FAULTY
+
+BOOT = click.option(
+    "--boot", metavar="FILE", help=f"the settings file; else the one that {bootfile.VARIABLE} names"
+)
+
+
+def fail(what: object, code: int = FAULTY) -> None:
+    click.echo(f"bramblewood: {what}", err=True)
+    sys.exit(code)
+
+
+def settings(path: str | None) -> bootfile.Settings:
+    told = bootfile.load(path)
+    if isinstance(told, Err):
+        fail(told.err_value)
+    return told.ok_value
--- /dev/null
+++ b/bramblewood/cli/enquiries.py
@@ -0,0 +1,390 @@
+"""Commands that ask: check, config, roll, holds, sessions, explain, shelf. They change nothing but by `config
+put`.
+"""
+
+import json
+import sqlite3
+import sys
+import urllib.error
+import urllib.request
+from typing import Any
+
+import click
+from result import Err
+
+from ..archive.placement import FENCE, OLD, SECOND, WORKER, starts_of
+from ..archive.roll import Row
+from ..archive.shelf import FORM, NAME
+from ..catalogue import bootfile
+from ..catalogue.edition import Edition, edition_of, number_of, survey
+from ..desk.steering import Steering
+from .boot import BOOT, fail, settings
+from .codes import FOUND
+
+ASK = 3.0  # s for an archive's answer
+JSON = click.option("--json", "as_json", is_flag=True, help="one JSON value")
+ARCHIVE = click.option(
+    "--archive", metavar="HOST:PORT", help="an archive's inner address; else the settings' seeds"
+)
+CONTROL = click.option(
+    "--control", metavar="HOST:PORT", help="an archive's Control address; else the settings' seeds"
+)
+
+
+def out(value: Any, as_json: bool, lines: list[str]) -> None:
+    click.echo(json.dumps(value, separators=(",", ":")) if as_json else "\n".join(lines))
+
+
+def call(places: list[str], method: str, path: str, body: bytes | None = None) -> tuple[int, bytes]:
+    """The answer of the first place that gives one."""
+    why = "no address given"
+    for place in places:
+        request = urllib.request.Request(f"http://{place}{path}", data=body, method=method)
+        request.add_header("Content-Type", "application/json")
+        try:
+            with urllib.request.urlopen(request, timeout=ASK) as answer:
+                return answer.status, answer.read()
+        except urllib.error.HTTPError as problem:
+            if problem.code < 500:
+                return problem.code, problem.read()
+            why = f"{place}: {problem.code}"
+        except OSError as problem:
+            why = f"{place}: {getattr(problem, 'reason', problem)}"
+    fail(f"no archive answers: {why}")
+
+
+def ask(archive: str | None, boot: str | None, what: str) -> Any:
+    places = [archive] if archive else [f"{ip}:{settings(boot).inner}" for ip in settings(boot).seed_ips()]
+    return json.loads(call(places, "GET", f"/view/{what}")[1])
+
+
+def controls(control: str | None, boot: str | None) -> list[str]:
+    return [control] if control else list(settings(boot).seeds)
+
+
+def current(control: str | None, boot: str | None) -> Any:
+    status, body = call(controls(control, boot), "GET", "/bramblewood/config")
+    if status != 200:
+        fail("no configuration yet", FOUND)
+    return json.loads(body)
+
+
+def read_config(path: str) -> Any:
+    try:
+        with open(path, "rb") as file:
+            return json.load(file)
+    except OSError as problem:
+        fail(f"{path}: {problem.strerror}")
+    except ValueError as problem:
+        fail(f"{path}: {problem}")
+
+
+@click.command()
+@BOOT
+@click.option("--config", metavar="FILE", help="a configuration to check too")
+@JSON
+def check(boot: str | None, config: str | None, as_json: bool) -> None:
+    """Check a settings file, and a configuration: each fault with its place and what was expected.
+
+    Exit codes: 0 no fault, 1 a fault, 2 a file that can't be read.
+    """
+    faults = []
+    if boot or not config:
+        told = bootfile.load(boot)
+        faults += [told.err_value] if isinstance(told, Err) else []
+    if config:
+        faults += [f"{config}: {fault}" for fault in survey(read_config(config))[1]]
+    out(faults, as_json, faults or ["no fault"])
+    sys.exit(FOUND if faults else 0)
+
+
+@click.group()
+def config() -> None:
+    """The configuration: get, put, diff, history."""
+
+
+@config.command("get")
+@CONTROL
+@BOOT
+def config_get(control: str | None, boot: str | None) -> None:
+    """Print the configuration in force, whole."""
+    click.echo(json.dumps(current(control, boot)))
+
+
+@config.command("put")
+@click.argument("file")
+@CONTROL
+@BOOT
+def config_put(file: str, control: str | None, boot: str | None) -> None:
+    """Put a configuration; safe to repeat. Exit codes: 0 taken, 1 refused, 2 nobody answers or faulty file.
+    """
+    status, body = call(
+        controls(control, boot), "PUT", "/bramblewood/config", json.dumps(read_config(file)).encode()
+    )
+    click.echo("taken" if status == 200 else f"{status} {json.loads(body or b'{}').get('Failure', '')}")
+    sys.exit(0 if status == 200 else FOUND)
+
+
+def routes_of(raw: Any, name: str) -> dict[tuple[str, str], Any]:
+    edition = edition_of(raw)
+    if isinstance(edition, Err):
+        fail(f"{name}: {edition.err_value}")
+    hosts = edition.ok_value.hosts
+    return {(host, prefix): route for host, routes in hosts.items() for prefix, route in routes.items()}
+
+
+@config.command("diff")
+@click.argument("file")
+@click.argument("other", required=False)
+@CONTROL
+@BOOT
+@JSON
+def config_diff(file: str, other: str | None, control: str | None, boot: str | None, as_json: bool) -> None:
+    """What FILE would change in OTHER, or in the configuration in force. Exit codes: 0 nothing, 1 something.
+    """
+    new, old = (
+        routes_of(read_config(file), file),
+        routes_of(read_config(other) if other else current(control, boot), other or "in force"),
+    )
+    found = {
+        "added": [f"{host}{prefix}" for host, prefix in sorted(new.keys() - old.keys())],
+        "removed": [f"{host}{prefix}" for host, prefix in sorted(old.keys() - new.keys())],
+        "changed": [
+            f"{host}{prefix}: {field} {getattr(old[host, prefix], field)} -> "
+            f"{getattr(new[host, prefix], field)}"
+            for host, prefix in sorted(new.keys() & old.keys())
+            for field in new[host, prefix]._fields
+            if getattr(new[host, prefix], field) != getattr(old[host, prefix], field)
+        ],
+    }
+    out(
+        found,
+        as_json,
+        [f"{what}: {item}" for what, items in found.items() for item in items] or ["no difference"],
+    )
+    sys.exit(FOUND if any(found.values()) else 0)
+
+
+@config.command("history")
+@ARCHIVE
+@BOOT
+@JSON
+def config_history(archive: str | None, boot: str | None, as_json: bool) -> None:
+    """The versions that were taken, with their digests, the newest last."""
+    past = ask(archive, boot, "history")
+    out(
+        past,
+        as_json,
+        [f"r{number} {digest}" for number, digest in sorted(past.items(), key=lambda x: int(x[0]))],
+    )
+
+
+@click.command()
+@ARCHIVE
+@BOOT
+@JSON
+def roll(archive: str | None, boot: str | None, as_json: bool) -> None:
+    """The workers and their states."""
+    rows = ask(archive, boot, "roll")
+    lines = [
+        f"{row['service']} {life} {row['address']} {row['zone']} {row['phase']}{', silent' * row['silent']}, "
+        f"heard {row['heard']} s ago"
+        for life, row in sorted(rows.items(), key=lambda item: (item[1]["service"], item[0]))
+    ]
+    out(rows, as_json, lines)
+
+
+@click.command()
+@ARCHIVE
+@BOOT
+@JSON
+def holds(archive: str | None, boot: str | None, as_json: bool) -> None:
+    """Keys: slices, their workers and fences, and what the scribe last granted, until when."""
+    table, granted = ask(archive, boot, "table"), ask(archive, boot, "holds")
+    until = {(one["service"], one["from"], one["life"]): one["until"] for one in granted}
+    found = []
+    for service, entries in sorted(table["s"].items()):
+        for start in starts_of(entries):
+            entry = entries[str(start)]
+            found.append(
+                {
+                    "service": service,
+                    "from": start,
+                    "worker": entry[WORKER],
+                    "second": entry[SECOND],
+                    "fence": entry[FENCE],
+                    "old": entry[OLD],
+                    "until": until.get((service, start, entry[WORKER])),
+                }
+            )
+    lines = [
+        f"{one['service']} from {one['from']}: {one['worker'] or 'nobody'}, fence {one['fence']}"
+        + f", until {one['until']} s from now" * (one["until"] is not None)
+        + f", still to be released by {one['old']}" * bool(one["old"])
+        for one in found
+    ]
+    out(found, as_json, lines)
+
+
+@click.command()
+@ARCHIVE
+@BOOT
+@JSON
+def sessions(archive: str | None, boot: str | None, as_json: bool) -> None:
+    """Which archives and desks are there, as one archive sees it."""
+    told = ask(archive, boot, "sessions")
+    lines = [
+        f"{told['me']}: {'whole' if told['whole'] else 'without a majority'}, "
+        f"{'votes' if told['votes'] else 'does not vote'}; scribe {told['scribe']}; "
+        f"voters {', '.join(told['voters'])}"
+    ]
+    lines += [
+        f"archive {peer}: heard {one['heard']} s ago, {'whole' if one['whole'] else 'without a majority'}"
+        for peer, one in sorted(told["archives"].items())
+    ]
+    out(told, as_json, lines + [f"desk {desk}" for desk in told["desks"]])
+
+
+@click.command()
+@click.argument("host")
+@click.argument("path")
+@click.option("--key", type=click.IntRange(0, 65535), help="the request's X-Shard-Key")
+@click.option("--id", "request", default="explain", help="the request's X-Attempt-Id")
+@ARCHIVE
+@CONTROL
+@BOOT
+@JSON
+def explain(
+    host: str,
+    path: str,
+    key: int | None,
+    request: str,
+    archive: str | None,
+    control: str | None,
+    boot: str | None,
+    as_json: bool,
+) -> None:
+    """Which route, slice and worker a request gets, and why. Exit codes: 0 a worker, 1 none."""
+    edition: Edition = edition_of(current(control, boot)).ok_value
+    route = edition.route(host, path)
+    found: dict[str, Any] = {"version": f"r{edition.number}", "route": route and route.label}
+    if route is None:
+        out(found, as_json, [f"r{edition.number}: no route of {host} begins {path}: 404"])
+        sys.exit(FOUND)
+    import zlib
+
+    service = route.service(zlib.crc32(b"share" + request.encode()) / 2**32)
+    keyed = edition.services[service].keyed
+    steering, rows = Steering(0.0), ask(archive, boot, "roll")
+    steering.take_table({**ask(archive, boot, "table")})
+    for life, row in rows.items():
+        steering.roll.merge(0.0, life, Row(*(row[field] for field in Row._fields)))
+    steering.silent = {life for life, row in rows.items() if row["silent"]}
+    at = key if keyed else steering.hashed(request)
+    entry = steering.entry(service, at) if at is not None else None
+    found |= {"service": service, "keyed": keyed, "key": at, "entry": entry}
+    lines = [f"r{edition.number}: route {route.label}, prefix {route.prefix}, service {service}"]
+    if at is None:
+        lines.append(f"{service} is divided by key, and no --key was given: 400")
+    elif entry is None:
+        lines.append(f"no slice of {service} is placed yet")
+    else:
+        lines.append(
+            f"slice of {'key' if keyed else 'hash'} {at}: {entry[WORKER] or 'nobody'}"
+            + f", second {entry[SECOND]}" * bool(entry[SECOND])
+            + f", not yet released by {entry[OLD]}" * bool(entry[OLD])
+        )
+    life = steering.choose(0.0, service, at if keyed else None, request, set()) if entry else None
+    found["worker"] = life
+    lines.append(f"goes to {life}" if life else "no worker may get it now")
+    out(found, as_json, lines)
+    sys.exit(0 if life else FOUND)
+
+
+@click.group()
+def shelf() -> None:
+    """Look at an archive's folder; nothing there is changed, and the archive may be running."""
+
+
+def opened(folder: str) -> sqlite3.Connection:
+    """A copy in memory, as a look must neither lock nor recover the archive's own file."""
+    import os
+    import shutil
+    import tempfile
+
+    path = os.path.join(folder, NAME)
+    if not os.path.exists(path):
+        fail(f"{path}: no such file")
+    with tempfile.TemporaryDirectory() as place:
+        try:
+            for end in ("", "-wal"):
+                if os.path.exists(path + end):
+                    shutil.copy(path + end, os.path.join(place, NAME + end))
+            base, copy = sqlite3.connect(os.path.join(place, NAME)), sqlite3.connect(":memory:")
+            base.backup(copy)
+            base.close()
+        except (sqlite3.Error, OSError) as problem:
+            fail(f"{path}: {problem}")
+    return copy
+
+
+def rows_of(base: sqlite3.Connection) -> dict:
+    facts = {name: json.loads(value) for name, value in base.execute("select name, value from facts")}
+    registers = {
+        name: {"promised": json.loads(promised), "accepted": json.loads(accepted), "value": json.loads(value)}
+        for name, promised, accepted, value in base.execute("select * from registers")
+    }
+    return {"facts": facts, "registers": registers}
+
+
+@shelf.command("check")
+@click.argument("folder")
+@JSON
+def shelf_check(folder: str, as_json: bool) -> None:
+    """Whether the file is whole and of a form that this program knows. Exit codes: 0 sound, 1 damaged, 2
+    unreadable.
+    """
+    faults = []
+    try:
+        base = opened(folder)
+        form = base.execute("pragma user_version").fetchone()[0]
+        faults += [] if form == FORM else [f"form {form}, and this program knows {FORM}"]
+        faults += [row[0] for row in base.execute("pragma integrity_check") if row[0] != "ok"]
+        told = rows_of(base) if not faults else {"facts": {}, "registers": {}}
+        faults += (
+            []
+            if faults or "born" in told["facts"]
+            else ["no mark of a first boot: it has forgotten, or never voted"]
+        )
+        config = told["registers"].get("config", {}).get("value")
+        if config and (number := number_of(config["config"].get("Revision"))) != config["n"]:
+            faults.append(f"the configuration says r{number}, its register r{config['n']}")
+    except (sqlite3.Error, ValueError) as problem:
+        faults.append(str(problem))
+    out(faults, as_json, faults or ["sound"])
+    sys.exit(FOUND if faults else 0)
+
+
+@shelf.command("show")
+@click.argument("folder")
+@JSON
+def shelf_show(folder: str, as_json: bool) -> None:
+    """What lies there: who votes, and what each register promised and accepted."""
+    told = rows_of(opened(folder))
+    lines = [f"{name}: {value}" for name, value in told["facts"].items()]
+    for name, one in told["registers"].items():
+        version = one["value"]["n"] if one["value"] else 0
+        lines.append(
+            f"{name}: promised {tuple(one['promised'])}, accepted {tuple(one['accepted'])}, version {version}"
+        )
+    out(told, as_json, lines)
+
+
+@shelf.command("export")
+@click.argument("folder")
+def shelf_export(folder: str) -> None:
+    """All of it as one JSON value."""
+    click.echo(json.dumps(rows_of(opened(folder))))
+
+
+COMMANDS = (check, config, roll, holds, sessions, explain, shelf)
--- a/bramblewood/cli/rooms.py
+++ b/bramblewood/cli/rooms.py
@@ -5,15 +5,10 @@
 import sys
 
 import click
-from result import Err
 
-from ..catalogue import bootfile
+from .boot import BOOT, settings
 from .codes import FAULTY
 
-BOOT = click.option(
-    "--boot", metavar="FILE", help=f"the settings file; else the one that {bootfile.VARIABLE} names"
-)
-
 
 @click.group(
     help="bramblewood: a gateway. Exit codes: 0 done or ended by SIGTERM, 1 damage found or no such thing, "
@@ -23,14 +18,6 @@
     pass
 
 
-def settings(path: str | None) -> bootfile.Settings:
-    told = bootfile.load(path)
-    if isinstance(told, Err):
-        click.echo(f"bramblewood: {told.err_value}", err=True)
-        sys.exit(FAULTY)
-    return told.ok_value
-
-
 def play(program) -> None:
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     try:
@@ -57,3 +44,10 @@
     from ..archive.program import Archive
 
     play(Archive(settings(boot)))
+
+
+if sys.argv[1:2] not in (["desk"], ["archive"]):  # programs at work need none of the other commands' memory
+    from .enquiries import COMMANDS
+
+    for command in COMMANDS:
+        rooms.add_command(command)
--- a/bramblewood/desk/program.py
+++ b/bramblewood/desk/program.py
@@ -10,7 +10,7 @@
 from multidict import CIMultiDict
 
 from ..archive.roll import GONE, Row
-from ..catalogue import daybook
+from ..catalogue import counters, daybook
 from ..catalogue.bootfile import Settings
 from ..catalogue.edition import Edition, edition_of
 from ..catalogue.links import QUIET, Link, Links
@@ -57,6 +57,8 @@
         self.scribe: str | None = None
         self.ready = self.ending = False
         self.flight, self.held = 0, 0
+        self.tries: dict[How, int] = dict.fromkeys(How, 0)
+        self.answers: dict[int, int] = {}
         self.changed: asyncio.Event | None = None
         self.reported_at = 0.0
 
@@ -210,9 +212,26 @@
     # --- the platform
 
     async def readiness(self, request: web.BaseRequest) -> web.Response:
+        if request.path == "/metrics":
+            return web.Response(text=counters.text(self.counted()))
         ready = self.ready and not self.ending
         return web.Response(status=200 if ready else 503)
 
+    def counted(self) -> dict[str, float]:
+        ended = {f'desk_answers_total{{class="{kind}xx"}}': count for kind, count in self.answers.items()}
+        return {
+            "desk_ready": int(self.ready and not self.ending),
+            "desk_in_flight": self.flight,
+            "desk_config_version": self.edition.number if self.edition else 0,
+            "desk_table_version": self.steering.table_n,
+            "desk_archives": len(self.links.up),
+            "desk_connections_opened_total": self.stacks.opened,
+            "desk_connections_reused_total": self.stacks.reused,
+            "desk_body_bytes": self.held,
+            **{f'desk_tries_total{{how="{how.value}"}}': count for how, count in self.tries.items()},
+            **ended,
+        }
+
     # --- clients
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -221,6 +240,7 @@
             response = await self.request(request)
         finally:
             self.flight -= 1
+        self.answers[response.status // 100] = self.answers.get(response.status // 100, 0) + 1
         if self.ending:
             response.force_close()
         return response
@@ -303,6 +323,7 @@
         finally:
             seen.flight -= 1
         now = loop.time()
+        self.tries[how] += 1
         if how is How.WHOLE:
             steering.answered(now, life, now - began)
             steering.loaded(now, life, answer.named.get("X-Server-Load", ""))
