--- a/bramblewood/archive/ballots.py
+++ b/bramblewood/archive/ballots.py
@@ -14,6 +14,8 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from .patches import difference, patched
+
 Ballot = tuple[int, str, int]  # counter, archive, that archive's life; compared in turn
 NONE: Ballot = (0, "", 0)
 CONFIG, TABLE, VOTERS = "config", "table", "voters"
@@ -165,13 +167,12 @@
                 self.learn(round.register, best, stands)
             return self.finish(now, round, out)  # what stands is chosen already: nothing to write
         round.step, round.step_until = "accept", now + PATIENCE
-        message = {
-            "k": "accept",
-            "r": round.register,
-            "b": round.ballot,
-            "v": stands if following is None else following,
-        }
-        out.sends.extend((peer, message) for peer in self.voters)
+        message = {"k": "accept", "r": round.register, "b": round.ballot}
+        value = stands if following is None else following
+        change = {**message, "base": best, "d": difference(stands, value)}
+        for peer in self.voters:  # who holds what stands needs the difference only
+            same = best != NONE and round.promises.get(peer, (NONE, None))[0] == best
+            out.sends.append((peer, change if same else {**message, "v": value}))
 
     def finish(self, now: float, round: Round, out: Out) -> None:
         self.rounds[round.register].remove(round)
@@ -205,13 +206,15 @@
             else:
                 out.sends.append((peer, {"k": "refuse", "r": register, "b": ballot, "p": acceptor.promised}))
         elif kind == "accept" and self.voting:
-            if acceptor.accept(ballot, message["v"]):
+            if "base" in message and tuple(message["base"]) != acceptor.accepted:
+                return out  # it stands on a value that we no longer hold; the next try brings it whole
+            value = patched(acceptor.value, message["d"]) if "base" in message else message["v"]
+            if acceptor.accept(ballot, value):
                 out.writes.append((register, acceptor.promised, acceptor.accepted, acceptor.value))
+                told = {*self.voters, peer}
                 out.sends.extend(
-                    (other, {"k": "accepted", "r": register, "b": ballot}) for other in self.voters
+                    (other, {"k": "accepted", "r": register, "b": ballot}) for other in sorted(told)
                 )
-                if peer not in self.voters:
-                    out.sends.append((peer, {"k": "accepted", "r": register, "b": ballot}))
             else:
                 out.sends.append((peer, {"k": "refuse", "r": register, "b": ballot, "p": acceptor.promised}))
         elif kind == "promise":
--- /dev/null
+++ b/bramblewood/archive/feed.py
@@ -0,0 +1,41 @@
+"""The feed to the desks: what changed in the table since any version of late, and which desks are pushed to.
+Pure.
+
+A desk chooses one archive as its home, of its own zone where there is one: that one pushes all news at once.
+From the others it gets pulses with version numbers, and whatever must not wait for one archive: workers that
+leave.
+"""
+
+from collections import deque
+
+KEPT = 200  # changes of the table that a difference can be made of
+
+
+class Feed:
+    def __init__(self) -> None:
+        self.n, self.table = 0, {}
+        self.log: deque[tuple[int, int, dict[str, list[str]]]] = deque(maxlen=KEPT)
+
+    def learned(self, value: dict) -> None:
+        """A newer table; a jump over versions counts as one change."""
+        changes = {}
+        for service, entries in value["s"].items():
+            before = self.table.get(service, {})
+            if found := [start for start, entry in entries.items() if entry != before.get(start)]:
+                changes[service] = found
+        self.log.append((self.n, value["n"], changes))
+        self.n, self.table = value["n"], value["s"]
+
+    def since(self, have: int) -> dict | None:
+        """The message that brings a desk from version `have` to the newest; None where it has that."""
+        if have >= self.n:
+            return None
+        late = [record for record in self.log if record[1] > have]
+        if have <= 0 or not late or late[0][0] > have:
+            return {"k": "table", "n": self.n, "s": self.table}
+        starts: dict[str, set] = {}
+        for _, _, changes in late:
+            for service, some in changes.items():
+                starts.setdefault(service, set()).update(some)
+        changed = {s: {start: self.table[s][start] for start in some} for s, some in starts.items()}
+        return {"k": "table", "n": self.n, "base": have, "d": changed}
--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -18,8 +18,9 @@
 from . import placement
 from .accession import GetConfig, PutConfig, Refusal, Register, TakeLeave, decode, most, succeed
 from .ballots import CONFIG, FOUNDING, NONE, REGISTERS, TABLE, VOTERS, VOTES, Ballots, Out
+from .feed import Feed
 from .holds import Call, Freed, Holds
-from .roll import GONE, Roll, Row
+from .roll import GONE, READY, Roll, Row
 from .sessions import PULSE, Sessions
 from .shelf import Shelf
 
@@ -31,10 +32,8 @@
 SEEN_BY_ANOTHER = 0.6  # s that a leave waits for another archive's word, within that second
 FOUND_WITHIN = 3.0  # s of the first boot in which more archives may show themselves; all start at once
 STALL = 0.3  # s that a write may take before this archive leaves the proposing to others
-DESK_QUIET = 3.5  # s without a desk's word after which its link is dropped; it reports each second
 GRANT_FIRST = 0.025  # s that a table waits for its grants before desks follow it: ways to a worker and back
 BEATS_MISSED = 3.2  # beats after which a worker that nobody heard counts as gone
-DELTAS = 60  # versions of the table from which a difference is sent
 ASK = 1.0  # s for a call to a worker
 UPHELD = 0.9  # part of a word's time in which a call may still be sent
 
@@ -57,7 +56,9 @@
         self.confirmed: set[tuple[str, str]] = set()
         self.editions: tuple[int, Any] = (0, None)
         self.shown: dict[str, int] = dict.fromkeys(REGISTERS, 0)
-        self.tables: dict[int, dict] = {}
+        self.feed = Feed()
+        self.homes: dict[str, Link] = {}  # desks that are pushed to from here
+        self.told_about: dict[str, tuple] = {}
         self.writing_since: float | None = None
         self.writes = 0
         self.asking = False
@@ -191,12 +192,10 @@
             "t": now,
             "v": ballots.voting,
             "w": self.whole(now),
-            "voters": ballots.voters,
-            "archives": sorted({self.me, *self.archives}),
             "acc": {name: ballots.acceptors[name].accepted for name in REGISTERS},
             "dur": ballots.durable,
-            "desks": list(self.desks),
         }
+        about = (ballots.voters, sorted({self.me, *self.archives}), sorted(self.desks))
         for peer in [only] if only else list(self.links.up):
             if peer not in self.links.up:
                 continue
@@ -205,6 +204,9 @@
                 self.links.up[peer].close()  # its own link brings nothing any more: likely a cut
                 continue
             told = {**message, "e": self.sessions.stamps.get(peer, -1e9)}
+            if self.told_about.get(peer) != about:
+                self.told_about[peer] = about
+                told |= dict(zip(("voters", "archives", "desks"), about, strict=True))
             if int(now / PULSE) % 4 == 0:
                 told["heard"] = self.roll.ages(now, 2.0)
             self.links.send(peer, told)
@@ -212,20 +214,33 @@
     def pulse_desks(self, now: float) -> None:
         whole = self.was_whole = self.whole(now)
         scribe = self.sessions.scribe(now, whole)
-        message = json.dumps(
-            {
-                "k": "pulse",
-                "n": self.shown,
-                "whole": whole,
-                "scribe": scribe == self.me,
-                "desks": len(self.sessions.all_desks(now, list(self.desks))),
-                "archives": sorted({self.me, *self.archives}),
-                "silent": sorted(self.silent(now)),
-            },
-            separators=(",", ":"),
-        )
+        told = {
+            "k": "pulse",
+            "n": self.shown,
+            "whole": whole,
+            "scribe": scribe == self.me,
+            "desks": len(self.sessions.all_desks(now, list(self.desks))),
+        }
+        if silent := self.silent(now):
+            told["silent"] = sorted(silent)
+        message = json.dumps(told, separators=(",", ":"))
+        about = json.dumps({**told, "zone": self.told.zone, "archives": sorted({self.me, *self.archives})})
         for link in list(self.desks.values()):
-            link.send(message)
+            new = link.about != len(self.archives)
+            link.about = len(self.archives)
+            link.send(about if new else message)
+
+    def push(self, link: Link, register: str) -> None:
+        """Send a desk what it lacks of a register, as far as was sent to it before."""
+        if register == TABLE:
+            if message := self.feed.since(link.sent.get(TABLE, 0)):
+                link.sent[TABLE] = message["n"]
+                link.send(message)
+            return
+        value = self.ballots.value(register)
+        if value is not None and value["n"] > link.sent.get(register, 0):
+            link.sent[register] = value["n"]
+            link.send({"k": "config", "n": value["n"], "config": value["config"]})
 
     def silent(self, now: float) -> set[str]:
         return self.roll.silent(now, BEATS_MISSED * self.told.beat)
@@ -237,9 +252,8 @@
             if version == self.shown[register]:
                 continue
             if register == TABLE:
-                self.tables[version] = self.ballots.value(TABLE)
-                while len(self.tables) > DELTAS:
-                    del self.tables[min(self.tables)]
+                if version > self.feed.n:
+                    self.feed.learned(self.ballots.value(TABLE))
                 self.loop.call_later(GRANT_FIRST, self.show, register, version)
             else:
                 self.show(register, version)
@@ -252,7 +266,10 @@
     def show(self, register: str, version: int) -> None:
         if version > self.shown[register]:
             self.shown[register] = version
-            self.pulse_desks(self.loop.time())
+            for link in list(self.homes.values()):
+                self.push(link, register)
+            if register == CONFIG:
+                self.pulse_desks(self.loop.time())
 
     # --- placement and holds
 
@@ -443,12 +460,24 @@
             self.take_rows(message.get("rows", {}))
             return
         self.desks[link.peer] = link
-        link.send({"k": "roll", "rows": {life: [*row] for life, row in self.roll.rows.items()}})
+        leaving = {life: [*row] for life, row in self.roll.rows.items() if row.phase != READY}
+        link.send({"k": "roll", "rows": leaving})
         self.pulse_desks(self.loop.time())
 
     def left(self, link: Link) -> None:
-        if self.desks.get(link.peer) is link:
-            del self.desks[link.peer]
+        for kept in (self.desks, self.homes):
+            if kept.get(link.peer) is link:
+                del kept[link.peer]
+
+    def home(self, link: Link, message: dict) -> None:
+        """A desk chooses to be pushed to from here, or no longer."""
+        if not message["on"]:
+            self.homes.pop(link.peer, None)
+            return
+        self.homes[link.peer], link.sent = link, dict(message["have"])
+        link.send({"k": "roll", "rows": {life: [*row] for life, row in self.roll.rows.items()}, "all": True})
+        for register in REGISTERS:
+            self.push(link, register)
 
     def hear(self, link: Link, message: dict) -> None:
         now, kind = self.loop.time(), message["k"]
@@ -465,8 +494,8 @@
             self.learned()
             if not self.was_whole and self.whole(now):
                 self.pulse_desks(now)
-            self.adopt(tuple(message["voters"]))
-            for peer in message["archives"]:
+            self.adopt(tuple(message.get("voters", ())))
+            for peer in message.get("archives", ()):
                 self.know(peer)
         elif kind == "roll":
             self.take_rows(message["rows"])
@@ -475,6 +504,8 @@
             waiting = self.confirms.get(message["id"])
             if waiting is not None and not waiting.done():
                 waiting.set_result(True)
+        elif kind == "home":
+            self.home(link, message)
         elif kind == "want":
             self.wanted(link, message["r"], message["have"])
         elif kind == "report":
@@ -483,23 +514,8 @@
             self.hear_ballot(link.peer, message)
 
     def wanted(self, link: Link, register: str, have: int) -> None:
-        value = self.ballots.value(register)
-        if value is None or value["n"] <= have:
-            return
-        if register == CONFIG:
-            link.send({"k": "config", "n": value["n"], "config": value["config"]})
-            return
-        base = self.tables.get(have)
-        if base is None:
-            link.send({"k": "table", "n": value["n"], "s": value["s"]})
-            return
-        changes = {}
-        for service, entries in value["s"].items():
-            before = base["s"].get(service, {})
-            changes[service] = {
-                start: entry for start, entry in entries.items() if entry != before.get(start)
-            }
-        link.send({"k": "table", "n": value["n"], "base": have, "d": {k: d for k, d in changes.items() if d}})
+        link.sent[register] = have
+        self.push(link, register)
 
     def reported(self, now: float, link: Link, message: dict) -> None:
         over, met = message["over"], {service: [] for service in message["heat"]}
@@ -523,9 +539,18 @@
             self.tell_desks(fresh)
 
     def tell_desks(self, rows: dict) -> None:
+        """News of workers: to the desks whose home this is; of those that leave to all, as one archive may be
+        lost.
+        """
         message = json.dumps({"k": "roll", "rows": rows}, separators=(",", ":"))
-        for link in list(self.desks.values()):
+        for link in list(self.homes.values()):
             link.send(message)
+        leaving = {life: row for life, row in rows.items() if Row(*row).phase != READY}
+        if leaving:
+            message = json.dumps({"k": "roll", "rows": leaving}, separators=(",", ":"))
+            for name, link in list(self.desks.items()):
+                if name not in self.homes:
+                    link.send(message)
 
     def note(self, life: str, row: Row) -> int | None:
         """Take a row; where it is news, tell all desks and archives. The number that the archives confirm."""
@@ -544,7 +569,7 @@
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == "/link" and request.transport.get_extra_info("sockname")[1] == self.told.inner:
-            return await accept(request, self.met, self.hear, self.left, DESK_QUIET)
+            return await accept(request, self.met, self.hear, self.left)
         method, path = request.method, request.raw_path
         if request.transport.get_extra_info("sockname")[1] == self.told.inner:
             return self.view(path)
--- a/bramblewood/archive/sessions.py
+++ b/bramblewood/archive/sessions.py
@@ -30,13 +30,14 @@
         self.me = me
         self.heard: dict[str, Heard] = {}
         self.stamps: dict[str, float] = {}  # last stamp of each other archive, to give back
-        self.desks: dict[str, dict[str, float]] = {}  # by archive, desks and when they were last said
+        self.desks: dict[str, list[str]] = {}  # by archive, the desks that it last told of
 
     def pulse(self, now: float, peer: str, message: dict) -> None:
         accepted = {name: tuple(ballot) for name, ballot in message["acc"].items()}
         self.heard[peer] = Heard(now, message["e"], accepted, message["v"], message["w"])
         self.stamps[peer] = message["t"]
-        self.desks[peer] = dict.fromkeys(message["desks"], now)
+        if "desks" in message:
+            self.desks[peer] = message["desks"]
 
     def word_until(
         self, now: float, voters: tuple[str, ...], register: str, known: Ballot, votes: bool
--- a/bramblewood/catalogue/links.py
+++ b/bramblewood/catalogue/links.py
@@ -42,6 +42,11 @@
 
     def __init__(self, peer: str, ws: Any) -> None:
         self.peer, self.ws = peer, ws
+        self.role, self.about, self.sent = (
+            "",
+            -1,
+            {},
+        )  # what the peer is and was told, kept by the link's user
         self.waiting: asyncio.Queue = asyncio.Queue()
         self.writer = asyncio.ensure_future(self._write())
 
@@ -113,7 +118,7 @@
             try:
                 async with asyncio.timeout(DIAL):
                     ws = await self.session.ws_connect(
-                        f"http://{peer}:{port}/link", compress=0, autoping=True, max_msg_size=LARGEST
+                        f"http://{peer}:{port}/link", compress=15, autoping=True, max_msg_size=LARGEST
                     )
                 link = Link(peer, ws)
                 link.send(self.hello(peer))
@@ -152,10 +157,9 @@
     met: Callable[[Link, dict], None],
     hear: Callable[[Link, dict], None],
     left: Callable[[Link], None],
-    quiet: float,
 ) -> web.StreamResponse:
     """Serve one link that a peer dialled: its first message says who it is."""
-    ws = web.WebSocketResponse(compress=False, max_msg_size=LARGEST)
+    ws = web.WebSocketResponse(compress=True, max_msg_size=LARGEST)
     try:
         await ws.prepare(request)
     except ConnectionError:  # the dialler has gone meanwhile
@@ -163,10 +167,10 @@
     careful(request.transport.get_extra_info("socket") if request.transport else None)
     link = Link(request.remote or "", ws)
     try:
-        first = await ws.receive(timeout=quiet)
+        first = await ws.receive(timeout=QUIET)
         if first.type is aiohttp.WSMsgType.TEXT:
             met(link, json.loads(first.data))
-            await listen(link, hear, quiet)
+            await listen(link, hear, None)
     except (TimeoutError, ValueError, ConnectionError):
         pass
     finally:
--- a/bramblewood/desk/program.py
+++ b/bramblewood/desk/program.py
@@ -21,6 +21,7 @@
 REPORT = 0.5  # s between reports to the scribe: the design's cycle, whose length is free
 START_WAIT = 0.25  # s that a request waits for the first configuration: a restart of all is over soon
 TIDY = 1.0  # s between looks at kept connections
+WANT_AFTER = 0.2  # s in which the home may bring what another archive tells of
 WANT_AGAIN = 0.4  # s after which what was asked for and did not come is asked elsewhere
 MISSES = 2.6  # s after which the platform has missed two of its looks and sends no new connections
 MEMORY_PART = 0.25  # of the process's memory that clients' bodies may take
@@ -55,6 +56,9 @@
         self.claims: dict[str, dict] = {}  # by archive: its newest pulse
         self.wanted: dict[str, tuple[int, float]] = {}
         self.scribe: str | None = None
+        self.home: str | None = None
+        self.zones: dict[str, str] = {}  # by archive
+        self.rolled = False  # whether a whole roll came
         self.ready = self.ending = False
         self.flight, self.held = 0, 0
         self.tries: dict[How, int] = dict.fromkeys(How, 0)
@@ -122,14 +126,40 @@
     def link_told(self, peer: str, up: bool) -> None:
         if not up:
             self.claims.pop(peer, None)
+            self.zones.pop(peer, None)
             if self.scribe == peer:
                 self.scribe = None
+            self.choose_home()
+
+    def choose_home(self) -> None:
+        """One archive pushes all news here: of those with a word of the majority one of this zone, if there
+        is one.
+        """
+        able = [peer for peer, told in self.claims.items() if told["whole"] and peer in self.links.up]
+        best = min(
+            able,
+            key=lambda peer: (
+                self.zones.get(peer) != self.told.zone,
+                zlib.crc32(f"{self.told.name}{peer}".encode()),
+            ),
+            default=None,
+        )
+        if best is None or best == self.home:
+            return
+        if self.home is not None:
+            self.links.send(self.home, {"k": "home", "on": False})
+        self.home = best
+        self.links.send(best, {"k": "home", "on": True, "have": self.have()})
+
+    def have(self) -> dict[str, int]:
+        return {"config": self.edition.number if self.edition else 0, "table": self.steering.table_n}
 
     def hear(self, link: Link, message: dict) -> None:
         now, kind = self.loop.time(), message["k"]
         if kind == "pulse":
             self.pulse(now, link.peer, message)
         elif kind == "roll":
+            self.rolled = self.rolled or "all" in message
             for life, row in message["rows"].items():
                 if self.steering.roll.merge(now, life, Row(*row)) and row[4] == GONE:
                     self.stacks.drop(life)
@@ -147,18 +177,25 @@
         if message["scribe"]:
             self.scribe = peer
         if message["whole"]:
-            self.steering.silent = set(message["silent"])
+            self.steering.silent = set(message.get("silent", ()))
             self.budget.desks = max(message["desks"], 1)
-        for other in message["archives"]:
-            self.links.keep(other, self.told.inner)
-        for register, have in (
-            ("config", self.edition.number if self.edition else 0),
-            ("table", self.steering.table_n),
-        ):
+        if "zone" in message:
+            self.zones[peer] = message["zone"]
+            for other in message["archives"]:
+                self.links.keep(other, self.told.inner)
+        if peer == self.home and not message["whole"]:
+            self.home = None
+        self.choose_home()
+        for register, have in self.have().items():
             number = message["n"][register]
-            asked, at = self.wanted.get(register, (0, -1e9))
-            if number > have and (number > asked or now > at + WANT_AGAIN):
-                self.wanted[register] = (number, now)
+            if number <= have:
+                continue
+            # the home pushes: another is asked only if that does not come
+            first, at = self.wanted.get(register, (0, 0.0))
+            if number > first:
+                self.wanted[register] = (number, now + WANT_AFTER)
+            elif now >= at:
+                self.wanted[register] = (number, now + WANT_AGAIN)
                 self.links.send(peer, {"k": "want", "r": register, "have": have})
 
     def take_config(self, message: dict) -> None:
@@ -174,7 +211,7 @@
         """Ready once the newest that an archive with a word of the majority tells of is here; then for this
         life.
         """
-        if self.ready or self.edition is None:
+        if self.ready or self.edition is None or not self.rolled:
             return
         for told in self.claims.values():
             if (
@@ -205,9 +242,6 @@
             self.scribe, self.steering.report(now - self.reported_at)
         ):
             self.reported_at = now
-        for peer in list(self.links.up):
-            if peer != self.scribe:
-                self.links.send(peer, {"k": "here"})
 
     # --- the platform
 
--- a/bramblewood/desk/steering.py
+++ b/bramblewood/desk/steering.py
@@ -68,7 +68,7 @@
         if "s" in message:
             self.table = message["s"]
             self.starts = {service: starts_of(entries) for service, entries in self.table.items()}
-        elif message["base"] != self.table_n:
+        elif message["base"] > self.table_n:
             return False
         else:
             for service, changes in message["d"].items():
