--- a/benchmarks/turn.py
+++ b/benchmarks/turn.py
@@ -5,15 +5,18 @@
 """
 
 import argparse
+import importlib
+import os
 import subprocess
 import tempfile
 import time
 import types
 
+import bramblewood
 from bramblewood import interface as door
-from bramblewood.balance import Manager
 from bramblewood.ledger.stage import Ledger
 from bramblewood.operator.bylaws import StoreTerms
+from bramblewood.policy.manager import Manager
 
 from .common import machine, ratios, row
 
@@ -35,10 +38,25 @@
     warning = info
 
 
+def shown(revision: str, path: str) -> str:
+    """A file's text at a revision; raises CalledProcessError where there is none."""
+    told = subprocess.run(["git", "show", f"{revision}:{path}"], capture_output=True, check=True, text=True)
+    return told.stdout
+
+
 def module_at(revision: str) -> types.ModuleType:
-    """The decision module as it stood at a revision; raises CalledProcessError where there is none."""
-    text = subprocess.run(["git", "show", f"{revision}:bramblewood/balance.py"], capture_output=True,
-                          check=True, text=True).stdout
+    """The module that holds Manager as it stood at a revision: one file once, a package since."""
+    listed = subprocess.run(["git", "ls-tree", "--name-only", revision, "bramblewood/policy/"],
+                            capture_output=True, check=True, text=True).stdout.split()
+    if listed:
+        folder = tempfile.mkdtemp()
+        os.mkdir(os.path.join(folder, "policy_before"))
+        for path in listed:
+            with open(os.path.join(folder, "policy_before", os.path.basename(path)), "w") as file:
+                file.write(shown(revision, path))
+        bramblewood.__path__.append(folder)
+        return importlib.import_module("bramblewood.policy_before.manager")
+    text = shown(revision, "bramblewood/balance.py")
     module = types.ModuleType("bramblewood.balance_before")
     module.__package__ = "bramblewood"
     exec(compile(text, f"balance.py at {revision}", "exec"), module.__dict__)
--- a/bramblewood/adapter/host.py
+++ b/bramblewood/adapter/host.py
@@ -3,8 +3,8 @@
 from typing import BinaryIO
 
 from .. import interface as door
-from ..balance import Manager
 from ..facts import MS, facts_of
+from ..policy.manager import Manager
 from .wire import EVENTS, ORDERS, UNSAID, Malformed, decode, encode, entry_of
 
 COMPLETE, CACHED, FAILED = 1, 2, 3  # forms of a view
--- a/bramblewood/archive/placement.py
+++ b/bramblewood/archive/placement.py
@@ -15,7 +15,8 @@
 from typing import Any
 
 from .. import interface as door
-from ..balance import HELD, LIMIT, UNSEEN, Manager
+from ..policy.figures import HELD, LIMIT, UNSEEN
+from ..policy.manager import Manager
 from .roll import DRAINING, GONE, READY, Roll
 
 WORKER, SECOND, PART, FENCE, HANDOVER, OLD = range(6)
--- a/bramblewood/net/program/service.py
+++ b/bramblewood/net/program/service.py
@@ -12,7 +12,7 @@
 
 from ... import interface as door
 from ... import stages
-from ...balance import Manager
+from ...policy.manager import Manager
 from ..protocol.frames import Scope
 from ..protocol.words import Unreadable
 from ..routing.calls import Calls
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -3,11 +3,11 @@
 import random
 
 from bramblewood import interface as door
-from bramblewood.balance import Manager
 from bramblewood.net.transport.connection import DIAL_TIME, Connection
 from bramblewood.net.transport.ending import Ending
 from bramblewood.net.transport.loop import Loop
 from bramblewood.net.transport.notices import Notices
+from bramblewood.policy.manager import Manager
 
 OPERATIONS = [
     {"name": "look", "kind": door.IDEMPOTENT, "latency_objective": 1.0, "integration_timeout": 4.0,
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -6,7 +6,10 @@
 import pytest
 
 from bramblewood import interface as door
-from bramblewood.balance import BOUND, HELD, OVERFLOW, RESTS, STANDBY, Manager, Slice
+from bramblewood.policy.figures import HELD
+from bramblewood.policy.manager import Manager
+from bramblewood.policy.ordinary import BOUND, RESTS
+from bramblewood.policy.slices import OVERFLOW, STANDBY, Slice
 
 from .helper import FACTS, Ledger, entry
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -9,11 +9,11 @@
 import pytest
 
 from bramblewood import interface as door
-from bramblewood.balance import Manager
 from bramblewood.ledger import records, rules
 from bramblewood.ledger.memory import Memory
 from bramblewood.ledger.stage import Ledger
 from bramblewood.operator.bylaws import StoreTerms
+from bramblewood.policy.manager import Manager
 from bramblewood.store import plan
 from bramblewood.store.flush import Apart
 from bramblewood.store.port import Folder
