--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -58,7 +58,6 @@
         self.shown: dict[str, int] = dict.fromkeys(REGISTERS, 0)
         self.feed = Feed()
         self.homes: dict[str, Link] = {}  # desks that are pushed to from here
-        self.told_about: dict[str, tuple] = {}
         self.writing_since: float | None = None
         self.writes = 0
         self.asking = False
@@ -195,7 +194,11 @@
             "acc": {name: ballots.acceptors[name].accepted for name in REGISTERS},
             "dur": ballots.durable,
         }
-        about = (ballots.voters, sorted({self.me, *self.archives}), sorted(self.desks))
+        about = {
+            "voters": ballots.voters,
+            "archives": sorted({self.me, *self.archives}),
+            "desks": sorted(self.desks),
+        }
         for peer in [only] if only else list(self.links.up):
             if peer not in self.links.up:
                 continue
@@ -204,9 +207,7 @@
                 self.links.up[peer].close()  # its own link brings nothing any more: likely a cut
                 continue
             told = {**message, "e": self.sessions.stamps.get(peer, -1e9)}
-            if self.told_about.get(peer) != about:
-                self.told_about[peer] = about
-                told |= dict(zip(("voters", "archives", "desks"), about, strict=True))
+            told |= self.sessions.news(peer, about)
             if int(now / PULSE) % 4 == 0:
                 told["heard"] = self.roll.ages(now, 2.0)
             self.links.send(peer, told)
@@ -450,6 +451,7 @@
     def link_told(self, peer: str, up: bool) -> None:
         now = self.up_since[peer] = self.loop.time()
         if up:
+            self.sessions.anew(peer)
             self.pulse(now, peer)
         self.log.info("link up" if up else "link lost", step="link", peer=peer)
 
--- a/bramblewood/archive/sessions.py
+++ b/bramblewood/archive/sessions.py
@@ -29,9 +29,20 @@
     def __init__(self, me: str) -> None:
         self.me = me
         self.heard: dict[str, Heard] = {}
+        self.told: dict[str, dict] = {}  # by archive, what changes seldom and was said on its link
         self.stamps: dict[str, float] = {}  # last stamp of each other archive, to give back
         self.desks: dict[str, list[str]] = {}  # by archive, the desks that it last told of
 
+    def anew(self, peer: str) -> None:
+        """A link to this archive stands anew: whoever listens there now may know nothing."""
+        self.told.pop(peer, None)
+
+    def news(self, peer: str, about: dict) -> dict:
+        """Of what changes seldom, what this archive was not told on this link."""
+        before = self.told.get(peer, {})
+        self.told[peer] = about
+        return {name: value for name, value in about.items() if name not in before or before[name] != value}
+
     def pulse(self, now: float, peer: str, message: dict) -> None:
         accepted = {name: tuple(ballot) for name, ballot in message["acc"].items()}
         self.heard[peer] = Heard(now, message["e"], accepted, message["v"], message["w"])
--- /dev/null
+++ b/features/steps/sessions.py
@@ -0,0 +1,45 @@
+from behave import given, then, when
+
+from bramblewood.archive.ballots import TABLE
+from bramblewood.archive.sessions import Sessions
+
+ABOUT = {"voters": ["a", "b", "c"], "archives": ["a", "b", "c"], "desks": ["d1"]}
+
+
+@given("an archive of three")
+def archive(context):
+    context.sessions = Sessions("a")
+
+
+@when("it has told {peer} who votes")
+def told(context, peer):
+    assert context.sessions.news(peer, ABOUT) == ABOUT
+
+
+@when("the link to {peer} stands anew")
+def anew(context, peer):
+    context.sessions.anew(peer)
+
+
+@then("it tells {peer} nothing again but {what}")
+def changed(context, peer, what):
+    assert context.sessions.news(peer, {**ABOUT, "desks": ["d1", "d2"]}) == {"desks": ["d1", "d2"]}
+
+
+@then("it tells {peer} who votes again")
+def again(context, peer):
+    assert context.sessions.news(peer, ABOUT) == ABOUT
+
+
+@when("{peer} gave back the stamp {stamp:g} at {now:g}, with ballot {ballot:d} accepted")
+def pulsed(context, peer, stamp, now, ballot):
+    accepted = {TABLE: [ballot, "b", 1]}
+    context.sessions.pulse(
+        now, peer, {"acc": accepted, "e": stamp, "t": 0.0, "v": True, "w": True, "desks": []}
+    )
+
+
+@then("at {now:g} its word on ballot {ballot:d} holds until {until:g}")
+def word(context, now, ballot, until):
+    found = context.sessions.word_until(now, ("a", "b", "c"), TABLE, (ballot, "b", 1), True)
+    assert abs(found - until) < 1e-9, found
