--- /dev/null
+++ b/features/steps/leaving.py
@@ -0,0 +1,96 @@
+import asyncio
+import zlib
+
+from behave import given, then, when
+
+from bramblewood.archive.ballots import TABLE
+from bramblewood.archive.roll import Row
+from bramblewood.desk.steering import Steering
+from tests.desk_play import Play
+
+
+@given("a service of w1 and w2, {how}")
+def service(context, how):
+    context.steering, context.keyed = Steering(2.5), how.startswith("with keys")
+    for name in ("w1", "w2"):
+        context.steering.roll.merge(0.0, name, Row("s", f"{name}:1", "z", 2, "ready", 1))
+    context.entries = {
+        str(i * 8192): ["w1", "" if context.keyed else "w2", 0.01, 1, "", ""] for i in range(8)
+    }
+    context.steering.take_table({"n": 1, "s": {"s": context.entries}})
+
+
+@when("{name} is heard to be draining at {now:g}")
+def draining(context, name, now):
+    context.steering.roll.merge(now, name, Row("s", f"{name}:1", "z", 2, "draining", 5))
+
+
+@when("{name} is heard to be ready again at {now:g}, by a call that was sent before")
+def late(context, name, now):
+    context.steering.roll.merge(now, name, Row("s", f"{name}:1", "z", 2, "ready", 4))
+
+
+@when("the table moves all keys from w1 to w2")
+def moves(context):
+    entries = {start: ["w2", "", 0.0, 2, "", "w1"] for start in context.entries}
+    context.steering.take_table({"n": 2, "base": 1, "d": {"s": entries}})
+
+
+@when("w1 has let go of them")
+def released(context):
+    entries = {start: ["w2", "", 0.0, 2, "h", ""] for start in context.entries}
+    context.steering.take_table({"n": 3, "base": 2, "d": {"s": entries}})
+
+
+@then("of {count:d} requests at {now:g} {part} to {name}")
+def requests(context, count, now, part, name):
+    gone = 0
+    for number in range(count):
+        key = zlib.crc32(b"%d" % number) % 65536 if context.keyed else None
+        gone += context.steering.choose(now, "s", key, f"r{number}", set()) == name
+    assert gone == (count if part.startswith("all") else 0), gone
+
+
+@given("a desk with a request that its worker is working on")
+def desk(context):
+    context.grace = 1.0
+
+
+@when("SIGTERM comes")
+def sigterm(context):
+    pass  # within the exchange below, once the worker has the request
+
+
+@then("readiness says 503, a new connection is answered and closed, and the request ends whole")
+def ends(context):
+    async def play():
+        made = Play(grace=context.grace)
+        await made.start({"w1": ["held", "answer"]})
+        first = asyncio.ensure_future(made.ask("POST", "/pay/1", "t1", "x"))
+        await made.workers["w1"].reached.wait()
+        end = asyncio.ensure_future(made.desk.end(made.desk.loop.time()))
+        await asyncio.sleep(0)
+        status = (await made.desk.readiness(Probe())).status
+        await made.ask("POST", "/pay/2", "t2", "x", keep=True)
+        made.workers["w1"].go.set()
+        await first
+        code = await end
+        await made.end()
+        return status, code, made.lines
+
+    status, code, lines = asyncio.run(play())
+    ended = [line.strip() for line in lines if "client gets" in line]
+    assert (status, code) == (503, 0)
+    assert ended == [
+        "client gets 200 'w1 t2' X-Response-Seal Connection",
+        "client gets 200 'w1 t1' X-Response-Seal",
+    ], lines
+
+
+class Probe:
+    path = "/bramblewood/readiness"
+
+
+@then("at {now:g} its word on ballot {ballot:d} is over")
+def over(context, now, ballot):
+    assert context.sessions.word_until(now, ("a", "b", "c"), TABLE, (ballot, "b", 1), True) < now
--- a/tests/desk_play.py
+++ b/tests/desk_play.py
@@ -42,6 +42,7 @@
 
     def __init__(self, name: str, script: list[str]) -> None:
         self.name, self.script, self.arrivals, self.address = name, list(script), [], ""
+        self.reached, self.go = asyncio.Event(), asyncio.Event()
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -89,6 +90,10 @@
                         writer.write(answer(500, name, "failed"))
                     case "silent":
                         pass
+                    case "held":
+                        self.reached.set()
+                        await self.go.wait()
+                        writer.write(whole)
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             writer.close()
 
@@ -106,8 +111,10 @@
 
 
 class Play:
-    def __init__(self) -> None:
-        told = Settings("desk-1", "127.0.0.1", "z", (1, 2), (), False, None, 1.5, {}, 2**28, 100, Bounds())
+    def __init__(self, grace: float = 6.0) -> None:
+        told = Settings(
+            "desk-1", "127.0.0.1", "z", (1, 2), (), False, None, 1.5, {}, 2**28, 100, Bounds(GraceS=grace)
+        )
         self.desk = Desk(told)
         self.workers: dict[str, Scripted] = {}
         self.lines: list[str] = []
@@ -128,19 +135,20 @@
         self.server = await desk.loop.create_server(web.Server(desk.serve, access_log=None), "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
 
-    async def ask(self, method: str, path: str, name: str, body: str = "", *fields: str) -> None:
+    async def ask(
+        self, method: str, path: str, name: str, body: str = "", *fields: str, keep: bool = False
+    ) -> None:
         """One request on a connection of its own; what came back is written down."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         lines = [f"{method} {path} HTTP/1.1", "Host: h.example", f"X-Attempt-Id: {name}", *fields]
-        lines += [f"Content-Length: {len(body)}"] * bool(body) + ["Connection: close"]
+        lines += [f"Content-Length: {len(body)}"] * bool(body) + ["Connection: close"] * (not keep)
         if not any("Deadline" in field for field in fields):
             lines.append("X-Deadline-Ms: 1500")
         writer.write(("\r\n".join(lines) + "\r\n\r\n" + body).encode())
         head, _, text = (await reader.read()).decode().partition("\r\n\r\n")
         status = head.split(" ")[1] if head else "no answer"
-        told = [
-            line for line in head.split("\r\n") if line.lower().startswith(("retry-after", "x-response-seal"))
-        ]
+        wanted = ("retry-after", "x-response-seal", *["connection"] * keep)
+        told = [line for line in head.split("\r\n") if line.lower().startswith(wanted)]
         self.lines.append(f"client asks {method} {path} {name}")
         for worker in self.workers.values():
             self.lines += [f"  {line}" for line in worker.arrivals]
