A desk that is stopped takes nothing new once the platform has missed it

Trace: desks end with 6 and 18 requests in flight, as the platform goes on sending to a zone with few machines in.

--- a/bramblewood/desk/program.py
+++ b/bramblewood/desk/program.py
@@ -23,6 +23,7 @@
 TIDY = 1.0  # s between looks at kept connections
 WANT_AFTER = 0.2  # s in which the home may bring what another archive tells of
 WANT_AGAIN = 0.4  # s after which what was asked for and did not come is asked elsewhere
+LAST = 0.3  # s of the grace that are kept for the end itself
 MISSES = 2.6  # s after which the platform has missed two of its looks and sends no new connections
 MEMORY_PART = 0.25  # of the process's memory that clients' bodies may take
 AT_ONCE = 2**16  # bytes read from a body at once
@@ -60,6 +61,7 @@
         self.zones: dict[str, str] = {}  # by archive
         self.rolled = False  # whether a whole roll came
         self.ready = self.ending = False
+        self.front: asyncio.Server | None = None
         self.flight, self.held = 0, 0
         self.tries: dict[How, int] = dict.fromkeys(How, 0)
         self.answers: dict[int, int] = {}
@@ -83,7 +85,7 @@
             auto_decompress=False,
         )
         probe = web.Server(self.readiness, access_log=None, keepalive_timeout=5.0)
-        await loop.create_server(front, *self.told.listen["Front"], backlog=1024)
+        self.front = await loop.create_server(front, *self.told.listen["Front"], backlog=1024)
         await loop.create_server(probe, *self.told.listen["ReadyProbe"], backlog=128)
         self.reported_at = tidy_at = loop.time()
         self.log.info("started", step="start")
@@ -110,9 +112,13 @@
         """
         self.ending = True
         self.log.info("ending", step="end", flight=self.flight)
-        last, calm = now + self.told.bounds.GraceS - 0.5, now + MISSES
+        last, calm = now + self.told.bounds.GraceS - LAST, now + MISSES
         while self.loop.time() < last and (self.flight or self.loop.time() < calm):
-            await asyncio.sleep(0.1)
+            if self.loop.time() >= calm and self.front is not None:
+                # where few machines are in, the platform goes on sending: clients refused go elsewhere at once
+                self.front.close()
+                self.front = None
+            await asyncio.sleep(0.05)
             self.report(self.loop.time())
         self.log.info("stopped", step="end", flight=self.flight)
         await self.links.end()
--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -22,6 +22,11 @@
     When SIGTERM comes
     Then readiness says 503, a new connection is answered and closed, and the request ends whole
 
+  Scenario: A machine that is stopped takes nothing new once the platform has missed it
+    Given a desk with a request that its worker is working on
+    When SIGTERM comes
+    Then new connections are refused after two missed looks, and the request ends whole
+
   Scenario: After a freeze there is no word, so no grant leaves
     Given an archive of three
     When b gave back the stamp 9.8 at 10, with ballot 4 accepted
--- a/features/steps/leaving.py
+++ b/features/steps/leaving.py
@@ -1,10 +1,12 @@
 import asyncio
 import zlib
+from unittest import mock
 
 from behave import given, then, when
 
 from bramblewood.archive.ballots import TABLE
 from bramblewood.archive.roll import Row
+from bramblewood.desk import program
 from bramblewood.desk.steering import Steering
 from tests.desk_play import Play
 
@@ -87,6 +89,33 @@
     ], lines
 
 
+@then("new connections are refused after two missed looks, and the request ends whole")
+def refused(context):
+    async def play():
+        made = Play(grace=3.0)
+        await made.start({"w1": ["held"]})
+        first = asyncio.ensure_future(made.ask("POST", "/pay/1", "t1", "x"))
+        await made.workers["w1"].reached.wait()
+        end = asyncio.ensure_future(made.desk.end(made.desk.loop.time()))
+        while made.server.is_serving():
+            await asyncio.sleep(0)
+        try:
+            await made.ask("POST", "/pay/2", "t2", "x")
+            taken = True
+        except ConnectionRefusedError:
+            taken = False
+        made.workers["w1"].go.set()
+        await first
+        await end
+        await made.end()
+        return taken, made.lines
+
+    with mock.patch.object(program, "MISSES", 0.05):
+        taken, lines = asyncio.run(play())
+    assert not taken
+    assert "  client gets 200 'w1 t1' X-Response-Seal" in lines, lines
+
+
 class Probe:
     path = "/bramblewood/readiness"
 
--- a/tests/desk_play.py
+++ b/tests/desk_play.py
@@ -133,6 +133,7 @@
         }
         desk.steering.take_table({"n": 1, "s": {"plain": table, "divided": table}})
         self.server = await desk.loop.create_server(web.Server(desk.serve, access_log=None), "127.0.0.1", 0)
+        desk.front = self.server
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def ask(
