--- a/bramblewood/desk/program.py
+++ b/bramblewood/desk/program.py
@@ -115,7 +115,7 @@
         last, calm = now + self.told.bounds.GraceS - LAST, now + MISSES
         while self.loop.time() < last and (self.flight or self.loop.time() < calm):
             if self.loop.time() >= calm and self.front is not None:
-                # where few machines are in, the platform goes on sending: clients refused go elsewhere at once
+                # where few machines are in, the platform goes on sending: the refused go elsewhere at once
                 self.front.close()
                 self.front = None
             await asyncio.sleep(0.05)
