--- a/bramblewood/__main__.py
+++ b/bramblewood/__main__.py
@@ -25,8 +25,12 @@
 def run() -> None:
     """The installed command."""
     if gateway(sys.argv[1:]):
+        doors = {}
+        if sys.argv[1:] == ["desk"]:   # before the rest is imported, which takes tenths of a second
+            from .catalogue.doors import open_early
+            doors = open_early(("Front", "ReadyProbe"))
         from .cli.rooms import rooms
-        rooms(prog_name="bramblewood")
+        rooms(prog_name="bramblewood", obj=doors)
     from .cli.app import main
     sys.exit(main())
 
--- a/bramblewood/cli/rooms.py
+++ b/bramblewood/cli/rooms.py
@@ -30,11 +30,12 @@
 
 @rooms.command()
 @BOOT
-def desk(boot: str | None) -> None:
+@click.pass_obj
+def desk(doors: dict, boot: str | None) -> None:
     """Run a desk: take clients' requests and carry them to workers."""
     from ..desk.program import Desk
 
-    play(Desk(settings(boot)))
+    play(Desk(settings(boot), doors))
 
 
 @rooms.command()
--- a/bramblewood/desk/program.py
+++ b/bramblewood/desk/program.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import signal
+import socket
 import zlib
 from typing import Any
 
@@ -12,6 +13,7 @@
 from ..archive.roll import GONE, Row
 from ..catalogue import counters, daybook
 from ..catalogue.bootfile import Settings
+from ..catalogue.doors import BACKLOG, door
 from ..catalogue.edition import Edition, edition_of
 from ..catalogue.links import QUIET, Link, Links
 from .errand import Budget, Errand, Reply, Send, Wait
@@ -45,8 +47,9 @@
 
 
 class Desk:
-    def __init__(self, told: Settings) -> None:
-        self.told = told
+    def __init__(self, told: Settings, doors: dict[str, socket.socket] | None = None) -> None:
+        """doors: sockets that listen already, by their names in `BindMap`."""
+        self.told, self.doors = told, doors or {}
         self.log = daybook.begin(told.name)
         bounds = told.bounds
         self.steering = Steering(bounds.DrainS)
@@ -85,8 +88,10 @@
             auto_decompress=False,
         )
         probe = web.Server(self.readiness, access_log=None, keepalive_timeout=5.0)
-        self.front = await loop.create_server(front, *self.told.listen["Front"], backlog=1024)
-        await loop.create_server(probe, *self.told.listen["ReadyProbe"], backlog=128)
+        for name, server in (("Front", front), ("ReadyProbe", probe)):
+            sock = self.doors.get(name) or door(*self.told.listen[name])
+            made = await loop.create_server(server, sock=sock, backlog=BACKLOG)
+            self.front = made if name == "Front" else self.front
         self.reported_at = tidy_at = loop.time()
         self.log.info("started", step="start")
         while not self.leaving.is_set():
--- /dev/null
+++ b/features/steps/doors.py
@@ -0,0 +1,67 @@
+import asyncio
+import os
+import socket
+import tempfile
+from unittest import mock
+
+from behave import given, then, when
+
+from bramblewood.catalogue.doors import door, open_early
+
+
+def free() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def settings(context, ports):
+    with tempfile.NamedTemporaryFile("w", suffix=".toml", delete=False) as file:
+        lines = [
+            f'{name} = "127.0.0.1:{port}"' for name, port in zip(("Front", "ReadyProbe"), ports, strict=True)
+        ]
+        file.write("\n".join(["[BindMap]", *lines]))
+    context.add_cleanup(os.unlink, file.name)
+    context.path, context.ports = file.name, ports
+
+
+def opened(context):
+    with mock.patch.dict(os.environ, {"BRAMBLEWOOD_BOOT": context.path}):
+        return open_early(("Front", "ReadyProbe"))
+
+
+@given("a settings file that names two doors")
+def two(context):
+    settings(context, (free(), free()))
+
+
+@given("a settings file whose second door is taken")
+def taken(context):
+    context.other = door("127.0.0.1", 0)
+    context.add_cleanup(context.other.close)
+    settings(context, (free(), context.other.getsockname()[1]))
+
+
+@when("the doors are opened early and a client connects to the first")
+def connects(context):
+    context.doors = opened(context)
+    context.client = socket.create_connection(("127.0.0.1", context.ports[0]), 1)
+    context.add_cleanup(context.client.close)
+
+
+@then("the client is taken once a server takes up the door")
+def served(context):
+    async def play():
+        met = asyncio.Event()
+        made = await asyncio.start_server(lambda reader, writer: met.set(), sock=context.doors["Front"])
+        await asyncio.wait_for(met.wait(), 1)
+        made.close()
+
+    asyncio.run(play())
+    context.doors["ReadyProbe"].close()
+
+
+@then("no door stays open")
+def closed(context):
+    assert opened(context) == {}
+    door("127.0.0.1", context.ports[0]).close()  # nobody holds it
