--- a/bramblewood/desk/program.py
+++ b/bramblewood/desk/program.py
@@ -20,6 +20,8 @@
 from .stacks import How, Stacks
 from .steering import Steering
 
+# without a configuration: bytes of headers and body, s for a first request and between requests
+HEADER_BYTES, BODY_BYTES, HEADER_TIME, IDLE = 2**14, 2**26, 3.0, 15.0
 REPORT = 0.5  # s between reports to the scribe: the design's cycle, whose length is free
 START_WAIT = 0.25  # s that a request waits for the first configuration: a restart of all is over soon
 TIDY = 1.0  # s between looks at kept connections
@@ -65,6 +67,7 @@
         self.rolled = False  # whether a whole roll came
         self.ready = self.ending = False
         self.front: asyncio.Server | None = None
+        self.young: set[int] = set()  # connections that have brought no request yet
         self.flight, self.held = 0, 0
         self.tries: dict[How, int] = dict.fromkeys(How, 0)
         self.answers: dict[int, int] = {}
@@ -78,17 +81,8 @@
         loop.add_signal_handler(signal.SIGHUP, lambda: None)
         for peer in self.told.seed_ips():
             self.links.keep(peer, self.told.inner)
-        front = web.Server(
-            self.serve,
-            access_log=None,
-            max_line_size=65536,
-            max_field_size=65536,
-            max_headers=256,
-            keepalive_timeout=15.0,
-            auto_decompress=False,
-        )
         probe = web.Server(self.readiness, access_log=None, keepalive_timeout=5.0)
-        for name, server in (("Front", front), ("ReadyProbe", probe)):
+        for name, server in (("Front", self.newcomer), ("ReadyProbe", probe)):
             sock = self.doors.get(name) or door(*self.told.listen[name])
             made = await loop.create_server(server, sock=sock, backlog=BACKLOG)
             self.front = made if name == "Front" else self.front
@@ -111,6 +105,36 @@
                 self.steering.forget()
         return await self.end(loop.time())
 
+    # --- what a client may send, how long it may take
+
+    def limit(self, name: str, usual: float) -> float:
+        """A figure of the configuration's `Limits`, or what holds without one."""
+        return self.edition.limits.get(name, usual) if self.edition is not None else usual
+
+    def newcomer(self) -> asyncio.Protocol:
+        """The protocol of a client's new connection, by the limits of now."""
+        size = int(self.limit("MaxHeaderBytes", HEADER_BYTES))
+        server = web.Server(
+            self.serve,
+            access_log=None,
+            max_line_size=size,
+            max_field_size=size,
+            max_headers=256,
+            keepalive_timeout=self.limit("IdleTimeoutS", IDLE),
+            auto_decompress=False,
+        )
+        handler = server()
+        self.young.add(id(handler))  # the timer holds it meanwhile
+        self.loop.call_later(self.limit("HeaderTimeoutS", HEADER_TIME), self.late, handler)
+        return handler
+
+    def late(self, handler: Any) -> None:
+        """Its time for a first request is over: a client that has sent none by now is let go."""
+        if id(handler) in self.young:
+            self.young.discard(id(handler))
+            if handler.transport is not None:
+                handler.transport.abort()
+
     async def end(self, now: float) -> int:
         """SIGTERM: not ready, new connections still answered and closed, work in flight finished within
         GraceS.
@@ -281,6 +305,7 @@
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         self.flight += 1
+        self.young.discard(id(request.protocol))
         try:
             response = await self.request(request)
         finally:
@@ -300,6 +325,10 @@
         route = edition.route(request.headers.get("Host", ""), request.raw_path)
         if route is None:
             return own(404, "no route")
+        if sum(len(name) + len(value) + 4 for name, value in request.raw_headers) > self.limit(
+            "MaxHeaderBytes", HEADER_BYTES
+        ):
+            return own(431, "headers too large", close=True)
         name = request.headers.get("X-Attempt-Id", "") or f"{self.told.name}-{os.urandom(8).hex()}"
         service = route.service(zlib.crc32(b"share" + name.encode()) / 2**32)
         key = None
@@ -310,7 +339,7 @@
             key = int(told)
         told = request.headers.get("X-Deadline-Ms", "")
         deadline = int(told) / 1000 if told.isdigit() else BACK_MOST
-        body = await self.body(request, edition.limits.get("MaxBodyBytes", 2**26))
+        body = await self.body(request, self.limit("MaxBodyBytes", BODY_BYTES))
         if isinstance(body, web.Response):
             return body
         try:
--- a/features/carrying.feature
+++ b/features/carrying.feature
@@ -71,3 +71,8 @@
       | GET    | /none/4  | e4 |      |                   |
       | POST   | /pay/%2F/..%41?q=%20 | e5 |      |         |
     Then the exchange is "keys-and-paths"
+
+  Scenario: What a client may send, and how long it may take
+    Given a desk whose configuration allows 300 bytes of headers, 20 of body and 0.1 s for a first request
+    Then a client that sends half a request is let go
+    And large headers are answered 431, a large body 413, and a proper request 200
--- a/features/steps/desk.py
+++ b/features/steps/desk.py
@@ -31,3 +31,43 @@
         return made.lines
 
     approve(name, asyncio.run(play()))
+
+
+@given(
+    "a desk whose configuration allows {header:d} bytes of headers, {body:d} of body "
+    "and {time:g} s for a first request"
+)
+def limits(context, header, body, time):
+    context.limits = {"MaxHeaderBytes": header, "MaxBodyBytes": body, "HeaderTimeoutS": time}
+
+
+@then("a client that sends half a request is let go")
+def half(context):
+    async def play():
+        made = Play()
+        await made.start({"w1": []}, context.limits)
+        reader, writer = await asyncio.open_connection("127.0.0.1", made.port)
+        writer.write(b"GET /look/1 HTTP/1.1\r\nHost: h.exam")
+        try:
+            return await asyncio.wait_for(reader.read(), 2)
+        except ConnectionResetError:
+            return b""
+        finally:
+            writer.close()
+            await made.end()
+
+    assert asyncio.run(play()) == b""
+
+
+@then("large headers are answered 431, a large body 413, and a proper request 200")
+def large(context):
+    async def play():
+        made = Play()
+        await made.start({"w1": []}, context.limits)
+        await made.ask("POST", "/pay/1", "l1", "x", f"X-Large: {'y' * 250}")
+        await made.ask("POST", "/pay/2", "l2", "x" * 21)
+        await made.ask("POST", "/pay/3", "l3", "x" * 20)
+        await made.end()
+        return [line.split()[2] for line in made.lines if "client gets" in line]
+
+    assert asyncio.run(play()) == ["431", "413", "200"]
--- a/tests/desk_play.py
+++ b/tests/desk_play.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-from aiohttp import web
-
 from bramblewood.archive.roll import Row
 from bramblewood.catalogue.bootfile import Bounds, Settings
 from bramblewood.catalogue.edition import edition_of
@@ -119,10 +117,10 @@
         self.workers: dict[str, Scripted] = {}
         self.lines: list[str] = []
 
-    async def start(self, scripts: dict[str, list[str]]) -> None:
+    async def start(self, scripts: dict[str, list[str]], limits: dict | None = None) -> None:
         desk = self.desk
         desk.loop, desk.changed = asyncio.get_running_loop(), asyncio.Event()
-        desk.edition = edition_of(CONFIG).ok_value
+        desk.edition = edition_of({**CONFIG, "Limits": limits or {}}).ok_value
         for place, (name, script) in enumerate(scripts.items()):
             worker = self.workers[name] = Scripted(name, script)
             await worker.start()
@@ -132,7 +130,7 @@
             str(i * 8192): [names[0], names[-1] if len(names) > 1 else "", 0.01, 1, "", ""] for i in range(8)
         }
         desk.steering.take_table({"n": 1, "s": {"plain": table, "divided": table}})
-        self.server = await desk.loop.create_server(web.Server(desk.serve, access_log=None), "127.0.0.1", 0)
+        self.server = await desk.loop.create_server(desk.newcomer, "127.0.0.1", 0)
         desk.front = self.server
         self.port = self.server.sockets[0].getsockname()[1]
 
