--- a/bramblewood/policy/admission.py
+++ b/bramblewood/policy/admission.py
@@ -28,7 +28,8 @@
         time, by_value, before = self.strain, self.manager.by_value, (self.cut, list(self.admitted))
         loaded = self.load >= LIMIT or not self.manager.tells_busy  # an idle one is only far
         # sums that come thin leave cycles out: nothing eases in those, nor by few tries where load is told
-        unheard = not fresh and (self.silent >= STALE or not (self.silent or self.manager.tells_busy))
+        thin = self.manager.tells_busy and self.gap > 1
+        unheard = not fresh and (self.silent >= STALE or not (self.silent or thin))
         if fresh and time > STRAINED and loaded and self.manager.now >= self.again_at:
             low = next((k for k in by_value if self.admitted[k] > FLOOR), None)
             deeper = self.cut or self.ramp() < 1  # a cold one would fall over before levels came
--- a/bramblewood/policy/slices.py
+++ b/bramblewood/policy/slices.py
@@ -68,7 +68,7 @@
         if urgent and self.stored and self.bare() and main and main.usable:
             return {**self.stored, main: 1.0}, self.rules, [door.SetLine(self.number, main.name, 1.0)]
         spare = standby and standby.usable and not standby.cut and standby.ramp() >= 1.0
-        spare = spare and main and main.cut and main.full(HELD)
+        spare = spare and main and main.cut and main.full(HELD if main.gap > 1 else REPORTS)
         second = OVERFLOW if spare and self.manager.facts.get("pick") == "pair" else STANDBY  # else it costs
         wanted = {w: part for w, part in ((standby, second), (main, 1.0)) if w is not None}
         orders = [door.SetLine(self.number, w.name, n) for w, n in wanted.items() if self.stored.get(w) != n]
--- a/bramblewood/policy/workers.py
+++ b/bramblewood/policy/workers.py
@@ -24,7 +24,7 @@
         """What was measured of an earlier process says nothing of this one."""
         self.levels, self.times, self.latest = deque(maxlen=REPORTS), deque(maxlen=REPORTS), []
         self.outcomes, self.carried = [0.0, 0.0], [0.0, 0.0]  # answered, unanswered, halved; the old part
-        self.met, self.silent = [], STALE
+        self.met, self.silent, self.gap = [], STALE, 1  # gap: cycles that the last report spans
         self.cut, self.again_at, self.braced_until = False, LONG_AGO, LONG_AGO  # cut: no further tries
         self.strain = self.load = self.good = 0.0  # answer time over objective; last load; answers this cycle
         self.admitted = [1.0] * len(self.manager.facts.get("operations", []))
@@ -77,6 +77,7 @@
         self.manager.log(f"worker {self.name} out of use for {hold:.0f} s: {why}")
 
     def cycle(self, usual_level, expected):
+        self.gap = self.silent + 1 if self.latest else self.gap
         self.silent = 0 if self.latest else self.silent + 1
         if self.latest:  # a jammed worker's queue must not make all others look idle
             self.load = mean(self.latest)
