Reread: a table's form in one light place, aims once an edition, one server of clients an edition

No change of behaviour. catalogue/table.py holds what archive and desk share of a table, so a desk no longer imports the decisions; the service of a request by the shares is one function (desk and explain had it twice); socket options, rows shared with archives and the roll as it travels have one place each; a web.Server is made once an edition, not for every connection; the archive goes through all routes for their aims once an edition, not ten times a second; names that nothing used are gone.

--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -13,9 +13,10 @@
 
 from bramblewood.archive.feed import Feed
 from bramblewood.archive.patches import difference
-from bramblewood.archive.placement import FINE, KEYS, Placement, apply, met_of
+from bramblewood.archive.placement import Placement, apply, met_of
 from bramblewood.archive.roll import Roll, Row
 from bramblewood.catalogue.edition import Service, edition_of
+from bramblewood.catalogue.table import FINE, KEYS
 from bramblewood.desk.steering import Steering
 
 SIZES = (
@@ -68,7 +69,7 @@
         service = "keyed" if i % 2 else "plain"
         roll.merge(now, f"i-{i:08x}", Row(service, f"10.0.{i // 250}.{i % 250}:8080", "z", 4, "ready", 1))
     services = {name: Service(name, "/", 100, name == "keyed", 0.0) for name in ("keyed", "plain")}
-    placement, table, whole = Placement(now, 1.5, True), None, 0
+    placement, table, whole = Placement(now, 1.5), None, 0
     spent = pushed = reports = accepts = whole_accepts = versions = 0.0
     steering = [Steering(2.5) for _ in range(1)]
     steering[0].roll = roll
--- a/bramblewood/archive/accession.py
+++ b/bramblewood/archive/accession.py
@@ -137,7 +137,7 @@
     """What follows the register's value, and the answer: 200, 412 (another version stands) or 400 (it does
     not rise).
 
-    The value: {"n": number, "config": as it was put, "past": {number: digest}, "lost": ...}.
+    The value: {"n": number, "config": as it was put, "past": {number: digest}}.
     """
     number, past = (stands["n"], stands["past"]) if stands else (0, {})
     if past.get(str(edition.number)) == edition.digest:
--- a/bramblewood/archive/holds.py
+++ b/bramblewood/archive/holds.py
@@ -10,7 +10,7 @@
 
 from typing import NamedTuple
 
-from .placement import FENCE, HANDOVER, KEYS, OLD, WORKER, starts_of
+from ..catalogue.table import FENCE, HANDOVER, KEYS, OLD, WORKER, starts_of
 from .roll import GONE, Roll
 from .sessions import WORD
 
@@ -165,9 +165,8 @@
             else:
                 self.next_at[key] = now + AGAIN
             return None
-        if (
-            status in (200, 421) or status == -1 and ended
-        ):  # 421: another life listens there, so this one ended
+        # 421: another life listens there, so this one ended
+        if status in (200, 421) or status == -1 and ended:
             return Freed(call.service, call.starts, call.fence, call.life, handover if status == 200 else "")
         self.next_at[key] = now + AGAIN
         return None
--- a/bramblewood/archive/placement.py
+++ b/bramblewood/archive/placement.py
@@ -1,10 +1,7 @@
 """Placement: the present manager's decisions, one of them a service, over the table that the archives agree
 on.
 
-A table is {"n": version, "s": {service: {first key: entry}}}. A slice spans from its first key to the next
-slice's; its entry is a list: worker, second worker, the second's share, fence, handover, old holder. Keyed
-services use the keys of the requests, others a hash of their ids. An entry with an old holder has no holder
-yet. Pure: time and facts are handed in.
+The form of a table: `catalogue/table.py`. Pure: time and facts are handed in.
 
 Added to the design: a slice hotter than any limit, which the source leaves open. It is split where its heat
 lies, and its parts go to the least loaded at once (`Office.split`).
@@ -15,16 +12,13 @@
 from typing import Any
 
 from .. import interface as door
+from ..catalogue.table import EMPTY, FENCE, FINE, HANDOVER, KEYS, OLD, PART, SECOND, WORKER
 from ..policy.figures import HELD, LIMIT, UNSEEN
 from ..policy.manager import Manager
 from .roll import DRAINING, GONE, READY, Roll
 
-WORKER, SECOND, PART, FENCE, HANDOVER, OLD = range(6)
-EMPTY = ["", "", 0.0, 0, "", ""]
-KEYS = 65536
 A_WORKER = 6  # slices a worker at least, so that one is a small step; each keyed slice costs a renewal
 LEAST = 32
-FINE = 8  # keys that a count of heat covers: the finest that a slice is split to
 FADE = 0.8  # part of a fine count that a cycle leaves: five reports, as the design averages
 PARTS = 16  # parts that a hot slice is split into at most at one time
 JAM = 1.0  # load of a worker, by its own word, at which all its slots are taken
@@ -43,10 +37,6 @@
     return count
 
 
-def starts_of(entries: dict) -> list[int]:
-    return sorted(map(int, entries))
-
-
 class Changes:
     """What one service's manager asks for: lines by slice, and slices to split off: (parent, start, line)."""
 
@@ -285,11 +275,11 @@
 class Placement:
     """Turns the roll, the desks' reports and the agreed table into the changes that the design asks for."""
 
-    def __init__(self, start: float, beat: float, first: bool) -> None:
+    def __init__(self, start: float, beat: float) -> None:
         self.offices: dict[str, Office] = {}
         self.events: dict[str, list] = {}
         self.first_at: dict[str, float] = {}
-        self.start, self.beat, self.first = start, beat, first
+        self.start, self.beat = start, beat
 
     def report(
         self, now: float, service: str, desk: str, heat: dict[str, int], over: float, met: list
--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -35,7 +35,6 @@
 GRANT_FIRST = 0.025  # s that a table waits for its grants before desks follow it: ways to a worker and back
 BEATS_MISSED = 3.2  # beats after which a worker that nobody heard counts as gone
 ASK = 1.0  # s for a call to a worker
-UPHELD = 0.9  # part of a word's time in which a call may still be sent
 
 
 class Archive:
@@ -55,12 +54,12 @@
         self.confirms: dict[int, asyncio.Future] = {}
         self.confirmed: set[tuple[str, str]] = set()
         self.editions: tuple[int, Any] = (0, None)
+        self.aims: dict[str, float] = {}
         self.shown: dict[str, int] = dict.fromkeys(REGISTERS, 0)
         self.feed = Feed()
         self.homes: dict[str, Link] = {}  # desks that are pushed to from here
         self.writing_since: float | None = None
         self.writes = 0
-        self.asking = False
         self.counts = dict.fromkeys(("archive_grants", "archive_releases", "archive_calls_failed"), 0)
         self.refused: dict[str, int] = {}
         self.to_free: dict[tuple, Freed] = {}
@@ -79,14 +78,14 @@
         facts, stored = found.ok_value["facts"], found.ok_value["registers"]
         self.born = "born" in facts  # else the disk is new, or was lost: FirstBoot tells which
         self.ballots = Ballots(self.me, tuple(facts.get("voters", ())), self.life, stored, self.born)
-        self.placement = placement.Placement(loop.time(), self.told.beat, self.told.first_boot)
+        self.placement = placement.Placement(loop.time(), self.told.beat)
         self.shelf.start(lambda done, problem: loop.call_soon_threadsafe(done, problem))
         if not self.born and self.told.first_boot:
             self.shelf.write([], {"born": True}, lambda problem: None)
         seeds = tuple(sorted(set(self.told.seed_ips())))
         if "voters" not in facts and self.told.first_boot and self.me in seeds:
             self.founding = Ballots(self.me, seeds, self.life, stored, True, FOUNDING)
-        for peer in {*seeds, *facts.get("archives", ()), *self.ballots.voters}:
+        for peer in {*seeds, *self.ballots.voters}:
             self.know(peer)
         self.started = loop.time()
         self.leaving = asyncio.Event()
@@ -258,11 +257,9 @@
                 self.loop.call_later(GRANT_FIRST, self.show, register, version)
             else:
                 self.show(register, version)
-        if self.editions[0] != self.ballots.version(CONFIG):
-            self.editions = (
-                self.ballots.version(CONFIG),
-                edition_of(self.ballots.value(CONFIG)["config"]).ok(),
-            )
+        if self.editions[0] != (version := self.ballots.version(CONFIG)):
+            edition = edition_of(self.ballots.value(CONFIG)["config"]).ok()
+            self.editions, self.aims = (version, edition), edition.aims() if edition else {}
 
     def show(self, register: str, version: int) -> None:
         if version > self.shown[register]:
@@ -297,12 +294,7 @@
             for one in free:
                 self.free(one)
         if not self.proposing:
-            aims: dict[str, float] = {}
-            for routes in self.editions[1].hosts.values():
-                for route in routes.values():
-                    for service, _ in route.targets:
-                        aims[service] = min(aims.get(service, route.aim), route.aim)
-            wanted = self.placement.step(now, services, aims, self.roll, self.silent(now), table)
+            wanted = self.placement.step(now, services, self.aims, self.roll, self.silent(now), table)
             if wanted:
                 self.proposing = True
                 moves = {service: (len(c.lines), len(c.splits)) for service, c in wanted.items()}
@@ -445,7 +437,7 @@
             "k": "hello",
             "role": "archive",
             "from": self.me,
-            "rows": {life: [*row] for life, row in self.roll.rows.items()},
+            "rows": self.rows(),
         }
 
     def link_told(self, peer: str, up: bool) -> None:
@@ -477,7 +469,7 @@
             self.homes.pop(link.peer, None)
             return
         self.homes[link.peer], link.sent = link, dict(message["have"])
-        link.send({"k": "roll", "rows": {life: [*row] for life, row in self.roll.rows.items()}, "all": True})
+        link.send({"k": "roll", "rows": self.rows(), "all": True})
         for register in REGISTERS:
             self.push(link, register)
 
@@ -558,15 +550,25 @@
         """Take a row; where it is news, tell all desks and archives. The number that the archives confirm."""
         if not self.roll.merge(self.loop.time(), life, row):
             return None
-        rows, number = {life: [*row]}, next(self.ids)
+        rows = {life: [*row]}
         self.tell_desks(rows)
-        for peer in list(self.links.up):
-            self.links.send(peer, {"k": "roll", "id": number, "rows": rows})
+        number = self.share(rows)
         if row.phase != "ready":
             self.log.info("worker leaves", step="roll", peer=life, phase=row.phase)
             self.loop.call_soon(self.steer, self.loop.time())
         return number
 
+    def share(self, rows: dict) -> int:
+        """Send rows to the other archives; the number by which they confirm them."""
+        number = next(self.ids)
+        for peer in list(self.links.up):
+            self.links.send(peer, {"k": "roll", "id": number, "rows": rows})
+        return number
+
+    def rows(self) -> dict[str, list]:
+        """The whole roll as it travels."""
+        return {life: [*row] for life, row in self.roll.rows.items()}
+
     # --- callers of control
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -694,12 +696,8 @@
         number = self.note(life, row)
         if not leaving or (life, row.phase) in self.confirmed:
             return web.json_response({})
-        if (
-            number is None
-        ):  # known already, perhaps from another archive, but never confirmed here: say it again
-            number, rows = next(self.ids), {life: [*self.roll.rows[life]]}
-            for peer in list(self.links.up):
-                self.links.send(peer, {"k": "roll", "id": number, "rows": rows})
+        if number is None:  # known already, perhaps from another archive, but never confirmed here
+            number = self.share({life: [*self.roll.rows[life]]})
         self.confirms[number] = self.loop.create_future()
         try:
             async with asyncio.timeout(SEEN_BY_ANOTHER):
--- a/bramblewood/catalogue/edition.py
+++ b/bramblewood/catalogue/edition.py
@@ -5,6 +5,7 @@
 import hashlib
 import json
 import re
+import zlib
 from typing import Any, Literal, NamedTuple, NotRequired, TypedDict
 
 from result import Err, Ok, Result
@@ -74,9 +75,9 @@
     attempts: int
     targets: tuple[tuple[str, float], ...]
 
-    def service(self, chance: float) -> str:
-        """The service for a chance from 0 to 1."""
-        left = chance * sum(share for _, share in self.targets)
+    def service(self, request: str) -> str:
+        """The service of a request, by the shares and its id."""
+        left = zlib.crc32(b"share" + request.encode()) / 2**32 * sum(share for _, share in self.targets)
         for service, share in self.targets:
             left -= share
             if left < 0:
@@ -103,6 +104,15 @@
     limits: dict
     raw: dict
 
+    def aims(self) -> dict[str, float]:
+        """The shortest aim of the routes to each service."""
+        found: dict[str, float] = {}
+        for routes in self.hosts.values():
+            for route in routes.values():
+                for service, _ in route.targets:
+                    found[service] = min(found.get(service, route.aim), route.aim)
+        return found
+
     def route(self, host: str, path: str) -> Route | None:
         """The route whose prefix is the longest that begins the path, among this host's."""
         routes = self.hosts.get(host.lower()) or self.hosts.get(host.lower().partition(":")[0])
--- a/bramblewood/catalogue/links.py
+++ b/bramblewood/catalogue/links.py
@@ -22,10 +22,10 @@
 UNHEARD_MS = 1000  # ms that sent bytes may stay unacknowledged (TCP_USER_TIMEOUT)
 
 
-def careful(sock: socket.socket | None) -> None:
+def careful(sock: socket.socket | None, unheard_ms: int = UNHEARD_MS) -> None:
     """A cut must not leave a connection hanging."""
     if sock is not None:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNHEARD_MS)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unheard_ms)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
--- a/bramblewood/cli/enquiries.py
+++ b/bramblewood/cli/enquiries.py
@@ -12,11 +12,11 @@
 import click
 from result import Err
 
-from ..archive.placement import FENCE, OLD, SECOND, WORKER, starts_of
 from ..archive.roll import Row
 from ..archive.shelf import FORM, NAME
 from ..catalogue import bootfile
 from ..catalogue.edition import Edition, edition_of, number_of, survey
+from ..catalogue.table import FENCE, OLD, SECOND, WORKER, starts_of
 from ..desk.steering import Steering
 from .boot import BOOT, fail, settings
 from .codes import FOUND
@@ -271,9 +271,7 @@
     if route is None:
         out(found, as_json, [f"r{edition.number}: no route of {host} begins {path}: 404"])
         sys.exit(FOUND)
-    import zlib
-
-    service = route.service(zlib.crc32(b"share" + request.encode()) / 2**32)
+    service = route.service(request)
     keyed = edition.services[service].keyed
     steering, rows = Steering(0.0), ask(archive, boot, "roll")
     steering.take_table({**ask(archive, boot, "table")})
--- a/bramblewood/desk/errand.py
+++ b/bramblewood/desk/errand.py
@@ -86,10 +86,7 @@
         self.sent = self.unsent = 0
         self.last: Answer | None = None  # the newest answer of a worker that may be handed on
         self.ran_maybe = False
-        self.shy, self.shy_until = (
-            "",
-            0.0,
-        )  # a worker that did not take it, and until when not to ask it again
+        self.shy, self.shy_until = "", 0.0  # a worker that did not take it, until when not to ask it again
 
     def next(self, now: float, steering: Steering, budget: Budget) -> Send | Wait | Reply:
         """What to do now."""
--- a/bramblewood/desk/program.py
+++ b/bramblewood/desk/program.py
@@ -67,6 +67,7 @@
         self.rolled = False  # whether a whole roll came
         self.ready = self.ending = False
         self.front: asyncio.Server | None = None
+        self.clients: tuple[Edition | None, web.Server] | None = None  # by whose limits, and what serves them
         self.young: set[int] = set()  # connections that have brought no request yet
         self.flight, self.held = 0, 0
         self.tries: dict[How, int] = dict.fromkeys(How, 0)
@@ -113,17 +114,19 @@
 
     def newcomer(self) -> asyncio.Protocol:
         """The protocol of a client's new connection, by the limits of now."""
-        size = int(self.limit("MaxHeaderBytes", HEADER_BYTES))
-        server = web.Server(
-            self.serve,
-            access_log=None,
-            max_line_size=size,
-            max_field_size=size,
-            max_headers=256,
-            keepalive_timeout=self.limit("IdleTimeoutS", IDLE),
-            auto_decompress=False,
-        )
-        handler = server()
+        if self.clients is None or self.clients[0] is not self.edition:
+            size = int(self.limit("MaxHeaderBytes", HEADER_BYTES))
+            made = web.Server(
+                self.serve,
+                access_log=None,
+                max_line_size=size,
+                max_field_size=size,
+                max_headers=256,
+                keepalive_timeout=self.limit("IdleTimeoutS", IDLE),
+                auto_decompress=False,
+            )
+            self.clients = (self.edition, made)
+        handler = self.clients[1]()
         self.young.add(id(handler))  # the timer holds it meanwhile
         self.loop.call_later(self.limit("HeaderTimeoutS", HEADER_TIME), self.late, handler)
         return handler
@@ -330,7 +333,7 @@
         ):
             return own(431, "headers too large", close=True)
         name = request.headers.get("X-Attempt-Id", "") or f"{self.told.name}-{os.urandom(8).hex()}"
-        service = route.service(zlib.crc32(b"share" + name.encode()) / 2**32)
+        service = route.service(name)
         key = None
         if edition.services[service].keyed:
             told = request.headers.get("X-Shard-Key", "")
--- a/bramblewood/desk/stacks.py
+++ b/bramblewood/desk/stacks.py
@@ -15,6 +15,8 @@
 
 from aiohttp.http import HttpResponseParser
 
+from ..catalogue.links import careful
+
 DIAL = 0.35  # s for a connection to come up: a dropped opening packet is sent again after a second or more
 UNHEARD_MS = 500  # ms that sent bytes may stay unacknowledged: a worker's machine answers packets in a few ms
 ANSWER_MOST = 32 * 2**20  # bytes of one answer that is held here
@@ -177,8 +179,7 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNHEARD_MS)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            careful(sock, UNHEARD_MS)
             async with asyncio.timeout(DIAL):
                 await loop.sock_connect(sock, (host, int(port)))
             _, line = await loop.create_connection(lambda: Line(loop), sock=sock)
--- a/bramblewood/desk/steering.py
+++ b/bramblewood/desk/steering.py
@@ -9,8 +9,8 @@
 from bisect import bisect_right
 from typing import Any
 
-from ..archive.placement import FINE, KEYS, OLD, PART, SECOND, WORKER, starts_of
 from ..archive.roll import DRAINING, GONE, READY, Roll
+from ..catalogue.table import FINE, KEYS, OLD, PART, SECOND, WORKER, starts_of
 
 REST = (
     0.5,
--- a/bramblewood/lab/standin.py
+++ b/bramblewood/lab/standin.py
@@ -49,7 +49,6 @@
         self.ledger: list[Line] = []
         self.arrivals: list[tuple[str, str]] = []
         self.holds: list[Hold] = []
-        self.fences: dict[int, int] = {}  # highest fence seen, by key that a range began or ended at
         self.seen: list[Hold] = []  # every range with its fence, for the highest seen on a key
         self.running = self.waiting = 0
         self.free = asyncio.Semaphore(slots)
--- a/tests/holds_play.py
+++ b/tests/holds_play.py
@@ -8,9 +8,10 @@
 import random
 
 from bramblewood.archive.holds import TRAVEL, Holds
-from bramblewood.archive.placement import KEYS, Changes, apply, freed
+from bramblewood.archive.placement import Changes, apply, freed
 from bramblewood.archive.roll import Roll, Row
 from bramblewood.archive.sessions import WORD
+from bramblewood.catalogue.table import KEYS
 
 STEP = 0.05  # s
 SLICES = 4
