--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -18,6 +18,7 @@
 from bramblewood.catalogue.edition import Service, edition_of
 from bramblewood.catalogue.table import FINE, KEYS
 from bramblewood.desk.steering import Steering
+from bramblewood.lab.operator import configuration
 
 SIZES = (
     (10, 35, 10),
@@ -41,23 +42,7 @@
         [f"r{i}", f"h{i % 7}.example", f"/p{i}/q/", "pure", 3, 0.8, 1, 2, "keyed" if i % 2 else "plain"]
         for i in range(routes)
     ]
-    names = [
-        "Label",
-        "Hostname",
-        "PathPrefix",
-        "RouteType",
-        "TimeoutS",
-        "TargetLatencyS",
-        "Priority",
-        "MaxAttempts",
-    ]
-    names.append("Target")
-    services = {"ColumnNames": ["Label", "Sharded"], "Records": [["keyed", True], ["plain", None]]}
-    return {
-        "Revision": "r2",
-        "RouteList": {"ColumnNames": names, "Records": records},
-        "ServiceList": services,
-    }
+    return configuration("r2", records, [["keyed", True], ["plain", None]])
 
 
 def day(desks: int, workers: int, routes: int) -> dict[str, float]:
--- a/example/small.py
+++ b/example/small.py
@@ -15,37 +15,22 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
+from bramblewood.lab.operator import configuration  # noqa: E402
 from bramblewood.lab.standin import StandIn  # noqa: E402
 
 WITHIN = 20.0  # s for the whole
 PORTS = {"control": 18544, "front": 18548, "ready": 18542, "inner": 17540, "worker": 18700}
 SEEDS = [f"127.0.0.{n}:{PORTS['control']}" for n in (1, 2, 3)]
-CONFIG = {
-    "Revision": "r1",
-    "ParentVersion": 0,
-    "RouteList": {
-        "ColumnNames": [
-            "Label",
-            "Hostname",
-            "PathPrefix",
-            "RouteType",
-            "TimeoutS",
-            "TargetLatencyS",
-            "Priority",
-            "MaxAttempts",
-            "Target",
-        ],
-        "Records": [
-            ["members", "club.example", "/members/", "pure", 2, 0.5, 1, 2, "register"],
-            ["fees", "club.example", "/fees/", "effectful", 2, 0.5, 0, 2, "payments"],
-        ],
-    },
-    "ServiceList": {
-        "ColumnNames": ["Label", "HealthPath", "MaxConns", "Sharded"],
-        "Records": [["register", "/health", 100, True], ["payments", "/health", 100, None]],
-    },
-    "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1048576},
-}
+CONFIG = configuration(
+    "r1",
+    [
+        ["members", "club.example", "/members/", "pure", 2, 0.5, 1, 2, "register"],
+        ["fees", "club.example", "/fees/", "effectful", 2, 0.5, 0, 2, "payments"],
+    ],
+    [["register", "/health", 100, True], ["payments", "/health", 100, None]],
+    ["Label", "HealthPath", "MaxConns", "Sharded"],
+    Limits={"MaxHeaderBytes": 16384, "MaxBodyBytes": 1048576},
+)
 
 
 def boot(name: str, ip: str, folder: str, listen: dict) -> str:
--- a/tests/desk_play.py
+++ b/tests/desk_play.py
@@ -6,31 +6,14 @@
 from bramblewood.catalogue.bootfile import Bounds, Settings
 from bramblewood.catalogue.edition import edition_of
 from bramblewood.desk.program import Desk
+from bramblewood.lab.operator import configuration
 
 ROUTES = [
     ["look", "h.example", "/look/", "pure", 2, 0.5, 1, 2, "plain"],
     ["pay", "h.example", "/pay/", "effectful", 2, 0.5, 0, 2, "plain"],
     ["keyed", "h.example", "/keyed/", "pure", 2, 0.5, 1, 2, "divided"],
 ]
-CONFIG = {
-    "Revision": "r3",
-    "ParentVersion": 0,
-    "RouteList": {
-        "ColumnNames": [
-            "Label",
-            "Hostname",
-            "PathPrefix",
-            "RouteType",
-            "TimeoutS",
-            "TargetLatencyS",
-            "Priority",
-            "MaxAttempts",
-            "Target",
-        ],
-        "Records": ROUTES,
-    },
-    "ServiceList": {"ColumnNames": ["Label", "Sharded"], "Records": [["plain", None], ["divided", True]]},
-}
+CONFIG = configuration("r3", ROUTES, [["plain", None], ["divided", True]])
 
 
 class Scripted:
