A hot slice is split before its worker is relieved; logs follow ballots, fences and keys

Cause: whatever Office.relieve took off a jammed worker in a cycle kept Office.split from looking (placement.py, split and ask), and relief moved the hot slice itself, whole, on to the next worker. Ruled out: ordinary moves, which delay a split by one look (0.1 s).

The shelf's test now also hangs the disc amid a sync, with and without a power cut.

--- a/bramblewood/archive/ballots.py
+++ b/bramblewood/archive/ballots.py
@@ -28,6 +28,11 @@
 UNSETTLED = 0.4  # s that an accepted ballot may stay unchosen before somebody else ends its round
 
 
+def trace(ballot: Ballot) -> str:
+    """A ballot as logs name it, the same at every archive: counter, archive and that archive's life."""
+    return f"{ballot[0]}@{ballot[1]}/{ballot[2]:x}"
+
+
 class Out(NamedTuple):
     """writes: (register, promised, accepted, value); sends: (peer, message); answers: (tag, outcome)."""
 
@@ -90,6 +95,8 @@
         self.rounds: dict[str, list[Round]] = {name: [] for name in self.registers}
         self.relearning: dict[str, Round] = {}
         self.asked_at: dict[str, float] = {}
+        # the newest refusal of a ballot of ours, for the log: who, which ballot, what it had promised
+        self.lost_to: tuple[str, Ballot, Ballot] | None = None
 
     @property
     def majority(self) -> int:
@@ -225,6 +232,7 @@
             round = self.current(message)
             self.seen[register] = max(self.seen[register], message["p"][0])
             if round is not None and round.step in ("prepare", "accept"):
+                self.lost_to = (peer, round.ballot, tuple(message["p"]))
                 self.lost(now, round)
         elif kind == "fetch" and self.learned[register][0] >= ballot:
             chosen, value = self.learned[register]
--- a/bramblewood/archive/holds.py
+++ b/bramblewood/archive/holds.py
@@ -150,6 +150,10 @@
             )
         )
 
+    def new(self, call: Call) -> bool:
+        """Whether this grant renews nothing."""
+        return self.granted.get((call.service, call.first), ("", 0, 0.0))[:2] != (call.life, call.fence)
+
     def answered(
         self, now: float, call: Call, sent: float, status: int, handover: str, ended: bool
     ) -> Freed | None:
--- a/bramblewood/archive/placement.py
+++ b/bramblewood/archive/placement.py
@@ -173,9 +173,9 @@
         self.came, self.heat_at, self.spans = Counter(), now, {}
         return [door.SliceHeat(start, "all", sums[start], 0, over) for start in starts]
 
-    def split(self, now: float, entries: dict) -> list[tuple[int, int, tuple]]:
+    def split(self, now: float, entries: dict, moved: dict) -> list[tuple[int, int, tuple]]:
         """Slices hotter than a worker's limit, over three reports: their parts go to the least loaded at
-        once.
+        once. `moved`: lines that change in the same turn; these slices wait for the next.
         """
         if now < self.split_at + self.facts["cycle"]:
             return []
@@ -185,12 +185,8 @@
             if self.fine[fine] < 0.05:
                 del self.fine[fine]
         manager, made, starts = self.manager, [], sorted(self.known)
-        self.lines = self.relieve(now, entries)
-        if self.lines:
-            return []
-        for piece in [
-            p for p in manager.ours() if p.main and p.main.usable and not entries[str(p.number)][OLD]
-        ]:
+        able = [p for p in manager.ours() if p.main and p.main.usable and p.number not in moved]
+        for piece in [p for p in able if not entries[str(p.number)][OLD]]:
             limit = LIMIT * manager.planner.capacity(piece.main)
             recent = [*piece.estimates][-HELD:]
             if len(recent) < HELD or min(recent) <= limit or not limit:
@@ -208,6 +204,8 @@
                 made.append((piece.number, start, (target.name, "", 0.0)))
             if cuts:
                 piece.estimates.clear()
+        if not made and not moved:
+            self.lines = self.relieve(now, entries)
         return made
 
     def carries(self, worker: Any) -> float:
@@ -355,11 +353,11 @@
             line = self.line(office.manager.slices[start])
             if line and line != office.known[start]:
                 lines[start] = office.known[start] = line
-        if not office.keyed or lines:
+        if not office.keyed:
             return lines, []
-        splits = office.split(now, entries)
+        splits = office.split(now, entries, lines)
         office.known.update(office.lines)
-        lines, office.lines = office.lines, {}
+        lines, office.lines = lines | office.lines, {}
         return lines, splits
 
     @staticmethod
--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -17,7 +17,7 @@
 from ..catalogue.links import QUIET, Link, Links, accept, careful_socket
 from . import placement
 from .accession import GetConfig, PutConfig, Refusal, Register, TakeLeave, decode, most, succeed
-from .ballots import CONFIG, FOUNDING, NONE, REGISTERS, TABLE, VOTERS, VOTES, Ballots, Out
+from .ballots import CONFIG, FOUNDING, NONE, REGISTERS, TABLE, VOTERS, VOTES, Ballots, Out, trace
 from .feed import Feed
 from .holds import Call, Freed, Holds
 from .roll import GONE, READY, Roll, Row
@@ -56,6 +56,7 @@
         self.editions: tuple[int, Any] = (0, None)
         self.aims: dict[str, float] = {}
         self.shown: dict[str, int] = dict.fromkeys(REGISTERS, 0)
+        self.told_of: dict[str, int] = dict.fromkeys(REGISTERS, 0)  # newest versions in the log
         self.feed = Feed()
         self.homes: dict[str, Link] = {}  # desks that are pushed to from here
         self.writing_since: float | None = None
@@ -251,6 +252,10 @@
             version = self.ballots.version(register)
             if version == self.shown[register]:
                 continue
+            if version > self.told_of[register]:
+                self.told_of[register] = version
+                ballot = trace(self.ballots.learned[register][0])
+                self.log.info("chosen", step="ballot", ballot=ballot, register=register, version=version)
             if register == TABLE:
                 if version > self.feed.n:
                     self.feed.learned(self.ballots.value(TABLE))
@@ -370,7 +375,16 @@
         )
         if status != 200:
             self.log.info(
-                "call failed", step=call.kind, peer=call.life, status=status, keys=(call.first, call.last)
+                "call failed",
+                step=call.kind,
+                peer=call.life,
+                status=status,
+                keys=(call.first, call.last),
+                fence=call.fence,
+            )
+        elif call.kind == "release" or self.holds.new(call):
+            self.log.info(
+                "keys passed", step=call.kind, peer=call.life, keys=(call.first, call.last), fence=call.fence
             )
         if status == 409:
             self.propose(
@@ -427,8 +441,13 @@
 
     def hear_ballot(self, peer: str, message: dict) -> None:
         machine = self.founding if message["r"] == VOTERS else self.ballots
-        if machine is not None:
-            self.carry(machine.hear(self.loop.time(), peer, message))
+        if machine is None:
+            return
+        self.carry(machine.hear(self.loop.time(), peer, message))
+        if machine.lost_to is not None:
+            who, ballot, promised = machine.lost_to
+            machine.lost_to = None
+            self.log.info("ballot lost", step="ballot", peer=who, ballot=trace(ballot), to=trace(promised))
 
     # --- other managers
 
--- a/bramblewood/desk/program.py
+++ b/bramblewood/desk/program.py
@@ -410,7 +410,15 @@
             steering.failed(now, life, how is not How.BROKEN)
             if how is How.BROKEN:
                 steering.turned_away(now, life)  # workers of some services reset what they have no room for
-            self.log.info("try failed", step="attempt", peer=life, how=how.value, id=errand.request)
+            self.log.info(
+                "try failed",
+                step="attempt",
+                peer=life,
+                how=how.value,
+                id=errand.request,
+                key=errand.key,
+                fence=steering.fence(errand.service, errand.key),
+            )
             if how is How.UNSENT:
                 self.stacks.drop(life)
         return errand.ended(now, life, how, answer)
--- a/bramblewood/desk/steering.py
+++ b/bramblewood/desk/steering.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from ..archive.roll import DRAINING, GONE, READY, Roll
-from ..catalogue.table import FINE, KEYS, OLD, PART, SECOND, WORKER, starts_of
+from ..catalogue.table import FENCE, FINE, KEYS, OLD, PART, SECOND, WORKER, starts_of
 
 REST = (
     0.5,
@@ -87,6 +87,11 @@
         starts = self.starts.get(service)
         return self.table[service][str(starts[bisect_right(starts, key) - 1])] if starts else None
 
+    def fence(self, service: str, key: int | None) -> int | None:
+        """The fence under which this desk takes a key to be held, as logs name it at every program."""
+        entry = self.entry(service, key) if key is not None else None
+        return entry[FENCE] if entry else None
+
     def moving(self, service: str, key: int) -> bool:
         """Whether a key is being released by a worker that can be expected to answer."""
         entry = self.entry(service, key)
--- /dev/null
+++ b/tests/placement_play.py
@@ -0,0 +1,55 @@
+"""One keyed service's placement fed with reports from a seed, without sockets: who is asked for how much."""
+
+import random
+
+from bramblewood.archive.placement import Placement, apply, freed, met_of
+from bramblewood.archive.roll import Roll, Row
+from bramblewood.catalogue.edition import Service
+from bramblewood.catalogue.table import FINE, OLD, WORKER, starts_of
+
+CYCLE = 0.5  # s
+SLOTS = 2
+
+
+class Play:
+    """Workers of two slots, desks that report each half second, a register that takes every change."""
+
+    def __init__(self, seed: int, workers: int) -> None:
+        self.dice, self.now, self.roll, self.table = random.Random(seed), 100.0, Roll(), None
+        for i in range(workers):
+            row = Row("s", f"10.0.0.{i}:80", "z", SLOTS, "ready", 1)
+            self.roll.merge(self.now, f"w{i}", row)
+        self.services = {"s": Service("s", "/", 100, True, 0.0)}
+        self.placement = Placement(self.now, 1.5)
+        self.splits: list[float] = []  # when slices were split
+        self.moves = 0
+
+    def cycle(self, heat: dict[int, float], jammed: set[str] = frozenset()) -> None:
+        """One cycle: requests a second by key; workers named are full by their own word, others idle."""
+        self.now += CYCLE
+        counts: dict[str, int] = {}
+        for key, rate in heat.items():
+            counts[str(key // FINE)] = counts.get(str(key // FINE), 0) + int(rate * CYCLE + 0.5)
+        met = [
+            met_of(life, 8, 0, 0.2, CYCLE, [SLOTS, 1, SLOTS] if life in jammed else [0, 0, SLOTS])
+            for life in self.roll.rows
+        ]
+        self.placement.report(self.now, "s", "d1", counts, CYCLE, met)
+        for _ in range(3):  # the archive looks more often than reports come
+            wanted = self.placement.step(self.now, self.services, {}, self.roll, set(), self.table)
+            if wanted:
+                self.splits += [self.now] * bool(wanted["s"].splits)
+                self.moves += len(wanted["s"].lines)
+                self.table = apply(self.table, wanted, {"s"})[0] or self.table
+            self.let_go()
+
+    def let_go(self) -> None:
+        for start, entry in (self.table or {"s": {"s": {}}})["s"]["s"].items():
+            if entry[OLD]:
+                made = freed(self.table, "s", (int(start),), entry[3], entry[OLD], "")[0]
+                self.table = made or self.table
+
+    def holder(self, key: int) -> str:
+        entries = self.table["s"]["s"]
+        start = max(s for s in starts_of(entries) if s <= key)
+        return entries[str(start)][WORKER]
--- a/tests/shelf_play.py
+++ b/tests/shelf_play.py
@@ -7,13 +7,19 @@
 
 import errno
 import functools
+import queue
 import random
 import sqlite3
+import threading
+import types
 import uuid
 
 import apsw
 
+from bramblewood.archive.ballots import CONFIG, Ballots, Out
+from bramblewood.archive.program import Archive
 from bramblewood.archive.shelf import Shelf
+from bramblewood.catalogue.bootfile import Bounds, Settings
 from tests.disc import Disc, PowerCut
 
 
@@ -192,3 +198,59 @@
         disc = disc.after_power_cut(dice)
     life(disc, told, 1, modes)
     return told["floor"]
+
+
+PROMISE = {"k": "promise"}
+BORN = ([("config", (3, "a", 1), (3, "a", 1), {"n": 1})], {"born": True}, None)
+ANSWER = 5.0  # s that the shelf's thread may take once its disc answers
+
+
+class Hanging:
+    """An archive's writing side on a disc that hangs at the next sync, until it is told to answer."""
+
+    def __init__(self):
+        self.disc, self.go, self.told = Disc(), threading.Event(), queue.SimpleQueue()
+        ports = {"Control": ("127.0.0.1", 1)}
+        self.archive = Archive(
+            Settings("a", "a", "z", (1, 2), (), False, "/d", 1.5, ports, 2**28, 100, Bounds())
+        )
+        self.archive.word = lambda now: now + 1.0
+        self.archive.ballots = Ballots("a", ("a", "b", "c"), 1, {}, True)
+        self.archive.loop = types.SimpleNamespace(time=lambda: self.now)
+        self.sent = []
+        self.archive.links = types.SimpleNamespace(send=lambda peer, what: self.sent.append((peer, what)))
+        self.shelf = self.archive.shelf = Shelf("/d", lambda path: Base(self.disc, path))
+        self.shelf.path = "/d/shelf.db"
+        assert self.shelf.open().is_ok() and self.shelf.commit([BORN]) is None
+        self.disc.refusals = {"flush": lambda: self.go.wait(ANSWER) and 0}
+        self.shelf.thread = threading.Thread(target=self.work, daemon=True)
+        self.shelf.start(lambda done, problem: self.told.put((done, problem)))
+
+    def work(self):
+        try:
+            self.shelf._work()
+        except PowerCut:
+            pass  # the machine is off
+
+    def promise(self, now):
+        self.now = now
+        row = (CONFIG, (7, "b", 1), (3, "a", 1), {"n": 1})
+        self.archive.carry(Out([row], [("b", PROMISE)], []))
+
+    def answer(self):
+        self.go.set()
+        self.shelf.close()
+        self.shelf.thread.join(ANSWER)
+        while not self.told.empty():
+            done, problem = self.told.get()
+            done(problem)
+
+    def after_power_cut(self):
+        """What a start finds."""
+        disc = self.disc.after_power_cut(random.Random(1))
+        shelf = Shelf("/d", lambda path: Base(disc, path))
+        shelf.path = "/d/shelf.db"
+        return shelf.open().ok_value["registers"]
+
+    def end(self):
+        self.go.set()
