Desks share the room for connections at a worker, and prove new ones before use

Cause: a worker takes MaxConns connections from all callers and resets the rest.

Change: desk/room.py, each desk keeps its even part of half of the room, lots where that is under one; a new connection is watched for one way there and back (1 to 20 ms) before anything goes out, a reset in it is `turned`: another worker, or the same later, and no rest (stacks.py dial, errand.py ended). What may not be sent again goes on no kept connection that rested longer than half of a rest after which another was found dead; that doubles each 5 s.

Tests: three scenarios of features/carrying.feature.

--- a/bramblewood/desk/errand.py
+++ b/bramblewood/desk/errand.py
@@ -19,6 +19,7 @@
 LATER_PART = 0.3  # of the time left after which to come back: clients honour up to a third
 SOON = 0.25  # s to come back after where a queue was full: a few requests' work
 UNSENT_MOST = 4  # tries that never went out; each costs a dial
+TURNED_PART = 0.1  # of the aim before a worker without room for a connection is dialled again
 SHY_PART = 0.4  # of the aim before the same worker is asked again: a full queue's time, at usual work
 FULL_PART = 0.3  # of the aim that a request waits while its only worker is known to be full
 LOOK = 0.04  # s between looks at a full worker: a part of a request's work
@@ -124,9 +125,12 @@
 
     def ended(self, now: float, life: str, how: How, answer: Answer | None) -> Reply | None:
         """How a try ended; the final answer, or None where `next` is to be asked again."""
-        if how is How.UNSENT:
+        if how in (How.UNSENT, How.TURNED):
             self.unsent += 1
-            self.tried.add(life)
+            if how is How.TURNED and self.key is not None:
+                self.shy, self.shy_until = life, now + TURNED_PART * self.route.aim
+            else:
+                self.tried.add(life)
             return self.give_up(now, "no worker could be reached") if self.unsent >= UNSENT_MOST else None
         self.sent += 1
         if self.key is None:
--- a/bramblewood/desk/program.py
+++ b/bramblewood/desk/program.py
@@ -17,7 +17,8 @@
 from ..catalogue.edition import Edition, edition_of
 from ..catalogue.links import QUIET, Link, Links
 from .errand import Budget, Errand, Reply, Send, Wait
-from .stacks import How, Stacks
+from .room import keeps
+from .stacks import PROOF, How, Stacks
 from .steering import Steering
 
 # without a configuration: bytes of headers and body, s for a first request and between requests
@@ -99,8 +100,10 @@
             self.report(now)
             if now >= tidy_at:
                 tidy_at = now + TIDY
+                rows = self.steering.roll.rows.items()
                 self.stacks.tidy(
-                    now, {life for life, row in self.steering.roll.rows.items() if row.phase != GONE}
+                    now,
+                    {life: self.room(row.service, life, now) for life, row in rows if row.phase != GONE},
                 )
                 self.steering.roll.forget(now)
                 self.steering.forget()
@@ -299,11 +302,17 @@
             "desk_archives": len(self.links.up),
             "desk_connections_opened_total": self.stacks.opened,
             "desk_connections_reused_total": self.stacks.reused,
+            "desk_connections_turned_total": self.stacks.turned,
             "desk_body_bytes": self.held,
             **{f'desk_tries_total{{how="{how.value}"}}': count for how, count in self.tries.items()},
             **ended,
         }
 
+    def room(self, service: str, life: str, now: float) -> int:
+        """Idle connections that may be kept to a worker of this service."""
+        told = self.edition.services.get(service) if self.edition is not None else None
+        return keeps(told.connections if told else 0, self.budget.desks, self.told.name, life, now)
+
     # --- clients
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -388,15 +397,20 @@
         loop, steering, life = self.loop, self.steering, step.life
         seen = steering.of(life)
         seen.flight += 1
-        began, how, answer = loop.time(), How.UNSENT, None
+        began, answer = loop.time(), None
         try:
-            line = await self.stacks.lend(life, steering.roll.rows[life].address, began)
+            address = steering.roll.rows[life].address
+            line, how = await self.stacks.lend(life, address, began, not errand.route.pure)
             if line is not None:
                 now = loop.time()
+                rest = now - line.rests_from if line.rests_from else 0.0
                 how, answer = await line.exchange(
                     head(request, body, errand, life, now) + body, errand.request, errand.until
                 )
-                self.stacks.give_back(life, line)
+                at_once = how is How.BROKEN and rest and loop.time() - now < PROOF[1]
+                if at_once and steering.pressure(now, life) < 1.0:  # a full one resets what finds no room
+                    self.stacks.found_dead(now, rest)
+                self.stacks.give_back(life, line, self.room(errand.service, life, now))
         finally:
             seen.flight -= 1
         now = loop.time()
@@ -406,6 +420,8 @@
             steering.loaded(now, life, answer.named.get("X-Server-Load", ""))
             if answer.status in (429, 503):
                 steering.turned_away(now, life)
+        elif how is How.TURNED:
+            steering.turned_away(now, life)
         else:
             steering.failed(now, life, how is not How.BROKEN)
             if how is How.BROKEN:
--- /dev/null
+++ b/bramblewood/desk/room.py
@@ -0,0 +1,21 @@
+"""The room for connections at a worker, which all desks share: who may keep how many idle ones. Pure.
+
+A worker takes `MaxConns` connections from all callers together and resets the rest, and it takes fewer while
+its queue is long. Desks don't tell each other what they keep. Each knows how many desks there are, so each
+keeps its even part; where that is less than one, lots decide which desks keep one, drawn anew for each worker
+and each turn, so that no desk stays without for long. What a desk may not keep it closes right after its use.
+"""
+
+import zlib
+
+KEPT_PART = 0.5  # of MaxConns that idle connections may take: the other half is for requests under way
+TURN = 30.0  # s that a lot stands: some idle times of a worker, PROTOCOL's ten seconds and more
+
+
+def keeps(connections: int, desks: int, desk: str, life: str, now: float) -> int:
+    """Idle connections that this desk may keep to this worker; `connections` 0 is one without a bound."""
+    if connections <= 0:
+        return 2**20
+    part = KEPT_PART * connections / max(desks, 1)
+    lot = zlib.crc32(f"{desk} {life} {int(now / TURN)}".encode()) / 2**32
+    return int(part) + (lot < part % 1.0)
--- a/bramblewood/desk/stacks.py
+++ b/bramblewood/desk/stacks.py
@@ -22,6 +22,10 @@
 ANSWER_MOST = 32 * 2**20  # bytes of one answer that is held here
 KEPT_PART = 0.6  # of the time that a worker says it keeps an idle connection
 KEPT_UNSAID = 0.8  # s, where it says none; it gives whole seconds if there are any
+# s at least (a timer's own lateness) and at most that a new connection is watched before anything goes out
+PROOF = (0.001, 0.02)
+TRUST_PART = 0.5  # of the rest after which a connection was found dead, that what may not repeat still trusts
+TRUST_BACK = 5.0  # s in which that doubles again: workers forget for some seconds, then as they said
 ID = "X-Attempt-Id"
 
 
@@ -30,6 +34,7 @@
 
     WHOLE = "whole"  # a whole answer of this request
     UNSENT = "unsent"  # nothing of it went out
+    TURNED = "turned"  # nothing of it went out: the worker takes no further connection now
     BROKEN = "broken"  # it went out, and no answer of it can come any more
     SILENT = "silent"  # it went out, and the time is over
 
@@ -60,7 +65,8 @@
         self.waiting: asyncio.Future | None = None
         self.wanted, self.got = "", 0
         self.open, self.clean = False, True
-        self.idle_until = 0.0
+        self.idle_until = self.rests_from = 0.0
+        self.gone = loop.create_future()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport, self.open = transport, True
@@ -109,7 +115,8 @@
             body = payload.read_nowait(-1)
             self.clean = self.clean and not message.should_close and not self.came
             if self.clean:
-                self.idle_until = self.loop.time() + kept_for(message.headers.get("Keep-Alive", ""))
+                self.rests_from = self.loop.time()
+                self.idle_until = self.rests_from + kept_for(message.headers.get("Keep-Alive", ""))
             answer = Answer(message.code, message.reason, message.raw_headers, message.headers, body)
             waiting, self.waiting = self.waiting, None
             if not waiting.done():
@@ -123,8 +130,17 @@
 
     def connection_lost(self, problem: Exception | None) -> None:
         self.open = False
+        if not self.gone.done():
+            self.gone.set_result(True)
         self.fail()
 
+    async def proved(self, way: float) -> bool:
+        """Whether a new connection still stands after a way there and back (s): a worker without room resets
+        it at once.
+        """
+        await asyncio.wait([self.gone], timeout=min(max(way, PROOF[0]), PROOF[1]))
+        return self.open
+
     def close(self) -> None:
         self.clean = False
         if self.open and self.transport is not None:
@@ -160,38 +176,62 @@
 
     def __init__(self) -> None:
         self.kept: dict[str, list[Line]] = {}
-        self.opened = self.reused = 0
-
-    async def lend(self, life: str, address: str, now: float) -> Line | None:
-        """A connection that may carry a request, or None where none came up."""
-        kept = self.kept.get(life, [])
+        self.opened = self.reused = self.turned = 0
+        self.forgot, self.forgot_at = 0.0, -1e9  # rest after which a connection was found dead, and when
+
+    def trusted(self, now: float) -> float:
+        """s of rest for which a kept connection is trusted with what may not be sent again."""
+        if not self.forgot:
+            return float("inf")
+        return TRUST_PART * self.forgot * 2 ** min((now - self.forgot_at) / TRUST_BACK, 30.0)
+
+    def found_dead(self, now: float, rest: float) -> None:
+        """A connection that had rested so long was reset as it was used: workers may forget others."""
+        self.forgot, self.forgot_at = min(rest, self.trusted(now)), now
+
+    async def lend(self, life: str, address: str, now: float, once: bool) -> tuple[Line | None, How]:
+        """A connection that may carry a request; none, and why, where none came up. `once`: what it carries
+        may not be sent again.
+        """
+        kept, trusted = self.kept.get(life, []), self.trusted(now) if once else float("inf")
         while kept:
-            line = kept.pop()
-            if line.open and line.clean and line.idle_until > now:
-                self.reused += 1
-                return line
-            line.close()
+            line = kept.pop()  # the one that rested least
+            if not line.open or not line.clean or line.idle_until <= now:
+                line.close()
+                continue
+            if now - line.rests_from > trusted:
+                kept.append(line)
+                break
+            self.reused += 1
+            return line, How.WHOLE
         return await self.dial(address)
 
-    async def dial(self, address: str) -> Line | None:
+    async def dial(self, address: str) -> tuple[Line | None, How]:
         loop = asyncio.get_running_loop()
         host, _, port = address.rpartition(":")
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        began = loop.time()
         try:
             sock.setblocking(False)
             careful(sock, UNHEARD_MS)
             async with asyncio.timeout(DIAL):
                 await loop.sock_connect(sock, (host, int(port)))
+            way = loop.time() - began
             _, line = await loop.create_connection(lambda: Line(loop), sock=sock)
         except (OSError, TimeoutError):
             sock.close()
-            return None
+            return None, How.UNSENT
         self.opened += 1
-        return line
-
-    def give_back(self, life: str, line: Line) -> None:
-        if line.open and line.clean:
-            self.kept.setdefault(life, []).append(line)
+        if not await line.proved(way):
+            self.turned += 1
+            return None, How.TURNED
+        return line, How.WHOLE
+
+    def give_back(self, life: str, line: Line, most: int) -> None:
+        """Keep a connection for later, if it is one of so many that may be kept to this worker."""
+        kept = self.kept.setdefault(life, [])
+        if line.open and line.clean and len(kept) < most:
+            kept.append(line)
         else:
             line.close()
 
@@ -199,13 +239,16 @@
         for line in self.kept.pop(life, ()):
             line.close()
 
-    def tidy(self, now: float, lives: set[str]) -> None:
-        """Close what has been idle for too long, and all of workers that are gone."""
+    def tidy(self, now: float, lives: dict[str, int]) -> None:
+        """Close what has been idle for too long, what is beyond the room that is left (by life), and all of
+        workers that are gone.
+        """
         for life in list(self.kept):
             if life not in lives:
                 self.drop(life)
                 continue
             keep = [line for line in self.kept[life] if line.open and line.idle_until > now]
+            keep = keep[max(len(keep) - lives[life], 0) :]  # those that rested least
             for line in self.kept[life]:
                 if line not in keep:
                     line.close()
--- a/features/carrying.feature
+++ b/features/carrying.feature
@@ -76,3 +76,25 @@
     Given a desk whose configuration allows 300 bytes of headers, 20 of body and 0.1 s for a first request
     Then a client that sends half a request is let go
     And large headers are answered 431, a large body 413, and a proper request 200
+
+  Scenario: A worker without room for a connection has run nothing
+    Given a desk before
+      | worker | script                    |
+      | w1     | no room, no room, no room |
+      | w2     | answer                    |
+    When clients ask
+      | method | path     | id | body | fields            |
+      | POST   | /pay/1   | f1 | x    |                   |
+      | GET    | /keyed/2 | f2 |      | X-Shard-Key: 7    |
+    Then the exchange is "no-room"
+
+  Scenario: A connection that was found dead after a rest, and what may not be sent again
+    Given connections kept to a worker that rested 0.1 s, 0.3 s and 5 s
+    When one that rested 0.4 s was reset as soon as it was used
+    Then what may repeat takes the one that rested 0.1 s, then 0.3 s
+    But what may not repeat takes none that rested over 0.2 s for 5 s, then over 0.4 s
+
+  Scenario: Desks share a worker's room without asking each other
+    Given 62 desks and 67 workers of 57 connections each
+    Then at no worker they keep over 45 connections, and on the mean about half of the room
+    And no desk is without a connection to the same worker for 10 turns
--- a/tests/desk_play.py
+++ b/tests/desk_play.py
@@ -31,6 +31,10 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         late = b""
+        if self.script[:1] == ["no room"]:
+            self.arrivals.append(f"{self.name} resets a connection: {self.script.pop(0)}")
+            writer.transport.abort()
+            return
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
