--- a/bramblewood/desk/errand.py
+++ b/bramblewood/desk/errand.py
@@ -6,7 +6,6 @@
 502 or 504.
 """
 
-import zlib
 from typing import NamedTuple
 
 from ..catalogue.edition import Route
@@ -23,10 +22,6 @@
 TURNED_PART = 0.1  # of the aim before a worker without room for a connection is dialled again
 SHY_PART = 0.4  # of the aim before the same worker is asked again: a full queue's time, at usual work
 FULL_PART = 0.3  # of the aim that a request waits while its only worker is known to be full
-# of the aim by which requests differ in when they are refused as late, so that desks with the same word of a
-# worker don't refuse all of them and then none
-SPREAD = 0.3
-RANK_PART = 0.1  # of the aim that each rank of priority is refused sooner, down to the third
 LOOK = 0.04  # s between looks at a full worker: a part of a request's work
 SPARE = 0.012  # s kept back from a deadline for the way to the client
 USE_PART = 0.8  # of the shared budget that is used: the rules count arrivals in other windows than ours
@@ -107,8 +102,6 @@
             if self.key is not None and not self.sent and steering.full(now, life):
                 if now < self.begun + FULL_PART * self.route.aim:
                     return Wait(now + LOOK)
-            if not self.sent and (wait := steering.expected(now, life)) > self.bearable(now):
-                return self.refused(now, wait)
             if self.sent and not budget.spend(self.service, now):
                 return self.give_up(now, "no further try left")
             return Send(life)
@@ -118,17 +111,6 @@
             return Wait(until)
         return self.give_up(now, "no worker may get it now", long=True)
 
-    def bearable(self, now: float) -> float:
-        """s that an answer may take to be worth asking for: the rest of the aim, less for lower ranks."""
-        lot = zlib.crc32(b"bear" + self.request.encode()) / 2**32 - 0.5
-        rank = RANK_PART * min(self.route.priority, 3)
-        return self.route.aim * (1 + SPREAD * lot - rank) - (now - self.begun)
-
-    def refused(self, now: float, wait: float) -> Reply:
-        """It would be answered late: refused at once, to come back when the queue is shorter."""
-        later = min(max(wait - self.route.aim, SOON), LATER_PART * max(self.until - now, 0.0))
-        return Reply(503, "its worker's queue is longer than its aim", round(later, 3))
-
     def give_up(self, now: float, reason: str, long: bool = False) -> Reply:
         if self.last is not None and not self.not_run(self.last):
             return Reply(self.last.status, reason, None, self.last)
--- a/bramblewood/desk/program.py
+++ b/bramblewood/desk/program.py
@@ -417,7 +417,7 @@
         self.tries[how] += 1
         if how is How.WHOLE:
             steering.answered(now, life, now - began)
-            steering.loaded(now, life, answer.named.get("X-Server-Load", ""), now - began)
+            steering.loaded(now, life, answer.named.get("X-Server-Load", ""))
             if answer.status in (429, 503):
                 steering.turned_away(now, life)
         elif how is How.TURNED:
--- a/bramblewood/desk/steering.py
+++ b/bramblewood/desk/steering.py
@@ -17,7 +17,6 @@
     4.0,
 )  # s that a worker rests here after a failure to connect or silence; doubled each time, at most
 LOAD_AGE = 1.0  # s that a stated load is believed; reports are about as old
-WORK_PART = 0.05  # of one answer's time in the mean of a service: of the last twenty
 FRESH = 0.15  # s that a full queue is believed: about a request's work
 QUEUED = 3  # requests waiting at a worker at which it counts as full; "queues a few more", PROTOCOL
 FULL_FOR = 0.1  # s that a worker is left alone by requests bound to it after it turned one away
@@ -57,7 +56,6 @@
         self.silent: set[str] = set()
         self.seen: dict[str, Seen] = {}
         self.heat: dict[str, dict[int, int]] = {}
-        self.work: dict[str, float] = {}  # by service, s that its workers take where nothing waits
         self.drain = drain
 
     def of(self, life: str) -> Seen:
@@ -177,28 +175,12 @@
         heat = self.heat.setdefault(service, {})
         heat[key // FINE] = heat.get(key // FINE, 0) + 1
 
-    def loaded(self, now: float, life: str, text: str, took: float) -> None:
-        """`X-Server-Load`: running, waiting, slots, as said in an answer that took so long (s); all else is
-        let fall.
-        """
+    def loaded(self, now: float, life: str, text: str) -> None:
+        """`X-Server-Load`: running, waiting, slots; anything else is let fall."""
         parts = text.split(",")
-        if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-            return
-        seen = self.of(life)
-        seen.load, seen.load_at, seen.said = tuple(map(int, parts)), now, True
-        row = self.roll.rows.get(life)
-        if row is not None and seen.load[1] == 0 and seen.load[0] < seen.load[2]:
-            known = self.work.get(row.service, took)
-            self.work[row.service] = known + WORK_PART * (took - known)
-
-    def expected(self, now: float, life: str) -> float:
-        """s until the answer to one request more, by the worker's word of a moment ago; 0 without one."""
-        seen, row = self.of(life), self.roll.rows[life]
-        running, waiting, slots = seen.load if now - seen.load_at <= LOAD_AGE else (0, 0, 0)
-        work = self.work.get(row.service, 0.0)
-        if running < slots or not slots:
-            return work if slots else 0.0
-        return work * (1 + (waiting + 1) / slots)
+        if len(parts) == 3 and all(part.strip().isdigit() for part in parts):
+            seen = self.of(life)
+            seen.load, seen.load_at, seen.said = tuple(map(int, parts)), now, True
 
     def answered(self, now: float, life: str, took: float) -> None:
         seen = self.of(life)
