Requests without keys stay in their zone while its workers are no busier than the others

Such a request's slice is a hash of its id, so the desk draws it among slices whose workers stand in its zone, for a part that the scribe tells with its pulses; archive/nearness.py grows it by 0.1 a cycle, shrinks it by 0.2. What pulses say seldom is told by what was said, not by the number of archives (program.py pulse_desks).

Two scenarios in features/placement.feature.

--- a/bramblewood/archive/placement.py
+++ b/bramblewood/archive/placement.py
@@ -13,8 +13,9 @@
 
 from .. import interface as door
 from ..catalogue.table import EMPTY, FENCE, FINE, HANDOVER, KEYS, OLD, PART, SECOND, WORKER
-from ..policy.figures import HELD, LIMIT, UNSEEN
+from ..policy.figures import HELD, LIMIT, UNSEEN, mean
 from ..policy.manager import Manager
+from .nearness import Nearness
 from .roll import DRAINING, GONE, READY, Roll
 
 A_WORKER = 6  # slices a worker at least, so that one is a small step; each keyed slice costs a renewal
@@ -150,6 +151,7 @@
         self.split_at = self.heat_at = -1e9
         self.relieved: dict[str, float] = {}  # when each worker was last relieved
         self.lines: dict[int, tuple] = {}  # what `relieve` asks for
+        self.nearness = Nearness()
 
     def add_heat(self, desk: str, now: float, counts: dict[str, int], over: float) -> None:
         """A desk's counts by FINE keys over so many seconds."""
@@ -319,6 +321,11 @@
                 wanted[service] = Changes(lines, splits, count)
         return wanted
 
+    def near(self) -> dict[str, dict[str, float]]:
+        """By service and zone, the part of the zone's requests that stay in it."""
+        found = {service: office.nearness.parts for service, office in self.offices.items()}
+        return {service: parts for service, parts in found.items() if parts}
+
     def ask(self, now: float, office: Office, rows: dict, silent: set[str], roll: Roll, entries: dict | None):
         events, listed = self.events.pop(office.service, []), {}
         for life, row in rows.items():
@@ -354,6 +361,10 @@
             if line and line != office.known[start]:
                 lines[start] = office.known[start] = line
         if not office.keyed:
+            if now >= office.split_at + office.facts["cycle"]:
+                office.split_at = now
+                usable = [w for w in office.manager.usable() if w.levels]
+                office.nearness.cycle((w.zone, w.weight, mean(w.levels)) for w in usable)
             return lines, []
         splits = office.split(now, entries, lines)
         office.known.update(office.lines)
--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -59,6 +59,7 @@
         self.told_of: dict[str, int] = dict.fromkeys(REGISTERS, 0)  # newest versions in the log
         self.feed = Feed()
         self.homes: dict[str, Link] = {}  # desks that are pushed to from here
+        self.said, self.sayings = "", 0  # what pulses to desks say seldom, and how often it has changed
         self.writing_since: float | None = None
         self.writes = 0
         self.counts = dict.fromkeys(("archive_grants", "archive_releases", "archive_calls_failed"), 0)
@@ -225,11 +226,15 @@
         if silent := self.silent(now):
             told["silent"] = sorted(silent)
         message = json.dumps(told, separators=(",", ":"))
-        about = json.dumps({**told, "zone": self.told.zone, "archives": sorted({self.me, *self.archives})})
+        about = {"zone": self.told.zone, "archives": sorted({self.me, *self.archives})}
+        if scribe == self.me:
+            about["near"] = self.placement.near()
+        seldom = json.dumps({**told, **about}, separators=(",", ":"))
+        if seldom[len(message) :] != self.said:  # what changes seldom is said when it has, and on a new link
+            self.said, self.sayings = seldom[len(message) :], self.sayings + 1
         for link in list(self.desks.values()):
-            new = link.about != len(self.archives)
-            link.about = len(self.archives)
-            link.send(about if new else message)
+            link.send(message if link.about == self.sayings else seldom)
+            link.about = self.sayings
 
     def push(self, link: Link, register: str) -> None:
         """Send a desk what it lacks of a register, as far as was sent to it before."""
--- a/bramblewood/desk/program.py
+++ b/bramblewood/desk/program.py
@@ -55,7 +55,7 @@
         self.told, self.doors = told, doors or {}
         self.log = daybook.begin(told.name)
         bounds = told.bounds
-        self.steering = Steering(bounds.DrainS)
+        self.steering = Steering(bounds.DrainS, told.zone)
         self.budget = Budget(bounds.RetryRatio, bounds.RetryWindowS, bounds.RetrySlack)
         self.stacks = Stacks()
         self.edition: Edition | None = None
@@ -217,6 +217,9 @@
         self.claims[peer] = message
         if message["scribe"]:
             self.scribe = peer
+            if "near" in message:
+                near = message["near"].items()
+                self.steering.near = {service: parts.get(self.told.zone, 0.0) for service, parts in near}
         if message["whole"]:
             self.steering.silent = set(message.get("silent", ()))
             self.budget.desks = max(message["desks"], 1)
@@ -379,9 +382,10 @@
     async def carry(self, request: web.BaseRequest, body: bytes, errand: Errand) -> web.Response:
         loop, steering = self.loop, self.steering
         self.budget.arrived(errand.service, loop.time())
-        steering.counted(
-            errand.service, steering.hashed(errand.request) if errand.key is None else errand.key
-        )
+        key = errand.key
+        if key is None:
+            key = steering.drawn(loop.time(), errand.service, errand.request)
+        steering.counted(errand.service, key)
         while True:
             step = errand.next(loop.time(), steering, self.budget)
             if isinstance(step, Wait):
--- a/bramblewood/desk/steering.py
+++ b/bramblewood/desk/steering.py
@@ -19,6 +19,7 @@
 LOAD_AGE = 1.0  # s that a stated load is believed; reports are about as old
 FRESH = 0.15  # s that a full queue is believed: about a request's work
 QUEUED = 3  # requests waiting at a worker at which it counts as full; "queues a few more", PROTOCOL
+HOME_AGE = 0.25  # s that the list of this zone's slices is used: half a cycle of the moves
 FULL_FOR = 0.1  # s that a worker is left alone by requests bound to it after it turned one away
 DRAIN_PART = 0.6  # of DrainS in which a keyed worker that leaves may still get what nobody else holds
 
@@ -48,7 +49,10 @@
 
 
 class Steering:
-    def __init__(self, drain: float) -> None:
+    def __init__(self, drain: float, zone: str = "") -> None:
+        self.zone = zone
+        self.near: dict[str, float] = {}  # by service, part of the requests that stay in this zone
+        self.home: dict[str, tuple[float, list[int]]] = {}  # when looked up, slices whose workers stand here
         self.roll = Roll()
         self.table: dict[str, dict[str, list]] = {}
         self.starts: dict[str, list[int]] = {}
@@ -103,6 +107,24 @@
         """The key of a request whose service has none."""
         return zlib.crc32(request.encode()) % KEYS
 
+    def drawn(self, now: float, service: str, request: str) -> int:
+        """The key of such a request here: of this zone's slices, for the part of them that is to stay."""
+        key = self.hashed(request)
+        if zlib.crc32(b"near" + request.encode()) / 2**32 < self.near.get(service, 0.0):
+            at, starts = self.home.get(service, (-1e9, []))
+            if now > at + HOME_AGE:
+                starts = self.here(now, service)
+                self.home[service] = (now, starts)
+            if starts:
+                return starts[key % len(starts)]
+        return key
+
+    def here(self, now: float, service: str) -> list[int]:
+        """The slices of a service whose workers stand in this zone and are open."""
+        lives = {life for life in self.roll.serving(service) if self.roll.rows[life].zone == self.zone}
+        lives = {life for life in lives if self.open(now, life)}
+        return [int(start) for start, entry in self.table.get(service, {}).items() if entry[WORKER] in lives]
+
     def open(self, now: float, life: str) -> bool:
         """May get new requests: ready as far as known, and not resting here."""
         row = self.roll.rows.get(life)
@@ -129,7 +151,7 @@
 
     def choose(self, now: float, service: str, key: int | None, request: str, tried: set[str]) -> str | None:
         """The worker for a request now, or None while there is none that may get it."""
-        entry = self.entry(service, self.hashed(request) if key is None else key)
+        entry = self.entry(service, self.drawn(now, service, request) if key is None else key)
         if entry is None:
             return None if key is not None else self.any(now, service, tried)
         if key is not None:
--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -1,6 +1,9 @@
 from behave import given, then, when
 
+from bramblewood.archive.nearness import Nearness
+from bramblewood.archive.roll import Row
 from bramblewood.catalogue.table import FINE, WORKER
+from bramblewood.desk.steering import Steering
 from tests.placement_play import Play
 
 
@@ -32,3 +35,56 @@
 def split(context):
     after = [at - context.began for at in context.play.splits]
     assert after and after[0] <= 3 * 0.5 + 0.01, after
+
+
+@given("workers in zones a and b, busy {a:g} and {b:g}")
+def zones(context, a, b):
+    context.nearness, context.busy = Nearness(), [("a", 2, a), ("a", 2, a), ("b", 2, b)]
+
+
+@when("they are busy {a:g} and {b:g}")
+def busier(context, a, b):
+    context.busy = [("a", 2, a), ("a", 2, a), ("b", 2, b)]
+
+
+@then("after {cycles:d} cycles all of a's requests stay")
+def stay(context, cycles):
+    for _ in range(cycles):
+        context.nearness.cycle(context.busy)
+    assert context.nearness.parts["a"] == 1.0
+
+
+@then("after {cycles:d} cycles {part:g} of a's requests stay, and all of b's")
+def fewer(context, cycles, part):
+    for _ in range(cycles):
+        context.nearness.cycle(context.busy)
+    assert context.nearness.parts == {"a": part, "b": 1.0}
+
+
+@given("a desk of zone a, of whose requests {part:g} are to stay, with workers in a and b")
+def near(context, part):
+    context.desk = Steering(2.5, "a")
+    context.desk.near = {"s": part}
+    for name, zone in (("w1", "a"), ("w2", "a"), ("w3", "b"), ("w4", "b")):
+        context.desk.roll.merge(0.0, name, Row("s", f"{name}:1", zone, 2, "ready", 1))
+    names = ("w1", "w2", "w3", "w4")
+    entries = {str(i * 8192): [names[i % 4], "", 0.01, 1, "", ""] for i in range(8)}
+    context.desk.take_table({"n": 1, "s": {"s": entries}})
+    context.now = 10.0
+
+
+@when("the workers of a drain")
+def drain(context):
+    context.now += 1.0
+    for name in ("w1", "w2"):
+        context.desk.roll.merge(context.now, name, Row("s", f"{name}:1", "a", 2, "draining", 2))
+
+
+@then("of {count:d} requests {part} to workers of a")
+def go(context, count, part):
+    chosen = [context.desk.choose(context.now, "s", None, f"request {i}", set()) for i in range(count)]
+    here = sum(life in ("w1", "w2") for life in chosen)
+    if part.startswith("none"):
+        assert here == 0, here
+    else:
+        assert abs(here / count - 0.75) < 0.06, here
