--- a/bramblewood/desk/errand.py
+++ b/bramblewood/desk/errand.py
@@ -9,7 +9,6 @@
 from typing import NamedTuple
 
 from ..catalogue.edition import Route
-from .gate import Gate
 from .stacks import Answer, How
 from .steering import Steering
 
@@ -22,7 +21,8 @@
 UNSENT_MOST = 4  # tries that never went out; each costs a dial
 TURNED_PART = 0.1  # of the aim before a worker without room for a connection is dialled again
 SHY_PART = 0.4  # of the aim before the same worker is asked again: a full queue's time, at usual work
-TURN_PART = 1.2  # of the aim that a request waits its turn: a late answer is worth more than none
+FULL_PART = 0.3  # of the aim that a request waits while its only worker is known to be full
+LOOK = 0.04  # s between looks at a full worker: a part of a request's work
 SPARE = 0.012  # s kept back from a deadline for the way to the client
 USE_PART = 0.8  # of the shared budget that is used: the rules count arrivals in other windows than ours
 BUCKET = 1.0  # s
@@ -88,7 +88,6 @@
         self.last: Answer | None = None  # the newest answer of a worker that may be handed on
         self.ran_maybe = False
         self.shy, self.shy_until = "", 0.0  # a worker that did not take it, until when not to ask it again
-        self.gate: Gate | None = None  # where it waits its turn, or went through last
 
     def next(self, now: float, steering: Steering, budget: Budget) -> Send | Wait | Reply:
         """What to do now."""
@@ -100,8 +99,9 @@
         if life is not None and life == self.shy and now < self.shy_until:
             return Wait(self.shy_until)  # it said no a moment ago: let its queue go down, or a grant arrive
         if life is not None:
-            if self.key is not None and (wait := self.turn(now, steering.of(life).gate)) is not None:
-                return wait
+            if self.key is not None and not self.sent and steering.full(now, life):
+                if now < self.begun + FULL_PART * self.route.aim:
+                    return Wait(now + LOOK)
             if self.sent and not budget.spend(self.service, now):
                 return self.give_up(now, "no further try left")
             return Send(life)
@@ -111,27 +111,6 @@
             return Wait(until)
         return self.give_up(now, "no worker may get it now", long=True)
 
-    def turn(self, now: float, gate: Gate) -> Wait | Reply | None:
-        """Its turn at the gate of its worker, or None where that is now."""
-        if gate is not self.gate:
-            self.done()
-            self.gate = gate
-            gate.came(now)
-        mine = (self.route.pure, self.route.priority, self.begun)
-        until = self.begun + TURN_PART * self.route.aim
-        at = gate.turn(now, self.request, mine, min(until, self.until))
-        if at is None:
-            return self.give_up(now, "the queue for its worker is longer than its aim", long=True)
-        if at > now:
-            return Wait(at)
-        gate.went(now)
-        return None
-
-    def done(self) -> None:
-        """It waits no more."""
-        if self.gate is not None:
-            self.gate.left(self.request)
-
     def give_up(self, now: float, reason: str, long: bool = False) -> Reply:
         if self.last is not None and not self.not_run(self.last):
             return Reply(self.last.status, reason, None, self.last)
--- a/bramblewood/desk/program.py
+++ b/bramblewood/desk/program.py
@@ -357,11 +357,9 @@
         body = await self.body(request, self.limit("MaxBodyBytes", BODY_BYTES))
         if isinstance(body, web.Response):
             return body
-        errand = Errand(now, route, service, key, name, deadline)
         try:
-            return await self.carry(request, body, errand)
+            return await self.carry(request, body, Errand(now, route, service, key, name, deadline))
         finally:
-            errand.done()
             self.held -= len(body)
 
     async def body(self, request: web.BaseRequest, most: int) -> bytes | web.Response:
--- a/bramblewood/desk/steering.py
+++ b/bramblewood/desk/steering.py
@@ -11,14 +11,16 @@
 
 from ..archive.roll import DRAINING, GONE, READY, Roll
 from ..catalogue.table import FENCE, FINE, KEYS, OLD, PART, SECOND, WORKER, starts_of
-from .gate import TURNED, Gate
 
 REST = (
     0.5,
     4.0,
 )  # s that a worker rests here after a failure to connect or silence; doubled each time, at most
 LOAD_AGE = 1.0  # s that a stated load is believed; reports are about as old
+FRESH = 0.15  # s that a full queue is believed: about a request's work
+QUEUED = 3  # requests waiting at a worker at which it counts as full; "queues a few more", PROTOCOL
 HOME_AGE = 0.25  # s that the list of this zone's slices is used: half a cycle of the moves
+FULL_FOR = 0.1  # s that a worker is left alone by requests bound to it after it turned one away
 DRAIN_PART = 0.6  # of DrainS in which a keyed worker that leaves may still get what nobody else holds
 
 
@@ -31,7 +33,7 @@
         "load_at",
         "rests_until",
         "rest",
-        "gate",
+        "full_until",
         "tries",
         "unanswered",
         "time",
@@ -41,8 +43,7 @@
     def __init__(self) -> None:
         self.flight = 0
         self.load, self.load_at = (0, 0, 0), -1e9  # running, waiting, slots, as the worker said
-        self.rests_until, self.rest = 0.0, REST[0]
-        self.gate = Gate()
+        self.rests_until, self.rest, self.full_until = 0.0, REST[0], 0.0
         self.tries = self.unanswered = 0  # since the last report
         self.time, self.said = 0.0, False
 
@@ -140,6 +141,14 @@
         running, waiting, _ = seen.load if now - seen.load_at <= LOAD_AGE else (0, 0, 0)
         return (max(running + waiting, seen.flight)) / row.slots
 
+    def full(self, now: float, life: str) -> bool:
+        """Whether a worker would likely turn a request away: by its word of a moment ago, or since it did."""
+        seen, row = self.of(life), self.roll.rows[life]
+        if now < seen.full_until:
+            return True
+        running, waiting, _ = seen.load if now - seen.load_at <= FRESH else (0, 0, 0)
+        return running + waiting >= row.slots + QUEUED
+
     def choose(self, now: float, service: str, key: int | None, request: str, tried: set[str]) -> str | None:
         """The worker for a request now, or None while there is none that may get it."""
         entry = self.entry(service, self.drawn(now, service, request) if key is None else key)
@@ -194,7 +203,6 @@
         if len(parts) == 3 and all(part.strip().isdigit() for part in parts):
             seen = self.of(life)
             seen.load, seen.load_at, seen.said = tuple(map(int, parts)), now, True
-            seen.gate.faster(now)
 
     def answered(self, now: float, life: str, took: float) -> None:
         seen = self.of(life)
@@ -203,7 +211,7 @@
         seen.rest, seen.rests_until = REST[0], 0.0
 
     def turned_away(self, now: float, life: str) -> None:
-        self.of(life).gate.slower(now, TURNED)
+        self.of(life).full_until = now + FULL_FOR
 
     def failed(self, now: float, life: str, rest: bool) -> None:
         """A try without an answer; with `rest` it gets nothing from here for a while."""
