A crowded record is noticed, gets a worker of its own, and its lookups wait behind effects

Notice (archive/crowds.py): ranges of 8 keys with half of what a worker can do, held over three reports, are counted key by key at the desks, so without a crush nothing more is told; a key over the limit in three reports is crowded, let go after ten under half of it; no desk's word counts for more than all others' together. Answer (placement.py own_ranges, relieve): a slice of its own, neighbours leave its worker. Desks (gate.py, errand.py turn): its lookups go at a pace that each desk finds by the worker's stated queue and refusals, by rank; effects pass at once and count.

--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -89,7 +89,7 @@
             for life, (tries, bad, mean, load) in told["met"].items():
                 lines[roll.rows[life].service].append(met_of(life, tries, bad, mean, 0.5, load))
             for service, some in lines.items():
-                placement.report(now, service, f"d{desk}", told["heat"][service], 0.5, some)
+                placement.report(now, service, f"d{desk}", told["heat"][service], {}, 0.5, some)
             spent += time.process_time() - at
         at = time.process_time()
         wanted = placement.step(now, services, {}, roll, set(), table)
--- a/bramblewood/archive/placement.py
+++ b/bramblewood/archive/placement.py
@@ -13,8 +13,9 @@
 
 from .. import interface as door
 from ..catalogue.table import EMPTY, FENCE, FINE, HANDOVER, KEYS, OLD, PART, SECOND, WORKER
-from ..policy.figures import HELD, LIMIT, UNSEEN, mean
+from ..policy.figures import HELD, LIMIT, UNSEEN, mean, usual
 from ..policy.manager import Manager
+from .crowds import Crowds, Told
 from .nearness import Nearness
 from .roll import DRAINING, GONE, READY, Roll
 
@@ -144,22 +145,30 @@
         self.manager = Manager(f"office:{service}", self.facts)
         self.listed: dict[str, tuple] = {}
         self.known: dict[int, tuple] = {}  # lines that the manager was last told or itself asked for
-        self.fine: Counter = Counter()  # heat by FINE keys, fading
+        self.fine: Counter = Counter()  # heat by first key of a range, or by key where watched, fading
         self.spans: dict[str, float] = {}  # s that the desks' reports span, since the last cycle
         self.desks: dict[str, float] = {}  # when each desk last reported
-        self.came: Counter = Counter()  # what came by FINE keys since the last cycle
+        self.came: Counter = Counter()  # what came by ranges of FINE keys since the last cycle
+        self.by_key: dict[int, dict[str, int]] = {}  # of watched ranges: what came by key and desk
+        self.crowds = Crowds()
         self.split_at = self.heat_at = -1e9
         self.relieved: dict[str, float] = {}  # when each worker was last relieved
         self.lines: dict[int, tuple] = {}  # what `relieve` asks for
         self.nearness = Nearness()
 
-    def add_heat(self, desk: str, now: float, counts: dict[str, int], over: float) -> None:
-        """A desk's counts by FINE keys over so many seconds."""
+    def add_heat(
+        self, desk: str, now: float, counts: dict[str, int], keys: dict[str, int], over: float
+    ) -> None:
+        """A desk's counts over so many seconds: by FINE keys, and by key of the ranges that are watched."""
         self.spans[desk] = self.spans.get(desk, 0.0) + over
         self.desks[desk] = now
         for fine, count in counts.items():
-            self.fine[int(fine)] += count
+            self.fine[int(fine) * FINE] += count
             self.came[int(fine)] += count
+        for key, count in keys.items():
+            self.fine[int(key)] += count
+            told = self.by_key.setdefault(int(key), {})
+            told[desk] = told.get(desk, 0) + count
 
     def heat(self, now: float) -> list:
         """Once a cycle, what came at all desks as heat of every slice: none came is heat too."""
@@ -172,9 +181,31 @@
         starts, sums = sorted(self.known), Counter()
         for fine, count in self.came.items():
             sums[starts[bisect_right(starts, fine * FINE) - 1]] += count
-        self.came, self.heat_at, self.spans = Counter(), now, {}
+        for key, desks in self.by_key.items():
+            sums[starts[bisect_right(starts, key) - 1]] += sum(desks.values())
+        if self.keyed:
+            self.crowds.cycle(self.came, self.by_key, over, self.ability())
+        self.came, self.by_key, self.heat_at, self.spans = Counter(), {}, now, {}
         return [door.SliceHeat(start, "all", sums[start], 0, over) for start in starts]
 
+    def ability(self) -> float:
+        """Requests a second that a usual worker can do: its slots over the usual time of an answer."""
+        workers = [w for w in self.manager.usable() if w.times and mean(w.times) > 0]
+        times = usual(mean(w.times) for w in workers)
+        return usual(w.weight for w in workers) / times if times else 0.0
+
+    def own_ranges(self, entries: dict, moved: dict) -> list[tuple[int, int, tuple]]:
+        """A slice of its own for each crowded key, at the worker that it has."""
+        made, starts = [], sorted(self.known)
+        for key in self.crowds.told().keys:
+            place = bisect_right(starts, key) - 1
+            start, end = starts[place], starts[place + 1] if place + 1 < len(starts) else KEYS
+            if start in moved or entries[str(start)][OLD]:
+                continue
+            line = tuple(entries[str(start)][:FENCE])
+            made += [(start, cut, line) for cut in (key, key + 1) if start < cut < end]
+        return made
+
     def split(self, now: float, entries: dict, moved: dict) -> list[tuple[int, int, tuple]]:
         """Slices hotter than a worker's limit, over three reports: their parts go to the least loaded at
         once. `moved`: lines that change in the same turn; these slices wait for the next.
@@ -187,6 +218,9 @@
             if self.fine[fine] < 0.05:
                 del self.fine[fine]
         manager, made, starts = self.manager, [], sorted(self.known)
+        made = self.own_ranges(entries, moved)
+        if made:
+            return made
         able = [p for p in manager.ours() if p.main and p.main.usable and p.number not in moved]
         for piece in [p for p in able if not entries[str(p.number)][OLD]]:
             limit = LIMIT * manager.planner.capacity(piece.main)
@@ -243,12 +277,14 @@
                 continue
             if now < self.relieved.get(worker.name, -1e9) + UNSEEN:
                 continue  # no report can show the last relief yet
-            limit = planner.capacity(worker)
+            limit, crowded = planner.capacity(worker), self.crowds.keys.since
+            # a crowded record gets a worker of its own
+            alone = any(piece.number in crowded for piece in pieces)
             for piece in sorted(pieces, key=lambda p: (-p.estimate(), p.number)):
                 heat = piece.estimate()
-                if self.carries(worker) <= limit or heat < limit / PARTS:
+                if self.carries(worker) <= limit and not alone or heat < limit / PARTS:
                     break  # relieved, or down to slices that only cost
-                if heat > limit or entries[str(piece.number)][OLD]:
+                if heat > limit or entries[str(piece.number)][OLD] or piece.number in crowded:
                     continue
                 target = self.lightest(heat, worker)
                 if target is None or self.carries(target) + heat > LIMIT * planner.capacity(target):
@@ -260,15 +296,16 @@
 
     def cuts(self, start: int, end: int, parts: int) -> list[int]:
         """First keys of further parts, so that each has about the same of the heat seen of late."""
-        inside = sorted((fine * FINE, heat) for fine, heat in self.fine.items() if start <= fine * FINE < end)
+        inside = sorted((key, heat) for key, heat in self.fine.items() if start <= key < end)
         total, done, found = sum(heat for _, heat in inside), 0.0, []
         for key, heat in inside:
+            width = 1 if key // FINE in self.crowds.ranges.since else FINE
             if key > start and done >= total * (len(found) + 1) / parts and len(found) < parts - 1:
                 found.append(key)
             done += heat
-            if done >= total * (len(found) + 1) / parts and heat > total / parts and key + FINE < end:
+            if done >= total * (len(found) + 1) / parts and heat > total / parts and key + width < end:
                 if len(found) < parts - 1:  # a hot key ends its part
-                    found.append(key + FINE)
+                    found.append(key + width)
         return found
 
 
@@ -282,11 +319,18 @@
         self.start, self.beat = start, beat
 
     def report(
-        self, now: float, service: str, desk: str, heat: dict[str, int], over: float, met: list
+        self,
+        now: float,
+        service: str,
+        desk: str,
+        heat: dict[str, int],
+        keys: dict[str, int],
+        over: float,
+        met: list,
     ) -> None:
         office = self.offices.get(service)
         if office is not None:
-            office.add_heat(desk, now, heat, over)
+            office.add_heat(desk, now, heat, keys, over)
             self.events.setdefault(service, []).extend(met)
 
     def step(
@@ -321,6 +365,11 @@
                 wanted[service] = Changes(lines, splits, count)
         return wanted
 
+    def crowds(self) -> dict[str, Told]:
+        """By service, what desks are to know of crowded records; services without any are left out."""
+        found = {service: office.crowds.told() for service, office in self.offices.items()}
+        return {service: told for service, told in found.items() if told.watch}
+
     def near(self) -> dict[str, dict[str, float]]:
         """By service and zone, the part of the zone's requests that stay in it."""
         found = {service: office.nearness.parts for service, office in self.offices.items()}
--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -229,6 +229,8 @@
         about = {"zone": self.told.zone, "archives": sorted({self.me, *self.archives})}
         if scribe == self.me:
             about["near"] = self.placement.near()
+            if crowds := self.placement.crowds():
+                about["crowds"] = crowds
         seldom = json.dumps({**told, **about}, separators=(",", ":"))
         if seldom[len(message) :] != self.said:  # what changes seldom is said when it has, and on a new link
             self.said, self.sayings = seldom[len(message) :], self.sayings + 1
@@ -536,7 +538,8 @@
         self.push(link, register)
 
     def reported(self, now: float, link: Link, message: dict) -> None:
-        over, met = message["over"], {service: [] for service in message["heat"]}
+        over, by_key = message["over"], message.get("keys", {})
+        met: dict[str, list] = {service: [] for service in {**message["heat"], **by_key}}
         for life, (tries, unanswered, mean_time, load) in message["met"].items():
             row = self.roll.rows.get(life)
             if row is None:
@@ -548,7 +551,8 @@
             )
         if self.was_scribe:
             for service, some in met.items():
-                self.placement.report(now, service, link.peer, message["heat"].get(service, {}), over, some)
+                heat, keys = message["heat"].get(service, {}), by_key.get(service, {})
+                self.placement.report(now, service, link.peer, heat, keys, over, some)
 
     def take_rows(self, rows: dict) -> None:
         now = self.loop.time()
--- a/bramblewood/desk/errand.py
+++ b/bramblewood/desk/errand.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from ..catalogue.edition import Route
+from .gate import Gate
 from .stacks import Answer, How
 from .steering import Steering
 
@@ -22,6 +23,8 @@
 TURNED_PART = 0.1  # of the aim before a worker without room for a connection is dialled again
 SHY_PART = 0.4  # of the aim before the same worker is asked again: a full queue's time, at usual work
 FULL_PART = 0.3  # of the aim that a request waits while its only worker is known to be full
+# of the aim that a lookup of a crowded record waits: the rest is for its worker's queue and work
+TURN_PART = 0.5
 LOOK = 0.04  # s between looks at a full worker: a part of a request's work
 SPARE = 0.012  # s kept back from a deadline for the way to the client
 USE_PART = 0.8  # of the shared budget that is used: the rules count arrivals in other windows than ours
@@ -88,6 +91,7 @@
         self.last: Answer | None = None  # the newest answer of a worker that may be handed on
         self.ran_maybe = False
         self.shy, self.shy_until = "", 0.0  # a worker that did not take it, until when not to ask it again
+        self.gate: Gate | None = None  # of a crowded record's worker, where it waits its turn or went through
 
     def next(self, now: float, steering: Steering, budget: Budget) -> Send | Wait | Reply:
         """What to do now."""
@@ -102,6 +106,8 @@
             if self.key is not None and not self.sent and steering.full(now, life):
                 if now < self.begun + FULL_PART * self.route.aim:
                     return Wait(now + LOOK)
+            if self.key is not None and (wait := self.turn(now, steering, life)) is not None:
+                return wait
             if self.sent and not budget.spend(self.service, now):
                 return self.give_up(now, "no further try left")
             return Send(life)
@@ -111,6 +117,33 @@
             return Wait(until)
         return self.give_up(now, "no worker may get it now", long=True)
 
+    def turn(self, now: float, steering: Steering, life: str) -> Wait | Reply | None:
+        """Its turn at the gate of a crowded record's worker, or None where that is now, or nothing is
+        crowded.
+        """
+        gate = steering.of(life).gate if steering.crowd(self.service, self.key) else None
+        if gate is not self.gate:
+            self.done()
+            self.gate = gate
+            if gate is not None:
+                gate.came(now)
+        if gate is None:
+            return None
+        if self.route.pure:
+            until = min(self.begun + TURN_PART * self.route.aim, self.until)
+            at = gate.turn(now, self.request, (self.route.priority, self.begun), until)
+            if at is None:
+                return self.give_up(now, "a crowd at its record", long=True)
+            if at > now:
+                return Wait(at)
+        gate.went(now)
+        return None
+
+    def done(self) -> None:
+        """It waits no more."""
+        if self.gate is not None:
+            self.gate.left(self.request)
+
     def give_up(self, now: float, reason: str, long: bool = False) -> Reply:
         if self.last is not None and not self.not_run(self.last):
             return Reply(self.last.status, reason, None, self.last)
--- a/bramblewood/desk/program.py
+++ b/bramblewood/desk/program.py
@@ -218,6 +218,7 @@
         if message["scribe"]:
             self.scribe = peer
             if "near" in message:
+                self.steering.take_crowds(message.get("crowds", {}))
                 near = message["near"].items()
                 self.steering.near = {service: parts.get(self.told.zone, 0.0) for service, parts in near}
         if message["whole"]:
@@ -357,9 +358,11 @@
         body = await self.body(request, self.limit("MaxBodyBytes", BODY_BYTES))
         if isinstance(body, web.Response):
             return body
+        errand = Errand(now, route, service, key, name, deadline)
         try:
-            return await self.carry(request, body, Errand(now, route, service, key, name, deadline))
+            return await self.carry(request, body, errand)
         finally:
+            errand.done()
             self.held -= len(body)
 
     async def body(self, request: web.BaseRequest, most: int) -> bytes | web.Response:
--- a/bramblewood/desk/steering.py
+++ b/bramblewood/desk/steering.py
@@ -11,6 +11,7 @@
 
 from ..archive.roll import DRAINING, GONE, READY, Roll
 from ..catalogue.table import FENCE, FINE, KEYS, OLD, PART, SECOND, WORKER, starts_of
+from .gate import PRESSED, TURNED, Gate
 
 REST = (
     0.5,
@@ -34,6 +35,7 @@
         "rests_until",
         "rest",
         "full_until",
+        "gate",
         "tries",
         "unanswered",
         "time",
@@ -44,6 +46,7 @@
         self.flight = 0
         self.load, self.load_at = (0, 0, 0), -1e9  # running, waiting, slots, as the worker said
         self.rests_until, self.rest, self.full_until = 0.0, REST[0], 0.0
+        self.gate = Gate()
         self.tries = self.unanswered = 0  # since the last report
         self.time, self.said = 0.0, False
 
@@ -60,6 +63,10 @@
         self.silent: set[str] = set()
         self.seen: dict[str, Seen] = {}
         self.heat: dict[str, dict[int, int]] = {}
+        self.by_key: dict[str, dict[int, int]] = {}  # heat of watched ranges, key by key
+        self.watched: dict[str, set[int]] = {}  # by service, ranges of FINE keys
+        # by service, keys that are asked for more than a worker can do
+        self.crowded: dict[str, set[int]] = {}
         self.drain = drain
 
     def of(self, life: str) -> Seen:
@@ -193,7 +200,19 @@
 
     # --- what was seen
 
+    def take_crowds(self, told: dict[str, list]) -> None:
+        """What the scribe tells of crowded records: ranges to count key by key, and the keys."""
+        self.watched = {service: set(watch) for service, (watch, _) in told.items()}
+        self.crowded = {service: set(keys) for service, (_, keys) in told.items()}
+
+    def crowd(self, service: str, key: int | None) -> bool:
+        return key in self.crowded.get(service, ())
+
     def counted(self, service: str, key: int) -> None:
+        if key // FINE in self.watched.get(service, ()):
+            keys = self.by_key.setdefault(service, {})
+            keys[key] = keys.get(key, 0) + 1
+            return
         heat = self.heat.setdefault(service, {})
         heat[key // FINE] = heat.get(key // FINE, 0) + 1
 
@@ -203,6 +222,10 @@
         if len(parts) == 3 and all(part.strip().isdigit() for part in parts):
             seen = self.of(life)
             seen.load, seen.load_at, seen.said = tuple(map(int, parts)), now, True
+            if seen.load[1] > seen.load[2]:
+                seen.gate.slower(now, PRESSED)
+            else:
+                seen.gate.faster(now)
 
     def answered(self, now: float, life: str, took: float) -> None:
         seen = self.of(life)
@@ -211,7 +234,9 @@
         seen.rest, seen.rests_until = REST[0], 0.0
 
     def turned_away(self, now: float, life: str) -> None:
-        self.of(life).full_until = now + FULL_FOR
+        seen = self.of(life)
+        seen.full_until = now + FULL_FOR
+        seen.gate.slower(now, TURNED)
 
     def failed(self, now: float, life: str, rest: bool) -> None:
         """A try without an answer; with `rest` it gets nothing from here for a while."""
@@ -236,8 +261,9 @@
                 )
             seen.tries = seen.unanswered = 0
             seen.time, seen.said = 0.0, False
-        heat, self.heat = self.heat, {}
-        return {"k": "report", "over": round(over, 3), "heat": heat, "met": met}
+        heat, keys, self.heat, self.by_key = self.heat, self.by_key, {}, {}
+        told = {"k": "report", "over": round(over, 3), "heat": heat, "met": met}
+        return {**told, "keys": keys} if keys else told
 
     def forget(self) -> None:
         self.seen = {life: seen for life, seen in self.seen.items() if life in self.roll.rows or seen.flight}
--- /dev/null
+++ b/features/steps/crowds.py
@@ -0,0 +1,155 @@
+from collections import Counter
+
+from behave import given, then, when
+
+from bramblewood.archive.crowds import Crowds
+from bramblewood.catalogue.table import FINE, WORKER, starts_of
+from bramblewood.desk.gate import TURNED, Gate
+
+OVER = 0.5  # s of a report
+
+
+@given("desks d1 to d4 and workers that can do {ability:g} requests a second")
+def desks(context, ability):
+    context.crowds, context.ability = Crowds(), ability
+
+
+def report(context, rates):
+    """One report: requests a second by key and desk, told as desks do, by key only where the range is
+    watched.
+    """
+    came, by_key = Counter(), {}
+    for (key, desk), rate in rates.items():
+        if key // FINE in context.crowds.ranges.since:
+            by_key.setdefault(key, {})[desk] = rate * OVER
+        else:
+            came[key // FINE] += rate * OVER
+    context.crowds.cycle(came, by_key, OVER, context.ability)
+
+
+def even(key, rate):
+    return {(key, f"d{i}"): rate / 4 for i in range(1, 5)}
+
+
+@when("{count:d} reports tell of {rate:g} a second for key {key:d}")
+def tell(context, count, rate, key):
+    for _ in range(count):
+        report(context, even(key, rate))
+
+
+@when("{count:d} reports tell of {rate:g} a second for one key of {first:d} to {last:d} after the other")
+def wander(context, count, rate, first, last):
+    for i in range(count):
+        report(context, even(first + i % (last - first + 1), rate))
+
+
+@when("{count:d} reports tell of {rate:g} a second for each of {keys:d} keys")
+def warm(context, count, rate, keys):
+    for _ in range(count):
+        report(context, {k: v for i in range(keys) for k, v in even(i * 97, rate).items()})
+
+
+@when("{count:d} reports of d1 alone tell of {rate:g} a second for key {key:d}, and the others of {rest:g}")
+def lie(context, count, rate, key, rest):
+    for _ in range(count):
+        report(context, {(key, "d1"): rate} | {(key, f"d{i}"): rest / 3 for i in (2, 3, 4)})
+
+
+@then("its range is watched, and nothing is crowded")
+def watched(context):
+    assert context.crowds.told() == ((4001 // FINE,), ())
+
+
+@then("{key:d} is crowded")
+def crowded(context, key):
+    assert context.crowds.told().keys == (key,)
+
+
+@then("nothing is crowded")
+def calm(context):
+    assert context.crowds.told().keys == ()
+
+
+@then("nothing is crowded, and at most {most:d} ranges are watched")
+def few(context, most):
+    assert context.crowds.told().keys == () and len(context.crowds.told().watch) <= most
+
+
+@then("nothing is watched")
+def none(context):
+    assert context.crowds.told() == ((), ())
+
+
+@when(
+    "{reports:d} reports tell of {hot:g} requests a second for key {key:d}, "
+    "{rest:g} on each other slice of its worker, which is full"
+)
+def crowd(context, reports, hot, key, rest):
+    play = context.play
+    entries, worker = play.table["s"]["s"], play.holder(key)
+    heat = {int(start) + 256: rest for start, entry in entries.items() if entry[WORKER] == worker}
+    heat[key] = hot
+    for _ in range(reports):
+        play.cycle(heat, {play.holder(key)})
+    context.heat = heat
+
+
+@then("key {key:d} is a slice of its own, and its worker has no other slice that is asked for")
+def own(context, key):
+    play, worker = context.play, context.play.holder(key)
+    assert {key, key + 1} <= set(starts_of(play.table["s"]["s"]))
+    others = [one for one in context.heat if one != key and play.holder(one) == worker]
+    assert not others, others
+
+
+@given("a gate that {rate:d} lookups a second come to, whose worker turned one away")
+def gate(context, rate):
+    context.gate, context.now, context.rate = Gate(), 10.0, rate
+    for i in range(3 * rate):
+        context.gate.came(context.now + i / rate)
+    context.now += 3.0
+    context.gate.slower(context.now, TURNED)
+
+
+@then("it lets {rate:d} a second through")
+def lets(context, rate):
+    through = 0
+    for i in range(2000):  # somebody looks each millisecond
+        now = context.now + i / 1000
+        if context.gate.turn(now, f"r{i}", (1, now), now) == now:
+            through += 1
+            context.gate.went(now)
+    context.now += 2.0
+    assert abs(through - 2 * rate) <= 2, through
+
+
+@then("an effect passes at once, and the next lookup goes so much later")
+def effect(context):
+    before = context.gate.next_at
+    context.gate.went(context.now)
+    assert context.gate.next_at > max(before, context.now)
+
+
+@then("of two that wait the one of the higher rank goes first")
+def ranks(context):
+    low = context.gate.turn(context.now, "low", (2, 1.0), context.now + 1)
+    high = context.gate.turn(context.now, "high", (0, 2.0), context.now + 1)
+    again = context.gate.turn(context.now, "low", (2, 1.0), context.now + 1)
+    assert high <= low < again
+
+
+@then("one whose turn would come too late is told so at once")
+def late(context):
+    assert context.gate.turn(context.now, "late", (3, 3.0), context.now + 0.01) is None
+    assert "late" not in context.gate.waiting
+
+
+@when("the worker has answered for {span:g} s with free slots")
+def answered(context, span):
+    for i in range(int(span * 10)):
+        context.gate.faster(context.now + i / 10)
+
+
+@then("it is open")
+def is_open(context):
+    assert not context.gate.closed
--- a/tests/placement_play.py
+++ b/tests/placement_play.py
@@ -28,13 +28,16 @@
         """One cycle: requests a second by key; workers named are full by their own word, others idle."""
         self.now += CYCLE
         counts: dict[str, int] = {}
+        keys: dict[str, int] = {}
+        told = self.placement.crowds().get("s")
         for key, rate in heat.items():
-            counts[str(key // FINE)] = counts.get(str(key // FINE), 0) + int(rate * CYCLE + 0.5)
+            put, name = (keys, key) if told and key // FINE in told.watch else (counts, key // FINE)
+            put[str(name)] = put.get(str(name), 0) + int(rate * CYCLE + 0.5)
         met = [
             met_of(life, 8, 0, 0.2, CYCLE, [SLOTS, 1, SLOTS] if life in jammed else [0, 0, SLOTS])
             for life in self.roll.rows
         ]
-        self.placement.report(self.now, "s", "d1", counts, CYCLE, met)
+        self.placement.report(self.now, "s", "d1", counts, keys, CYCLE, met)
         for _ in range(3):  # the archive looks more often than reports come
             wanted = self.placement.step(self.now, self.services, {}, self.roll, set(), self.table)
             if wanted:
