The emulator: real archives and desks on loopback, stand-ins with ledgers, clients, faults, and an audit

`bramblewood lab run SCENARIO` starts archives and desks behind relays (lab/wire.py; BindIp of the settings file), workers as processes with a ledger in sqlite, clients by a seed, kills, freezes and cuts; the audit compares clients' tries with ledgers line by line; `lab report` writes a page with plots. example/small.py uses its parts.

--- a/bramblewood/archive/holds.py
+++ b/bramblewood/archive/holds.py
@@ -157,7 +157,8 @@
     def answered(
         self, now: float, call: Call, sent: float, status: int, handover: str, ended: bool
     ) -> Freed | None:
-        """The end of a call; status 0 is no answer, -1 a dead port; ended: it took leave, or nobody hears it.
+        """The end of a call; status 0 is no answer, -1 a dead port; ended: it took leave, or nobody hears
+        it.
         """
         key = (call.kind, call.service, call.first, call.last, call.fence)
         self.out.discard(key)
--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -44,7 +44,7 @@
         self.life = int.from_bytes(os.urandom(4), "big")
         self.shelf = Shelf(told.data or "/tmp")
         self.roll, self.sessions = Roll(), Sessions(self.me)
-        self.links = Links(self.hello, self.hear, self.link_told, None)
+        self.links = Links(self.hello, self.hear, self.link_told, None, told.bind)
         self.up_since: dict[str, float] = {}
         self.archives: set[str] = set()
         self.founding: Ballots | None = None
@@ -93,7 +93,7 @@
         self.leaving = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, self.leaving.set)
         servers = []
-        for place in (self.told.listen["Control"], (self.told.ip, self.told.inner)):
+        for place in (self.told.listen["Control"], (self.told.bind or self.told.ip, self.told.inner)):
             server = await loop.create_server(web.Server(self.serve, access_log=None), *place, backlog=512)
             servers.append(server)
         connector = aiohttp.TCPConnector(socket_factory=careful_socket, limit=0, keepalive_timeout=4.0)
--- a/bramblewood/catalogue/bootfile.py
+++ b/bramblewood/catalogue/bootfile.py
@@ -27,6 +27,7 @@
     NodeName: str
     Ip: str
     Zone: str
+    BindIp: NotRequired[str]
     PortRange: list[int]
     SeedNodes: list[str]
     FirstBoot: NotRequired[bool]
@@ -76,6 +77,7 @@
     descriptors: int
     bounds: Bounds
     losses: int = 1  # machines with a disk that may be away at once
+    bind: str = ""  # where to listen for managers and to dial them from, where others know another address
 
     @property
     def inner(self) -> int:
@@ -145,6 +147,7 @@
             limits.get("MaxFds", 1024),
             bounds.ok_value,
             boot.get("Tolerance", {}).get("Machines", 1),
+            boot.get("BindIp", ""),
         )
     )
 
--- a/bramblewood/catalogue/links.py
+++ b/bramblewood/catalogue/links.py
@@ -93,11 +93,14 @@
         hear: Callable[[Link, dict], None],
         told: Callable[[str, bool], None],
         quiet: float | None,
+        local: str = "",
     ) -> None:
         """hello(peer) is the first message on each new link; told(peer, up) is called when one comes or goes.
 
         quiet: s without a message after which a link counts as cut; None where its peer says nothing on it.
+        local: the address to dial from, where that matters.
         """
+        self.local = (local, 0) if local else None
         self.hello, self.hear, self.told, self.quiet = hello, hear, told, quiet
         self.up: dict[str, Link] = {}
         self.tasks: dict[str, asyncio.Task] = {}
@@ -110,7 +113,9 @@
 
     async def _keep(self, peer: str, port: int) -> None:
         if self.session is None:
-            connector = aiohttp.TCPConnector(socket_factory=careful_socket, limit=0, ttl_dns_cache=None)
+            connector = aiohttp.TCPConnector(
+                socket_factory=careful_socket, limit=0, ttl_dns_cache=None, local_addr=self.local
+            )
             self.session = aiohttp.ClientSession(connector=connector)
         wait = WAITS[0]
         while True:
--- a/bramblewood/desk/program.py
+++ b/bramblewood/desk/program.py
@@ -59,7 +59,7 @@
         self.budget = Budget(bounds.RetryRatio, bounds.RetryWindowS, bounds.RetrySlack)
         self.stacks = Stacks()
         self.edition: Edition | None = None
-        self.links = Links(self.hello, self.hear, self.link_told, QUIET)
+        self.links = Links(self.hello, self.hear, self.link_told, QUIET, told.bind)
         self.claims: dict[str, dict] = {}  # by archive: its newest pulse
         self.wanted: dict[str, tuple[int, float]] = {}
         self.scribe: str | None = None
--- /dev/null
+++ b/bramblewood/lab/run.py
@@ -0,0 +1,250 @@
+"""A run of the emulator: real archives and desks on loopback, stand-in workers, clients, faults, and the
+audit.
+
+Each machine has an address of its own in 127.0.0.0/8; managers listen behind relays (`wire.py`). What a run
+leaves in its folder: tries.json, orders.json, events.json, ledgers, logs, settings; `report.py` makes a
+page of them.
+"""
+
+import asyncio
+import json
+import os
+import random
+import signal
+import time
+from collections.abc import Callable
+from typing import Any
+
+import aiohttp
+
+from .audit import audit
+from .boot import boot, start
+from .clients import Clients
+from .ledger import Ledger
+from .operator import ROUTE_FIELDS, configuration
+from .scenario import Scenario
+
+INNER, CONTROL, FRONT, READY, WORKER = 27540, 28544, 28548, 28542, 28700
+RELAYED, BEHIND, FRONTS, WORKERS = "127.0.21", "127.0.22", "127.0.23", "127.0.24"
+UP_WITHIN = 30.0  # s for all to be ready
+AFTER = 3.0  # s after the last arrival until the ledgers are read: longer than the last deadline's rest
+SERVICE_FIELDS = ["Label", "Sharded", "MaxConns", "HealthPath", "ReadCopies"]
+DOWN = 1.0  # s that a killed program stays away, where a fault does not say
+
+
+class World:
+    def __init__(self, scenario: Scenario, seed: int, folder: str, say: Callable[[str], None]) -> None:
+        self.scenario, self.seed, self.folder, self.say = scenario, seed, folder, say
+        self.zones = scenario.get("zones", ["norte", "sur"])
+        self.programs: dict[str, tuple[list[str], str]] = {}  # by name: words and settings
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.outer: dict[str, str] = {}
+        self.lives: dict[str, str] = {}  # by worker's name, its life
+        self.events: list[dict[str, Any]] = []
+        self.ends: dict[str, float] = {}
+        self.archives = [f"archive-{n + 1}" for n in range(scenario.get("archives", 3))]
+        self.seeds = [f"{RELAYED}.{n + 1}:{CONTROL}" for n in range(len(self.archives))]
+        self.dice = random.Random(seed)
+
+    def note(self, what: str, **more: Any) -> None:
+        self.events.append({"at": time.monotonic(), "what": what, **more})
+        self.say(f"{time.monotonic() - self.began:6.1f} s  {what}  " + " ".join(map(str, more.values())))
+
+    # --- machines
+
+    async def machines(self) -> None:
+        from .wire import Wire
+
+        self.wire = Wire()
+        bounds = tuple(self.scenario.get("bounds", ()))
+        fronts: dict[str, tuple[str, str]] = {}
+        for n, name in enumerate(self.archives):
+            outer, inner = f"{RELAYED}.{n + 1}", f"{BEHIND}.{n + 1}"
+            self.outer[name] = outer
+            for port in (INNER, CONTROL):
+                await self.wire.relay(outer, inner, port)
+            listen = {"Control": f"{inner}:{CONTROL}"}
+            self.settle(name, ["archive"], outer, listen, self.zones[n % len(self.zones)], inner, bounds)
+        for n in range(self.scenario.get("desks", 2)):
+            name, ip, inner = f"desk-{n + 1}", f"{FRONTS}.{n + 1}", f"{BEHIND}.{101 + n}"
+            self.outer[name], self.wire.outer[inner] = ip, ip
+            listen = {"Front": f"{ip}:{FRONT}", "ReadyProbe": f"{ip}:{READY}"}
+            fronts[name] = (listen["Front"], listen["ReadyProbe"])
+            self.settle(name, ["desk"], ip, listen, self.zones[n % len(self.zones)], inner, bounds)
+        for service in self.scenario["services"]:
+            for n in range(service["workers"]):
+                self.worker(service, n)
+        self.clients = Clients(self.seed, fronts)
+        for name in self.programs:
+            await self.begin(name)
+
+    def settle(self, name, words, ip, listen, zone, bind, bounds) -> None:
+        path = boot(
+            f"{self.folder}/{name}.toml", ip, self.seeds[:3], INNER, listen, (zone, self.zones), bind, bounds
+        )
+        self.programs[name] = (words, path)
+
+    def worker(self, service: dict, n: int) -> None:
+        name, place = f"{service['name']}-{n + 1}", len(self.lives) + 1
+        zone = self.zones[n % len(self.zones)]
+        words = ["lab", "worker", "--service", service["name"], "--address", f"{WORKERS}.{place}:{WORKER}"]
+        words += ["--zone", zone, "--slots", str(service["slots"]), "--work", str(service["work_s"])]
+        words += ["--ledger", f"{self.folder}/{service['name']}.db", "--controls", ",".join(self.seeds)]
+        words += ["--keyed"] if service.get("keyed") else []
+        self.programs[name] = (words, "")
+        self.lives[name] = ""
+
+    async def begin(self, name: str) -> None:
+        words, path = self.programs[name]
+        if name in self.lives:  # each start is a new life
+            self.lives[name] = f"i-{self.dice.getrandbits(32):08x}"
+            words = [*words, "--life", self.lives[name]]
+        self.processes[name] = await start(words, path, f"{self.folder}/{name}.log")
+
+    async def ready(self) -> None:
+        """Put the configuration and wait until every desk is ready."""
+        config = self.config()
+        async with asyncio.timeout(UP_WITHIN), aiohttp.ClientSession() as session:
+            while True:
+                try:
+                    async with session.put(
+                        f"http://{self.seeds[0]}/bramblewood/config", json=config
+                    ) as answer:
+                        if answer.status == 200:
+                            break
+                except aiohttp.ClientError:
+                    pass
+                await asyncio.sleep(0.2)
+            while True:
+                await asyncio.gather(*(self.clients.look(name) for name in self.clients.desks))
+                if not any(self.clients.missed.values()):
+                    return
+                await asyncio.sleep(0.2)
+
+    def config(self) -> dict:
+        routes = [
+            [
+                one["name"],
+                "lab.example",
+                f"/{one['name']}/",
+                "effectful" if one.get("adds") else "pure",
+                one["deadline_s"],
+                one["aim_s"],
+                one.get("priority", 1),
+                2,
+                one["service"],
+            ]
+            for one in self.scenario["requests"]
+        ]
+        services = [
+            [one["name"], one.get("keyed"), 200, "/health", one.get("copies")]
+            for one in self.scenario["services"]
+        ]
+        made = configuration("r1", routes, services, SERVICE_FIELDS)
+        pinned = [one.get("stays") for one in self.scenario["requests"]]
+        made["RouteList"] = {
+            "ColumnNames": [*ROUTE_FIELDS, "Pinned"],
+            "Records": [[*route, stays] for route, stays in zip(routes, pinned, strict=True)],
+        }
+        return made
+
+    # --- what befalls them
+
+    async def fault(self, fault: dict) -> None:
+        await asyncio.sleep(fault["at"])
+        name, kind, lasts = fault["who"], fault["kind"], fault.get("for_s", DOWN)
+        self.note(kind, who=name, for_s=lasts)
+        process = self.processes[name]
+        if kind == "cut":
+            self.wire.cut(self.outer[name])
+            await asyncio.sleep(lasts)
+            self.wire.heal(self.outer[name])
+        elif kind == "freeze":
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(lasts)
+            process.send_signal(signal.SIGCONT)
+        else:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+            await asyncio.sleep(lasts)
+            await self.begin(name)
+        self.note(f"{kind} over", who=name)
+
+    # --- the run
+
+    async def run(self) -> dict[str, Any]:
+        self.began = time.monotonic()
+        os.makedirs(self.folder, exist_ok=True)
+        for service in self.scenario["services"]:
+            Ledger(f"{self.folder}/{service['name']}.db").close()
+        try:
+            await self.machines()
+            await self.clients.start()
+            await self.ready()
+            return await self.traffic()
+        finally:
+            await self.end()
+
+    async def traffic(self) -> dict[str, Any]:
+        self.began = time.monotonic()
+        self.note("traffic begins")
+        until = asyncio.get_running_loop().time() + self.scenario["seconds"]
+        by_name = {one["name"]: one for one in self.scenario["requests"]}
+        looking = asyncio.ensure_future(self.clients.platform())
+        tasks = [
+            asyncio.ensure_future(self.clients.arrive(one, one["rate"], until, None, name))
+            for name, one in by_name.items()
+        ]
+        tasks += [
+            asyncio.ensure_future(self.crush(by_name[one["request"]], one))
+            for one in self.scenario.get("crushes", [])
+        ]
+        tasks += [asyncio.ensure_future(self.fault(one)) for one in self.scenario.get("faults", [])]
+        tasks += [asyncio.ensure_future(self.more(one)) for one in self.scenario.get("withdrawals", [])]
+        await asyncio.gather(*tasks)
+        await asyncio.sleep(AFTER)
+        looking.cancel()
+        await self.clients.end()
+        return self.judge()
+
+    async def crush(self, what: dict, crush: dict) -> None:
+        await asyncio.sleep(crush["at"])
+        self.note("crush", request=what["name"], key=crush["key"], rate=crush["rate"])
+        until = asyncio.get_running_loop().time() + crush["for_s"]
+        await self.clients.arrive(what, crush["rate"], until, crush["key"], f"crush {what['name']}")
+        self.note("crush over")
+
+    async def more(self, plan: dict) -> None:
+        """An operator's plan of withdrawal."""
+        raise NotImplementedError
+
+    def judge(self) -> dict[str, Any]:
+        ledgers = {}
+        for service in self.scenario["services"]:
+            book = Ledger(f"{self.folder}/{service['name']}.db")
+            ledgers[service["name"]] = book.lines()
+            book.close()
+        found = audit(self.clients.tries, ledgers, self.ends)
+        origin = self.began
+        told = {
+            "scenario": self.scenario["name"],
+            "seed": self.seed,
+            "findings": [finding._asdict() for finding in found],
+            "tries": len(self.clients.tries),
+            "effects": sum(map(len, ledgers.values())),
+            "events": [{**event, "at": round(event["at"] - origin, 2)} for event in self.events],
+            "orders": [{**one, "at": round(one["at"] - origin, 3)} for one in self.clients.orders],
+        }
+        with open(f"{self.folder}/run.json", "w") as file:
+            json.dump(told, file)
+        return told
+
+    async def end(self) -> None:
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        await asyncio.gather(*(process.wait() for process in self.processes.values()))
+        if hasattr(self, "wire"):
+            self.wire.end()
--- a/bramblewood/lab/standin.py
+++ b/bramblewood/lab/standin.py
@@ -1,4 +1,4 @@
-"""A stand-in worker, written from the protocol: slots, a queue, keys under fences, and a ledger of what it
+"""A stand-in worker, written from the protocol: slots, a queue, keys under fences, read copies, and what it
 ran.
 
 Each request that it begins is a line of the ledger: the attempt's id, the key, the kind. Times in seconds.
@@ -7,13 +7,14 @@
 import asyncio
 import json
 import secrets
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 import aiohttp
 from aiohttp import web
 
 QUEUE = 4  # requests that wait beside the slots; "queues a few more", PROTOCOL
 IDLE = 10  # s that an idle connection is kept, as its answers say
+LOOK = 0.005  # s between looks at what still runs on keys that are to be released
 CALL = 1.0  # s that a call of its own waits for an answer; PROTOCOL, "Which workers there are"
 
 
@@ -35,6 +36,24 @@
     until: float
 
 
+class Copy(NamedTuple):
+    """A record's value as another worker gave it, to be read until a time of our clock."""
+
+    value: tuple[int, int]
+    fence: int
+    until: float
+
+
+class Book(Protocol):
+    """The records behind a service; a value is how many lines a record has, and what they add up to."""
+
+    def value(self, key: int) -> tuple[int, int]: ...
+
+    def enter(
+        self, order: str, attempt: str, key: int, kind: str, added: int, worker: str
+    ) -> tuple[int, int]: ...
+
+
 class StandIn:
     """One life of a worker. `work(request)` gives the s that a request takes; `spoil` may take over an
     answer.
@@ -50,6 +69,11 @@
         self.arrivals: list[tuple[str, str]] = []
         self.holds: list[Hold] = []
         self.seen: list[Hold] = []  # every range with its fence, for the highest seen on a key
+        self.under_way: list[int] = []  # keys of what runs on its own holds
+        self.copies: dict[int, Copy] = {}
+        self.drops = 0  # releases that came; a copy fetched across one is let fall
+        self.book: Book | None = None  # what stands behind it; none where only the carrying is looked at
+        self.session: aiohttp.ClientSession | None = None  # to fetch copies with
         self.running = self.waiting = 0
         self.free = asyncio.Semaphore(slots)
         self.phase, self.calls = "ready", 0
@@ -120,6 +144,11 @@
         }
         if request.path in ("/bramblewood/grant", "/bramblewood/release"):
             return await self.keys(request)
+        if request.path == "/bramblewood/copy":
+            key = int(request.query.get("key", -1))
+            if self.book is None or not self.holds_key(key):
+                return web.Response(status=421, headers=headers)
+            return web.json_response({"value": self.book.value(key)})
         if request.path == "/health":
             status = 200 if self.phase == "ready" else 503
             return web.Response(status=status, headers={"X-Instance": self.life, **headers})
@@ -128,7 +157,9 @@
         if request.headers.get("X-Target-Instance", self.life) != self.life:
             return web.Response(status=421, headers={"X-Instance": self.life, **headers})
         key = int(request.headers["X-Shard-Key"]) if self.keyed and "X-Shard-Key" in request.headers else None
-        if self.keyed and (key is None or not self.holds_key(key)):
+        copy = self.copies.get(key) if request.method == "GET" and key is not None else None
+        copied = copy is not None and copy.until > self.loop.time()
+        if self.keyed and not copied and (key is None or not self.holds_key(key)):
             return web.Response(status=421, headers={"X-Not-Run": "1", **headers})
         if self.running >= self.slots and self.waiting >= QUEUE:
             return web.Response(status=503, headers={"X-Not-Run": "1", **headers})
@@ -138,21 +169,53 @@
         finally:
             self.waiting -= 1
         self.running += 1
+        holding = key is not None and not copied
+        self.under_way += [key] * holding
         try:
             self.ledger.append(Line(self.loop.time(), name, request.method, key))
             took = self.work(request)
             if took:
                 await asyncio.sleep(took)
+            value = self.entered(request, key, copy.value if copied else None)
         finally:
+            if holding:
+                self.under_way.remove(key)
             self.running -= 1
             self.free.release()
         if self.spoil is not None and (spoilt := await self.spoil(self, request)) is not None:
             return spoilt
-        text = json.dumps({"worker": self.life, "path": request.raw_path, "bytes": len(body)})
+        told = {"worker": self.life, "path": request.raw_path, "bytes": len(body)}
+        text = json.dumps(told if value is None else {**told, "lines": value[0], "value": value[1]})
         if self.phase != "ready":
             headers["Connection"] = "close"
         return web.Response(text=text, headers={**headers, "X-Response-Seal": f"seal.{self.life}"})
 
+    def entered(self, request: web.BaseRequest, key: int | None, copied: tuple | None) -> tuple | None:
+        """The record's value after this request; `X-Order` and `X-Adds` make it an effect."""
+        if self.book is None:
+            return None
+        key = key if key is not None else int(request.headers.get("X-Shard-Key", 0))
+        if "X-Adds" not in request.headers:
+            return self.book.value(key) if copied is None else copied
+        order, attempt = request.headers.get("X-Order", ""), request.headers.get("X-Attempt-Id", "")
+        return self.book.enter(order, attempt, key, request.path, int(request.headers["X-Adds"]), self.life)
+
+    async def copy(self, key: int, fence: int, hold: float, holder: str) -> int:
+        """Fetch a record from its holder and read it for so long; the status of the grant."""
+        began, drops = self.loop.time(), self.drops
+        try:
+            async with asyncio.timeout(CALL):
+                async with self.session.get(f"http://{holder}/bramblewood/copy?key={key}") as answer:
+                    if answer.status != 200:
+                        return answer.status
+                    value = tuple((await answer.json())["value"])
+        except (OSError, TimeoutError, aiohttp.ClientError):
+            return 503
+        if drops != self.drops:
+            return 503  # something was released meanwhile: it may be older than that
+        self.copies[key] = Copy(value, fence, began + hold)
+        return 200
+
     async def keys(self, request: web.BaseRequest) -> web.Response:
         try:
             told = json.loads(await request.content.read())
@@ -163,15 +226,17 @@
         if request.path == "/bramblewood/grant":
             if self.fence_over(first, last) > fence:
                 return web.Response(status=409)
+            if "Copy" in told:
+                return web.Response(status=await self.copy(first, fence, float(told["HoldS"]), told["Copy"]))
             self.keep_out(first, last)
             self.holds.append(Hold(first, last, fence, now + float(told["HoldS"])))
             self.seen.append(Hold(first, last, fence, 0.0))
             return web.Response(status=200)
         self.keep_out(first, last)
         self.seen.append(Hold(first, last, fence, 0.0))
-        while self.running:  # its answer comes once what ran has ended
-            await self.free.acquire()
-            self.free.release()
-            if self.running:
-                await asyncio.sleep(0.01)
+        self.drops += 1
+        for key in [key for key in self.copies if first <= key <= last]:
+            del self.copies[key]
+        while any(first <= key <= last for key in self.under_way):  # its answer comes once what ran has ended
+            await asyncio.sleep(LOOK)
         return web.Response(status=200, headers={"X-Handover": secrets.token_hex(8)})
--- a/example/small.py
+++ b/example/small.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import os
 import pathlib
 import sys
 import tempfile
@@ -15,6 +14,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
+from bramblewood.lab.boot import boot, start  # noqa: E402
 from bramblewood.lab.operator import configuration  # noqa: E402
 from bramblewood.lab.standin import StandIn  # noqa: E402
 
@@ -33,35 +33,6 @@
 )
 
 
-def boot(name: str, ip: str, folder: str, listen: dict) -> str:
-    path = f"{folder}/{name}.toml"
-    lines = [
-        f'NodeName = "{name}"',
-        f'Ip = "{ip}"',
-        'Zone = "here"',
-        f"SeedNodes = {SEEDS!r}",
-        "FirstBoot = true",
-        f"PortRange = [{PORTS['inner']},{PORTS['inner'] + 10}]",
-        f'DataDir = "{folder}/{name}"',
-        "[BindMap]",
-        *(f'{key} = "{ip}:{port}"' for key, port in listen.items()),
-    ]
-    pathlib.Path(path).write_text("\n".join(lines))
-    return path
-
-
-async def start(role: str, path: str) -> asyncio.subprocess.Process:
-    return await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "bramblewood",
-        role,
-        env={**os.environ, "BRAMBLEWOOD_BOOT": path},
-        cwd=ROOT,
-        stdout=asyncio.subprocess.DEVNULL,
-    )
-
-
 async def until(what: str, check) -> None:
     while not await check():
         await asyncio.sleep(0.1)
@@ -74,11 +45,14 @@
         with tempfile.TemporaryDirectory() as folder:
             try:
                 for n in (1, 2, 3):
-                    path = boot(f"archive-{n}", f"127.0.0.{n}", folder, {"Control": PORTS["control"]})
-                    processes.append(await start("archive", path))
+                    listen = {"Control": SEEDS[n - 1]}
+                    path = boot(f"{folder}/archive-{n}.toml", f"127.0.0.{n}", SEEDS, PORTS["inner"], listen)
+                    processes.append(await start(["archive"], path))
                 for n in (4, 5):
-                    listen = {"Front": PORTS["front"], "ReadyProbe": PORTS["ready"]}
-                    processes.append(await start("desk", boot(f"desk-{n}", f"127.0.0.{n}", folder, listen)))
+                    ip = f"127.0.0.{n}"
+                    listen = {"Front": f"{ip}:{PORTS['front']}", "ReadyProbe": f"{ip}:{PORTS['ready']}"}
+                    path = boot(f"{folder}/desk-{n}.toml", ip, SEEDS, PORTS["inner"], listen)
+                    processes.append(await start(["desk"], path))
                 for n, (service, keyed) in enumerate((("register", True), ("payments", False))):
                     address = ("127.0.0.6", PORTS["worker"] + n)
                     worker = StandIn(service, address, "here", 2, keyed, lambda request: 0.05)
