Withdrawals: backends leave by agreed plans, in waves, with every node's word on the work in flight

archive/withdrawal.py: plans and each worker's steps (told, closing, closed, out) stand in the table's value and are agreed like it; any archive carries them on. Closed on each desk's word that it follows; out once no key of it is left and no desk has work there; a silent desk counts for the longest hold (7.4 s), an archive that has just started waits as long. Waves begin once what stays carries the load by the planner's word, cold counted as cold; stop, back, done. Routes may say Pinned: a key's client's steps keep their worker, bounded by the route's time-out. Effects go to workers that no plan names.

--- a/bramblewood/archive/accession.py
+++ b/bramblewood/archive/accession.py
@@ -66,6 +66,30 @@
     pass
 
 
+@dataclass(frozen=True)
+class StartPlan:
+    """Take workers out of service: those named, or all of a service that stand in a zone or run a
+    revision.
+    """
+
+    name: str
+    service: str
+    lives: tuple[str, ...]
+    zone: str
+    revision: str
+    count: int
+    wave: int
+    only_tell: bool
+
+
+@dataclass(frozen=True)
+class EndPlan:
+    """Stop a plan, or take all its workers back into use."""
+
+    name: str
+    state: Literal["stopped", "back"]
+
+
 @dataclass(frozen=True)
 class Refusal:
     """The answer to a call that can't be taken."""
@@ -103,6 +127,49 @@
     return Err(Refusal(404, "no such call"))
 
 
+class PlanCall(TypedDict):
+    """An operator's call about a plan, on the listener for other managers."""
+
+    Do: Literal["start", "plan", "stop", "back"]
+    Name: str
+    Service: NotRequired[str]
+    Workers: NotRequired[list[str]]
+    Zone: NotRequired[str]
+    Revision: NotRequired[str]
+    Count: NotRequired[int]
+    Wave: NotRequired[int]
+
+
+def plan_call(body: bytes) -> Result[StartPlan | EndPlan, Refusal]:
+    try:
+        told = check(json.loads(body), PlanCall)
+    except (ValueError, RecursionError):
+        return Err(Refusal(400, "the body is no JSON"))
+    if isinstance(told, Err):
+        return Err(Refusal(400, str(told.err_value)))
+    told = told.ok_value
+    if not re.fullmatch(r"[\w.-]{1,64}", told["Name"]):
+        return Err(Refusal(400, "Name: expected letters, digits, . _ -, 64 at most"))
+    if told["Do"] in ("stop", "back"):
+        return Ok(EndPlan(told["Name"], "stopped" if told["Do"] == "stop" else "back"))
+    if not told.get("Service"):
+        return Err(Refusal(400, "Service: expected a value, found nothing"))
+    if told.get("Wave", 1) < 1 or told.get("Count", 1) < 1:
+        return Err(Refusal(400, "Wave or Count: expected 1 or more"))
+    return Ok(
+        StartPlan(
+            told["Name"],
+            told["Service"],
+            tuple(told.get("Workers", ())),
+            told.get("Zone", ""),
+            told.get("Revision", ""),
+            told.get("Count", 0),
+            told.get("Wave", 1),
+            told["Do"] == "plan",
+        )
+    )
+
+
 def beat(life: str, body: bytes) -> Result[Register, Refusal]:
     try:
         told = check(json.loads(body), Beat)
@@ -128,6 +195,7 @@
                 condition["Phase"] if condition["Phase"] == DRAINING else READY,
                 condition["CallSeq"],
                 max(condition.get("ColdLeftS", 0.0), 0.0),
+                info.get("Revision", ""),
             ),
         )
     )
--- a/bramblewood/archive/copies.py
+++ b/bramblewood/archive/copies.py
@@ -13,26 +13,17 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from ..catalogue.spans import ANNOUNCE, LEASE, RUN_OUT
 from ..catalogue.table import FENCE, OLD, READERS, WORKER, readers_of, reading, with_readers
 from ..policy.figures import LIMIT
-from .holds import AGAIN, RENEW_PART, SLOW_CLOCK, TRAVEL
+from .holds import AGAIN, RENEW_PART
 from .roll import READY, Roll
-from .sessions import WORD
-
-LEASE = (
-    1.0  # s; a reader that can't be reached holds an effect's answer up for no longer than a call may take
-)
-ANNOUNCE = 3.0  # s: a word's age, the way of a confirmation, and one second in which desks use it
-SURE = ANNOUNCE - WORD - TRAVEL  # s from asking for a confirmation until it is used no more
-RUN_OUT = (
-    WORD + LEASE * SLOW_CLOCK + TRAVEL
-)  # s after a reader was taken off until no copy of its can be read
+
 MOST = 8  # readers of one record; each costs a call each third of a lease and one for each effect
 
 
-Reader = tuple[
-    str, int, str, int
-]  # service, key, worker, the version that made it one, or less that made it none
+# service, key, worker, the version that made it one, or less the version that made it none
+Reader = tuple[str, int, str, int]
 
 
 class Lease(NamedTuple):
@@ -100,7 +91,7 @@
     if made == entry:
         return None, True
     entries = {**value["s"][service], str(key): made}
-    return {"n": value["n"] + 1, "s": {**value["s"], service: entries}}, True
+    return {**value, "n": value["n"] + 1, "s": {**value["s"], service: entries}}, True
 
 
 def taken_off(value: dict | None, service: str, key: int, lives: set[str]) -> tuple[dict | None, bool]:
--- a/bramblewood/archive/feed.py
+++ b/bramblewood/archive/feed.py
@@ -8,12 +8,16 @@
 
 from collections import deque
 
+from .withdrawal import steps_of
+
 KEPT = 200  # changes of the table that a difference can be made of
 
 
 class Feed:
     def __init__(self) -> None:
         self.n, self.table = 0, {}
+        self.leaving: dict[str, str] = {}  # workers in an operator's plan, and their steps
+        self.left_at = 0  # the version that changed that last
         self.log: deque[tuple[int, int, dict[str, list[str]]]] = deque(maxlen=KEPT)
 
     def learned(self, value: dict) -> None:
@@ -23,6 +27,8 @@
             before = self.table.get(service, {})
             if found := [start for start, entry in entries.items() if entry != before.get(start)]:
                 changes[service] = found
+        if (leaving := steps_of(value)) != self.leaving:
+            self.leaving, self.left_at = leaving, value["n"]
         self.log.append((self.n, value["n"], changes))
         self.n, self.table = value["n"], value["s"]
 
@@ -32,10 +38,11 @@
             return None
         late = [record for record in self.log if record[1] > have]
         if have <= 0 or not late or late[0][0] > have:
-            return {"k": "table", "n": self.n, "s": self.table}
+            return {"k": "table", "n": self.n, "s": self.table, "w": self.leaving}
         starts: dict[str, set] = {}
         for _, _, changes in late:
             for service, some in changes.items():
                 starts.setdefault(service, set()).update(some)
         changed = {s: {start: self.table[s][start] for start in some} for s, some in starts.items()}
-        return {"k": "table", "n": self.n, "base": have, "d": changed}
+        told = {"k": "table", "n": self.n, "base": have, "d": changed}
+        return {**told, "w": self.leaving} if self.left_at > have else told
--- a/bramblewood/archive/holds.py
+++ b/bramblewood/archive/holds.py
@@ -10,15 +10,13 @@
 
 from typing import NamedTuple
 
+from ..catalogue.spans import SLOW_CLOCK, TRAVEL, WORD
 from ..catalogue.table import FENCE, HANDOVER, KEYS, OLD, WORKER, starts_of
 from .roll import GONE, Roll
-from .sessions import WORD
 
 # of HoldMaxS: an unsettled core of some seconds costs nothing, a dead worker's keys wait as long
 HOLD_PART = 0.6
 RENEW_PART = 1 / 3  # of the hold after which it is renewed: two more tries fit
-SLOW_CLOCK = 1.02  # a worker's clock may run 2% slow; PROTOCOL
-TRAVEL = 0.3  # s for a call on its way, as the pages allow after a thaw (ThawSlackS)
 SAME = (WORKER, FENCE, HANDOVER, OLD)  # what slices of one call have in common
 AGAIN = 0.3  # s between tries of a call that failed
 
--- a/bramblewood/archive/placement.py
+++ b/bramblewood/archive/placement.py
@@ -33,6 +33,7 @@
 from .crowds import Crowds, Told
 from .nearness import Nearness
 from .roll import DRAINING, GONE, READY, Roll
+from .withdrawal import TOLD, Room, steps_of
 
 A_WORKER = 6  # slices a worker at least, so that one is a small step; each keyed slice costs a renewal
 LEAST = 32
@@ -102,7 +103,7 @@
             if entry is not None and reading(entry) != readers:
                 entries[str(start)], changed = with_readers(entry, readers, number), True
         made[service] = entries
-    return ({"n": number, "s": made}, True) if changed else (None, False)
+    return ({**value, "n": number, "s": made}, True) if changed else (None, False)
 
 
 def changed_slices(
@@ -117,7 +118,7 @@
         made = change(list(entry), number) if entry else None
         if made is not None:
             entries[str(start)], found = made, True
-    return ({"n": number, "s": {**value["s"], service: entries}}, True) if found else (None, False)
+    return ({**value, "n": number, "s": {**value["s"], service: entries}}, True) if found else (None, False)
 
 
 def freed(value: dict | None, service: str, starts: tuple[int, ...], fence: int, old: str, handover: str):
@@ -365,6 +366,7 @@
         self.events: dict[str, list] = {}
         self.first_at: dict[str, float] = {}
         self.start, self.beat = start, beat
+        self.leaving: set[str] = set()  # workers that an operator's plan takes out of use
 
     def report(
         self,
@@ -392,10 +394,12 @@
     ) -> dict[str, Changes]:
         """The changes to ask for now; nothing where the table is as it should be."""
         wanted = {}
-        stands = table["s"] if table else {}
+        stands, steps = table["s"] if table else {}, steps_of(table)
+        self.leaving = {life for life, step in steps.items() if step != TOLD}
         for service, told in services.items():
             rows = {life: row for life, row in roll.rows.items() if row.service == service}
             ready = [life for life, row in rows.items() if row.phase == READY and life not in silent]
+            ready = [life for life in ready if life not in self.leaving]
             if service not in stands:  # the first table waits until those that are up have been heard
                 if not ready or now < self.first_at.setdefault(service, now + self.beat * SETTLE):
                     continue
@@ -421,6 +425,15 @@
         found = {service: office.crowds.told() for service, office in self.offices.items()}
         return {service: told for service, told in found.items() if told.watch}
 
+    def rooms(self) -> dict[str, Room]:
+        """By service, how busy its workers are and how much each can do, what is cold counted as cold."""
+        found = {}
+        for service, office in self.offices.items():
+            ready = office.manager.ready()
+            busy = sum(mean(w.levels) * w.weight for w in ready)
+            found[service] = Room(busy, {w.name: w.weight * w.ramp() for w in ready if w.usable})
+        return found
+
     def near(self) -> dict[str, dict[str, float]]:
         """By service and zone, the part of the zone's requests that stay in it."""
         found = {service: office.nearness.parts for service, office in self.offices.items()}
@@ -430,6 +443,8 @@
         events, listed = self.events.pop(office.service, []), {}
         for life, row in rows.items():
             state = door.GONE if life in silent else STATES.get(row.phase, door.GONE)
+            if state == door.READY and life in self.leaving:
+                state = door.DRAINING  # by an operator's plan: its slices move at once, it serves what it has
             office.facts["warm_after"] = max(office.facts["warm_after"], row.cold)
             listed[life] = (
                 state,
--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -15,15 +15,29 @@
 from ..catalogue.bootfile import Settings
 from ..catalogue.edition import edition_of
 from ..catalogue.links import QUIET, Link, Links, accept, careful_socket
+from ..catalogue.spans import LEASE
 from . import placement
-from .accession import GetConfig, PutConfig, Refusal, Register, TakeLeave, decode, most, succeed
+from .accession import (
+    BEAT_MOST,
+    EndPlan,
+    GetConfig,
+    PutConfig,
+    Refusal,
+    Register,
+    TakeLeave,
+    decode,
+    most,
+    plan_call,
+    succeed,
+)
 from .ballots import CONFIG, FOUNDING, NONE, REGISTERS, TABLE, VOTERS, VOTES, Ballots, Out, trace
-from .copies import LEASE, Copies, Lease, forgotten, taken_off
+from .copies import Copies, Lease, forgotten, taken_off
 from .feed import Feed
 from .holds import RENEW_PART, Call, Freed, Holds
 from .roll import GONE, READY, Roll, Row
 from .sessions import PULSE, Sessions
 from .shelf import Shelf
+from .withdrawal import CLOSING, TOLD, Withdrawals, ended, in_use, out_of, plans_of, started
 
 TICK = 0.1  # s between looks at what is due
 DESK_PULSE = 0.5  # s between pulses to desks; two lost ones are noticed within their QUIET
@@ -51,6 +65,7 @@
         self.founding: Ballots | None = None
         self.desks: dict[str, Link] = {}
         self.holds, self.copies = Holds(told.bounds.HoldMaxS), Copies()
+        self.withdrawals = Withdrawals(self.holds.expiry)
         self.ids = itertools.count(1)
         self.confirms: dict[int, asyncio.Future] = {}
         self.confirmed: set[tuple[str, str]] = set()
@@ -177,6 +192,7 @@
         if now >= self.turn_at:
             self.turn_at = now + TURN
             self.roll.forget(now)
+            self.withdrawals.present(now, self.sessions.all_desks(now, list(self.desks)))
         self.steer(now)
 
     def whole(self, now: float) -> bool:
@@ -315,6 +331,8 @@
             if over and not self.proposing:
                 self.proposing = True
                 self.propose(TABLE, lambda value: forgotten(value, over), self.proposed, 1.0)
+            if out_of(table) and not self.proposing:
+                self.withdraw(now, table)
         if not self.proposing:
             wanted = self.placement.step(now, services, self.aims, self.roll, self.silent(now), table)
             if wanted:
@@ -323,6 +341,13 @@
                 self.log.info("moves", step="placement", moves=moves, table=self.ballots.version(TABLE))
                 self.propose(TABLE, lambda value: placement.apply(value, wanted, keyed), self.proposed, 1.0)
 
+    def withdraw(self, now: float, table: dict) -> None:
+        """The next step of the plans that take workers out of service."""
+        change = self.withdrawals.step(now, table, self.roll, self.placement.rooms())
+        if change is not None:
+            self.proposing = True
+            self.propose(TABLE, change, self.proposed, 1.0)
+
     def proposed(self, outcome: Any) -> None:
         self.proposing = False
         if outcome is None:
@@ -587,6 +612,8 @@
 
     def reported(self, now: float, link: Link, message: dict) -> None:
         over, by_key = message["over"], message.get("keys", {})
+        if "n" in message:
+            self.withdrawals.hear(link.peer, message["n"], message.get("left", {}))
         met: dict[str, list] = {service: [] for service in {**message["heat"], **by_key}}
         for life, (tries, unanswered, mean_time, load) in message["met"].items():
             row = self.roll.rows.get(life)
@@ -652,6 +679,8 @@
             return await accept(request, self.met, self.hear, self.left)
         method, path = request.method, request.raw_path
         if request.transport.get_extra_info("sockname")[1] == self.told.inner:
+            if method == "POST" and path == "/plan":
+                return await self.planned(plan_call((await request.content.read())[:BEAT_MOST]))
             return self.view(path)
         body = b""
         bound = most(method, path)
@@ -688,6 +717,52 @@
                     return answer(404, "no configuration yet")
                 return web.json_response(told[0]["config"])
 
+    async def planned(self, command: Any) -> web.Response:
+        """An operator's call about a plan: agreed by a majority, safe to repeat."""
+        if isinstance(command, Err):
+            return answer(command.err_value.status, command.err_value.reason)
+        command = command.ok_value
+        if isinstance(command, EndPlan):
+            told = await self.agreed(TABLE, lambda value: ended(value, command.name, command.state))
+        else:
+            table = self.ballots.value(TABLE)
+            able = in_use(self.roll, command.service, out_of(table))
+            lives = [life for life in able if not command.lives or life in command.lives]
+            lives = [life for life in lives if command.zone in ("", self.roll.rows[life].zone)]
+            lives = [life for life in lives if command.revision in ("", self.roll.rows[life].revision)]
+            lives = lives[: command.count or len(lives)]
+            if command.name in plans_of(table):
+                lives = plans_of(table)[command.name]["lives"]  # asked again
+            staying, wave = len(set(able) - set(lives)), command.wave
+            change = lambda value: started(value, command.name, command.service, lives, wave, staying)  # noqa: E731
+            if command.only_tell:
+                status, reason = change(table)[1]
+                waves = [lives[i : i + wave] for i in range(0, len(lives), wave)]
+                return web.json_response({"Waves": waves, "Failure": "" if status == 200 else reason})
+            told = await self.agreed(TABLE, change)
+        self.log.info("plan", step="withdraw", name=command.name, told=told)
+        return answer(*told) if told else answer(503, "no majority heard in time")
+
+    def plans(self, now: float) -> dict:
+        """The plans as they stand, with what keeps each worker."""
+        table, told = self.ballots.value(TABLE), self.withdrawals
+        return {
+            name: {
+                **plan,
+                "workers": {
+                    life: {
+                        "step": step,
+                        "sending": told.sending(now, version) if step == CLOSING else [],
+                        "under way": {desk: [*left] for desk, left in told.under_way(now, life).items()},
+                        "keys": step != TOLD and told.holds(table, life),
+                    }
+                    for life, (plan_of, step, version) in out_of(table).items()
+                    if plan_of == name
+                },
+            }
+            for name, plan in plans_of(table).items()
+        }
+
     def view(self, path: str) -> web.Response:
         """What operators' tools read, on the listener for other managers; changes nothing."""
         now = self.loop.time()
@@ -703,6 +778,8 @@
                     for life, row in self.roll.rows.items()
                 }
             )
+        if path == "/view/plans":
+            return web.json_response(self.plans(now))
         if path == "/view/table":
             return web.json_response(self.ballots.value(TABLE) or {"n": 0, "s": {}})
         if path == "/view/holds":
--- a/bramblewood/archive/roll.py
+++ b/bramblewood/archive/roll.py
@@ -20,6 +20,7 @@
     phase: str
     seq: int
     cold: float = 0.0  # s that it was still slow when this was said
+    revision: str = ""  # of its software
 
     def rank(self) -> tuple:
         return (self.phase == GONE, self.seq, ORDER.get(self.phase, 0))
--- a/bramblewood/archive/sessions.py
+++ b/bramblewood/archive/sessions.py
@@ -10,10 +10,10 @@
 
 from typing import NamedTuple
 
+from ..catalogue.spans import WORD
 from .ballots import NONE, Ballot
 
 PULSE = 0.25  # s between pulses; three of them fit into WORD
-WORD = 1.0  # s that a word of the majority is good for; callers give a manager a second, PROTOCOL
 SILENT = 0.9  # s without a pulse after which an archive counts as away: three pulses and some way
 
 
--- /dev/null
+++ b/bramblewood/archive/withdrawal.py
@@ -0,0 +1,223 @@
+"""Taking backends out of service by plan: each step agreed by ballots, carried on by any archive. Pure.
+
+What is agreed stands in the table's value under "w":
+
+    {"plans": {id: {"service", "lives", "wave", "state", "why"}}, "out": {life: [plan, step, version]}}
+
+A worker's steps: told (it is in a plan), closing (desks start nothing there, its keys move), closed (each
+desk has said so), out (no key of its is left, nothing of any desk is under way there). It may end then. A
+plan goes in waves; each begins once what stays carries the load, by the planner's own word, and the last
+one was looked at. Steps only rise within a plan; `back` takes its workers into use again, at whatever step
+they are.
+
+A desk that is silent counts as still sending until the longest hold behind it has run out: it steers by its
+last table for as long as it lasts, and what holds it up from then on is the worker's end alone.
+"""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from ..catalogue.table import CLOSED, CLOSING, OLD, OUT, TOLD, WORKER
+from ..policy.figures import LIMIT
+from .roll import GONE, READY, Roll
+
+RUNNING, STOPPED, BACK, DONE = "running", "stopped", "back", "done"
+LOOK = 3.0  # s after a wave until the next: five reports of half a second that have seen it, and one way
+WAITS = 20.0  # s that a wave waits for room until its plan stops: many times a look, so that a burst may pass
+KEPT = 20  # plans that have ended, kept to be shown
+
+
+class Left(NamedTuple):
+    """What a desk has under way at a worker: lookups, effects, and since when the oldest (s)."""
+
+    lookups: int
+    effects: int
+    oldest: float
+
+
+class Room(NamedTuple):
+    """A service's load by the planner: busy slots of its workers, and by worker its slots, what is cold as
+    cold.
+    """
+
+    busy: float
+    slots: dict[str, float]
+
+
+def plans_of(value: dict | None) -> dict[str, dict]:
+    return value.get("w", {}).get("plans", {}) if value else {}
+
+
+def out_of(value: dict | None) -> dict[str, list]:
+    return value.get("w", {}).get("out", {}) if value else {}
+
+
+def steps_of(value: dict | None) -> dict[str, str]:
+    """By worker its step, as desks and the planner need it."""
+    return {life: step for life, (_, step, _) in out_of(value).items()}
+
+
+def changed(value: dict, plans: dict, out: dict) -> dict:
+    ended = [name for name, plan in plans.items() if plan["state"] in (BACK, DONE)]
+    plans = {name: plan for name, plan in plans.items() if name not in ended[:-KEPT]}
+    return {**value, "n": value["n"] + 1, "w": {"plans": plans, "out": out}}
+
+
+def started(value: dict | None, name: str, service: str, lives: list[str], wave: int, staying: int):
+    """The table with a new plan; (status, reason) is the answer. staying: workers in use that it leaves."""
+    value = value or {"n": 0, "s": {}}
+    plans, out = plans_of(value), out_of(value)
+    plan = {"service": service, "lives": lives, "wave": wave, "state": RUNNING, "why": ""}
+    if name in plans:
+        same = {**plans[name], "state": RUNNING, "why": ""} == plan
+        return None, (200, plans[name]["state"]) if same else (409, f"another plan is called {name}")
+    if not lives:
+        return None, (404, "no such worker in use")
+    if staying <= 0:
+        return None, (409, f"{service} would have no worker left")
+    if taken := [life for life in lives if life in out]:
+        return None, (409, f"{taken[0]} is in plan {out[taken[0]][0]}")
+    out = {**out, **{life: [name, TOLD, value["n"] + 1] for life in lives}}
+    return changed(value, {**plans, name: plan}, out), (200, RUNNING)
+
+
+def ended(value: dict | None, name: str, state: str):
+    """The table with a plan stopped (no further wave; who was only told stays in use) or taken back."""
+    plans, out = plans_of(value), out_of(value)
+    if name not in plans:
+        return None, (404, f"no plan {name}")
+    if plans[name]["state"] == state or plans[name]["state"] == BACK:
+        return None, (200, plans[name]["state"])
+    left = {life: at for life, at in out.items() if at[0] != name or state == STOPPED and at[1] != TOLD}
+    return changed(value, {**plans, name: {**plans[name], "state": state, "why": "asked for"}}, left), (
+        200,
+        state,
+    )
+
+
+class Withdrawals:
+    """One archive's part: what desks told it, and the next step of each plan."""
+
+    def __init__(self, silent_for: float) -> None:
+        """silent_for: s that a silent desk counts as still sending."""
+        self.silent_for = silent_for
+        self.began: float | None = None
+        self.there: dict[str, float] = {}  # when each desk's session last stood
+        self.desks: dict[str, tuple[int, dict[str, Left]]] = {}  # by its last word: its table, what is left
+        self.looked: dict[str, float] = {}  # by plan: since when its last wave is out, or it waits for room
+        self.waits: dict[str, float] = {}
+
+    def present(self, now: float, desks: set[str]) -> None:
+        """Each turn, at every archive: the desks whose sessions stand."""
+        self.began = now if self.began is None else self.began
+        self.there.update(dict.fromkeys(desks, now))
+
+    def hear(self, desk: str, table: int, left: dict[str, list]) -> None:
+        self.desks[desk] = (table, {life: Left(*told) for life, told in left.items()})
+
+    def sending(self, now: float, version: int) -> list[str]:
+        """Desks that have not said that they follow this version of the table, and so may still start work.
+
+        Desks that an archive which has just started may not have met yet count as one.
+        """
+        found = [desk for desk, at in self.there.items() if now < at + self.silent_for]
+        found = sorted(desk for desk in found if self.desks.get(desk, (0, {}))[0] < version)
+        return found if self.began is not None and now >= self.began + self.silent_for else [*found, "?"]
+
+    def under_way(self, now: float, life: str) -> dict[str, Left]:
+        """What desks have under way at a worker; a silent desk's last word counts until its bound."""
+        told = {desk: left[life] for desk, (_, left) in self.desks.items() if life in left}
+        return {
+            desk: left for desk, left in told.items() if now < self.there.get(desk, now) + self.silent_for
+        }
+
+    def step(
+        self, now: float, value: dict | None, roll: Roll, rooms: dict[str, Room]
+    ) -> Callable[[dict], tuple[dict | None, Any]] | None:
+        """The next change, or None: a function of the value that stands, as others may have gone on
+        meanwhile.
+        """
+        moves: dict[str, str] = {}
+        for life, (_, step, version) in out_of(value).items():
+            row = roll.rows.get(life)
+            if step != OUT and (row is None or row.phase == GONE):
+                moves[life] = OUT  # it ended early
+            elif step in (CLOSING, CLOSED) and not self.sending(now, version):
+                if step == CLOSING:
+                    moves[life] = CLOSED
+                elif not self.holds(value, life) and not self.under_way(now, life):
+                    moves[life] = OUT
+        ends: dict[str, tuple[str, str]] = {}
+        for name, plan in plans_of(value).items():
+            if plan["state"] == RUNNING:
+                self.wave(now, name, plan, value, roll, rooms, moves, ends)
+        if not moves and not ends:
+            return None
+        return lambda stands: advanced(stands, moves, ends)
+
+    @staticmethod
+    def holds(value: dict, life: str) -> bool:
+        return any(
+            life in (entry[WORKER], entry[OLD])
+            for entries in value["s"].values()
+            for entry in entries.values()
+        )
+
+    def wave(self, now, name, plan, value, roll, rooms, moves, ends) -> None:
+        """Begin a plan's next wave, or end the plan."""
+        out = {life: at for life, at in out_of(value).items() if at[0] == name}
+        steps = [moves.get(life, step) for life, (_, step, _) in out.items()]
+        if any(step in (CLOSING, CLOSED) for step in steps):
+            self.looked.pop(name, None)
+            return
+        told = [life for life in plan["lives"] if life in out and out[life][1] == TOLD and life not in moves]
+        if not told:
+            ends[name] = (DONE, "")
+            return
+        begun = any(step == OUT for step in steps)
+        if now < self.looked.setdefault(name, now - (0.0 if begun else LOOK)) + LOOK:
+            return
+        fits = self.fits(rooms.get(plan["service"]), told[: max(plan["wave"], 1)], out_of(value))
+        if fits:
+            self.waits.pop(name, None)
+            moves.update(dict.fromkeys(fits, CLOSING))
+        elif now >= self.waits.setdefault(name, now) + WAITS:
+            ends[name] = (STOPPED, "what stays would not carry the load")
+
+    @staticmethod
+    def fits(room: Room | None, lives: list[str], out: dict[str, list]) -> list[str]:
+        """As many of these, in turn, as leave enough for what is busy now; closed ones count as away."""
+        if room is None:
+            return []
+        left = sum(slots for life, slots in room.slots.items() if life not in out or out[life][1] == TOLD)
+        found = []
+        for life in lives:
+            left -= room.slots.get(life, 0.0)
+            if left <= 0 or room.busy > LIMIT * left:
+                break
+            found.append(life)
+        return found
+
+
+def advanced(value: dict | None, moves: dict[str, str], ends: dict[str, tuple[str, str]]):
+    """The table with workers a step further and plans ended, as far as they still stand there."""
+    order = [TOLD, CLOSING, CLOSED, OUT]
+    plans, out, found = dict(plans_of(value)), dict(out_of(value)), False
+    for life, step in moves.items():
+        if life in out and order.index(out[life][1]) < order.index(step):
+            out[life], found = [out[life][0], step, value["n"] + 1], True
+    for name, (state, why) in ends.items():
+        if name in plans and plans[name]["state"] == RUNNING:
+            plans[name], found = {**plans[name], "state": state, "why": why}, True
+            if state == STOPPED:
+                out = {life: at for life, at in out.items() if at[0] != name or at[1] != TOLD}
+    return (changed(value, plans, out), True) if found else (None, True)
+
+
+def in_use(roll: Roll, service: str, out: dict[str, list]) -> list[str]:
+    """Workers of a service that are ready and in no plan."""
+    return [
+        life
+        for life, row in sorted(roll.rows.items())
+        if row.service == service and row.phase == READY and life not in out
+    ]
--- a/bramblewood/catalogue/edition.py
+++ b/bramblewood/catalogue/edition.py
@@ -51,6 +51,7 @@
     Priority: NotRequired[int]
     WeightedTargets: NotRequired[list[Share]]
     MaxAttempts: NotRequired[int]
+    Pinned: NotRequired[bool]
     Target: NotRequired[str]
 
 
@@ -75,6 +76,7 @@
     priority: int
     attempts: int
     targets: tuple[tuple[str, float], ...]
+    pinned: bool = False  # its operator says that what a key's client began finishes where it began
 
     def service(self, request: str) -> str:
         """The service of a request, by the shares and its id."""
@@ -185,6 +187,7 @@
             row.get("Priority", 0),
             row.get("MaxAttempts", 1),
             tuple(targets),
+            row.get("Pinned", False),
         )
     )
 
--- a/bramblewood/catalogue/table.py
+++ b/bramblewood/catalogue/table.py
@@ -9,6 +9,7 @@
 
 WORKER, SECOND, PART, FENCE, HANDOVER, OLD = range(6)
 READERS = 6
+TOLD, CLOSING, CLOSED, OUT = "told", "closing", "closed", "out"  # steps of a worker that a plan takes out
 EMPTY = ["", "", 0.0, 0, "", ""]
 KEYS = 65536
 FINE = 8  # keys that a count of heat covers: the finest that a slice is split to
--- a/bramblewood/cli/enquiries.py
+++ b/bramblewood/cli/enquiries.py
@@ -35,10 +35,10 @@
     click.echo(json.dumps(value, separators=(",", ":")) if as_json else "\n".join(lines))
 
 
-def call(places: list[str], method: str, path: str, body: bytes | None = None) -> tuple[int, bytes]:
+def call(addresses: list[str], method: str, path: str, body: bytes | None = None) -> tuple[int, bytes]:
     """The answer of the first place that gives one."""
     why = "no address given"
-    for place in places:
+    for place in addresses:
         request = urllib.request.Request(f"http://{place}{path}", data=body, method=method)
         request.add_header("Content-Type", "application/json")
         try:
@@ -53,9 +53,13 @@
     fail(f"no archive answers: {why}")
 
 
+def places(archive: str | None, boot: str | None) -> list[str]:
+    """Inner addresses of archives."""
+    return [archive] if archive else [f"{ip}:{settings(boot).inner}" for ip in settings(boot).seed_ips()]
+
+
 def ask(archive: str | None, boot: str | None, what: str) -> Any:
-    places = [archive] if archive else [f"{ip}:{settings(boot).inner}" for ip in settings(boot).seed_ips()]
-    return json.loads(call(places, "GET", f"/view/{what}")[1])
+    return json.loads(call(places(archive, boot), "GET", f"/view/{what}")[1])
 
 
 def controls(control: str | None, boot: str | None) -> list[str]:
--- a/bramblewood/desk/errand.py
+++ b/bramblewood/desk/errand.py
@@ -84,6 +84,7 @@
     ) -> None:
         self.route, self.service, self.key, self.request = route, service, key, request
         self.begun = now
+        self.pin = ""  # the client's key, where what it began is to finish where it began
         self.until = now + min(deadline - SPARE, route.timeout)
         self.hold_until = now + HOLD_PART * route.aim
         self.tried: set[str] = set()
@@ -99,7 +100,8 @@
             return self.give_up(now, "no answer in time")
         if self.sent >= self.route.attempts:
             return self.give_up(now, "all attempts used")
-        life = steering.choose(now, self.service, self.key, self.request, self.tried, self.route.pure)
+        life = steering.pinned(now, self.service, self.pin) if self.pin and not self.sent else None
+        life = life or steering.choose(now, self.service, self.key, self.request, self.tried, self.route.pure)
         if life is not None and life == self.shy and now < self.shy_until:
             return Wait(self.shy_until)  # it said no a moment ago: let its queue go down, or a grant arrive
         if life is not None:
--- a/bramblewood/desk/program.py
+++ b/bramblewood/desk/program.py
@@ -298,7 +298,7 @@
 
     def report(self, now: float) -> None:
         if self.scribe is not None and self.links.send(
-            self.scribe, self.steering.report(now - self.reported_at)
+            self.scribe, self.steering.report(now - self.reported_at, now)
         ):
             self.reported_at = now
 
@@ -373,6 +373,8 @@
         if isinstance(body, web.Response):
             return body
         errand = Errand(now, route, service, key, name, deadline)
+        if route.pinned and key is None:
+            errand.pin = request.headers.get("X-Shard-Key", "")
         try:
             return await self.carry(request, body, errand)
         finally:
@@ -417,7 +419,12 @@
     ) -> Reply | None:
         loop, steering, life = self.loop, self.steering, step.life
         seen = steering.of(life)
+        effect = not errand.route.pure
+        seen.since = seen.since if seen.flight else loop.time()
         seen.flight += 1
+        seen.effects += effect
+        if errand.pin:
+            steering.pin(seen.since, errand.service, errand.pin, life, errand.route.timeout)
         began, answer = loop.time(), None
         try:
             address = steering.roll.rows[life].address
@@ -434,6 +441,7 @@
                 self.stacks.give_back(life, line, self.room(errand.service, life, now))
         finally:
             seen.flight -= 1
+            seen.effects -= effect
         now = loop.time()
         self.tries[how] += 1
         if how is How.WHOLE:
--- a/bramblewood/desk/recall.py
+++ b/bramblewood/desk/recall.py
@@ -9,7 +9,7 @@
 
 from typing import NamedTuple
 
-from ..archive.copies import RUN_OUT, SURE
+from ..catalogue.spans import RUN_OUT, SURE
 
 
 class Confirm(NamedTuple):
--- a/bramblewood/desk/steering.py
+++ b/bramblewood/desk/steering.py
@@ -9,8 +9,22 @@
 from bisect import bisect_right
 from typing import Any
 
+from cachetools import LRUCache
+
 from ..archive.roll import DRAINING, GONE, READY, Roll
-from ..catalogue.table import FENCE, FINE, KEYS, OLD, PART, SECOND, WORKER, readers_of, reading, starts_of
+from ..catalogue.table import (
+    FENCE,
+    FINE,
+    KEYS,
+    OLD,
+    PART,
+    SECOND,
+    TOLD,
+    WORKER,
+    readers_of,
+    reading,
+    starts_of,
+)
 from .gate import PRESSED, TURNED, Gate
 
 REST = (
@@ -20,6 +34,7 @@
 LOAD_AGE = 1.0  # s that a stated load is believed; reports are about as old
 FRESH = 0.15  # s that a full queue is believed: about a request's work
 QUEUED = 3  # requests waiting at a worker at which it counts as full; "queues a few more", PROTOCOL
+PINS = 4096  # keys whose clients' steps belong together, remembered at one desk
 HOME_AGE = 0.25  # s that the list of this zone's slices is used: half a cycle of the moves
 FULL_FOR = 0.1  # s that a worker is left alone by requests bound to it after it turned one away
 DRAIN_PART = 0.6  # of DrainS in which a keyed worker that leaves may still get what nobody else holds
@@ -30,6 +45,8 @@
 
     __slots__ = (
         "flight",
+        "effects",
+        "since",
         "load",
         "load_at",
         "rests_until",
@@ -43,7 +60,8 @@
     )
 
     def __init__(self) -> None:
-        self.flight = 0
+        self.flight = self.effects = 0  # requests under way there, and how many of them are effects
+        self.since = 0.0  # when the first of those under way went
         self.load, self.load_at = (0, 0, 0), -1e9  # running, waiting, slots, as the worker said
         self.rests_until, self.rest, self.full_until = 0.0, REST[0], 0.0
         self.gate = Gate()
@@ -54,6 +72,8 @@
 class Steering:
     def __init__(self, drain: float, zone: str = "") -> None:
         self.zone = zone
+        self.leaving: dict[str, str] = {}  # workers in an operator's plan, and their steps
+        self.pins: LRUCache = LRUCache(PINS)  # by service and key: the worker that began, until when
         self.near: dict[str, float] = {}  # by service, part of the requests that stay in this zone
         self.home: dict[str, tuple[float, list[int]]] = {}  # when looked up, slices whose workers stand here
         self.roll = Roll()
@@ -76,6 +96,7 @@
         """A table or a difference to ours; false where its base is another than ours."""
         if message["n"] <= self.table_n:
             return True
+        leaving = message.get("w", self.leaving)
         if "s" in message:
             self.table = message["s"]
             self.starts = {service: starts_of(entries) for service, entries in self.table.items()}
@@ -88,7 +109,7 @@
                 entries.update(changes)
                 if split:
                     self.starts[service] = starts_of(entries)
-        self.table_n = message["n"]
+        self.table_n, self.leaving = message["n"], leaving
         return True
 
     # --- the choice
@@ -144,6 +165,7 @@
             row is not None
             and row.phase == READY
             and life not in self.silent
+            and self.leaving.get(life, TOLD) == TOLD
             and self.of(life).rests_until <= now
         )
 
@@ -193,6 +215,9 @@
             for life in (entry[WORKER], entry[SECOND])
             if life and life not in tried and self.open(now, life)
         ]
+        if not lookup and any(life in self.leaving for life in able):
+            staying = self.any(now, service, {*tried, *self.leaving})
+            able = [staying] if staying else able  # what is to last goes to one that stays up
         if not able:
             return self.any(now, service, tried)
         if len(able) == 1:
@@ -206,6 +231,31 @@
             return min(able, key=lambda life: self.pressure(now, life))
         return first
 
+    def pin(self, now: float, service: str, key: str, life: str, lasts: float) -> None:
+        """What this key's client does next on such a route goes to the same worker, for so long (s)."""
+        if self.leaving.get(life, TOLD) == TOLD:  # else it keeps the bound that it has
+            self.pins[service, key] = (life, now + lasts)
+
+    def pinned(self, now: float, service: str, key: str) -> str | None:
+        life, until = self.pins.get((service, key), ("", 0.0))
+        row = self.roll.rows.get(life)
+        if row is None or now >= until or row.phase == GONE or life in self.silent:
+            return None
+        drains = row.phase == DRAINING and now - self.roll.since.get(life, 0.0) > self.drain * DRAIN_PART
+        return None if drains or self.of(life).rests_until > now else life
+
+    def left(self, now: float) -> dict[str, list]:
+        """What is under way here at workers that are to go: lookups, effects, since when the oldest (s)."""
+        found = {}
+        for life in self.leaving:
+            seen = self.seen.get(life)
+            pins = sum(1 for one, until in self.pins.values() if one == life and now < until)
+            if seen is not None and seen.flight or pins:
+                effects = (seen.effects if seen else 0) + pins
+                lookups = seen.flight - seen.effects if seen else 0
+                found[life] = [lookups, effects, round(now - seen.since, 2) if seen and seen.flight else 0.0]
+        return found
+
     def any(self, now: float, service: str, tried: set[str]) -> str | None:
         """The least pressed worker of a service that is open and was not tried."""
         able = [life for life in self.roll.serving(service) if life not in tried and self.open(now, life)]
@@ -264,7 +314,7 @@
             seen.rests_until = now + seen.rest
             seen.rest = min(seen.rest * 2, REST[1])
 
-    def report(self, over: float) -> dict[str, Any]:
+    def report(self, over: float, now: float) -> dict[str, Any]:
         """What the scribe is told of the last second; counts begin anew."""
         met = {}
         for life, seen in self.seen.items():
@@ -279,7 +329,9 @@
             seen.tries = seen.unanswered = 0
             seen.time, seen.said = 0.0, False
         heat, keys, self.heat, self.by_key = self.heat, self.by_key, {}, {}
-        told = {"k": "report", "over": round(over, 3), "heat": heat, "met": met}
+        told: dict[str, Any] = {"k": "report", "over": round(over, 3), "heat": heat, "met": met}
+        if self.leaving:
+            told |= {"n": self.table_n, "left": self.left(now)}
         return {**told, "keys": keys} if keys else told
 
     def forget(self) -> None:
--- a/bramblewood/lab/run.py
+++ b/bramblewood/lab/run.py
@@ -28,6 +28,7 @@
 UP_WITHIN = 30.0  # s for all to be ready
 AFTER = 3.0  # s after the last arrival until the ledgers are read: longer than the last deadline's rest
 SERVICE_FIELDS = ["Label", "Sharded", "MaxConns", "HealthPath", "ReadCopies"]
+ASK = 1.0  # s for an archive's answer
 DOWN = 1.0  # s that a killed program stays away, where a fault does not say
 
 
@@ -234,8 +235,48 @@
         self.note("crush over")
 
     async def more(self, plan: dict) -> None:
-        """An operator's plan of withdrawal."""
-        raise NotImplementedError
+        """An operator's plan of withdrawal; each worker that is out is stopped at once."""
+        await asyncio.sleep(plan["at"])
+        name = f"plan-{plan['service']}-{plan['at']:g}"
+        body = {"Do": "start", "Name": name, "Service": plan["service"], "Wave": plan.get("wave", 1)}
+        body |= {"Zone": plan.get("zone", ""), **({"Count": plan["count"]} if "count" in plan else {})}
+        self.note("withdraw", plan=name)
+        names = {life: worker for worker, life in self.lives.items()}
+        stopped: set[str] = set()
+        while time.monotonic() < self.began + self.scenario["seconds"] + AFTER:
+            told = await self.asked("POST", "/plan", body) if body else {}
+            body = body if told is None else None
+            plans = await self.asked("GET", "/view/plans", None) or {}
+            workers = plans.get(name, {}).get("workers", {})
+            for life in [life for life, one in workers.items() if one["step"] == "out"]:
+                if life not in stopped:
+                    stopped.add(life)
+                    asyncio.ensure_future(self.leave(names[life]))
+            if plans.get(name, {}).get("state") not in (None, "running"):
+                self.note("withdrawn", plan=name, state=plans[name]["state"], why=plans[name]["why"])
+                return
+            await asyncio.sleep(0.2)
+        self.note("not withdrawn in time", plan=name)
+
+    async def asked(self, method: str, path: str, body: dict | None) -> dict | None:
+        """A call at the inner address of the first archive that answers it."""
+        for n in range(len(self.archives)):
+            try:
+                async with asyncio.timeout(ASK), aiohttp.ClientSession() as session:
+                    url = f"http://{self.relayed}.{n + 1}:{INNER}{path}"
+                    async with session.request(method, url, json=body) as answer:
+                        if answer.status < 500:
+                            return await answer.json()
+            except (OSError, TimeoutError, aiohttp.ClientError):
+                continue
+        return None
+
+    async def leave(self, name: str) -> None:
+        """Stop a worker that is out: it drains and ends by itself."""
+        self.note("ends", who=name)
+        self.processes[name].terminate()
+        await self.processes[name].wait()
+        self.ends[self.lives[name]] = time.monotonic()
 
     def judge(self) -> dict[str, Any]:
         ledgers = {}
--- a/bramblewood/lab/scenario.py
+++ b/bramblewood/lab/scenario.py
@@ -55,7 +55,8 @@
 
     at: float
     service: str
-    count: int
+    count: NotRequired[int]
+    zone: NotRequired[str]
     wave: NotRequired[int]
 
 
--- /dev/null
+++ b/features/steps/withdrawal.py
@@ -0,0 +1,117 @@
+from behave import given, then, when
+
+from bramblewood.archive.roll import Roll, Row
+from bramblewood.archive.withdrawal import Room, Withdrawals, out_of, plans_of, started, steps_of
+from tests.approved import approve
+from tests.withdrawal_play import Play, TooSoon
+
+
+@then("in {count:d} plays of {seconds:d} s no desk that is there has work at a worker that is out")
+def plays(context, count, seconds):
+    made = [Play(seed).run(seconds) for seed in range(count)]
+    assert min(sum(play.outs for play in made), sum(play.begun for play in made)) > 100 * count
+
+
+def found(count, careless):
+    for seed in range(count):
+        try:
+            Play(seed, careless).run(120)
+        except TooSoon:
+            return True
+    return False
+
+
+@then("without each desk's word a worker is out too soon within {count:d} plays")
+def word(context, count):
+    assert found(count, "word")
+
+
+@then("without the look at what is under way a worker is out too soon within {count:d} plays")
+def work(context, count):
+    assert found(count, "work")
+
+
+@given("a service of w1, w2 and w3")
+def service(context):
+    context.value, context.lines = {"n": 1, "s": {"s": {"0": ["w3", "", 0.0, 1, "", ""]}}}, []
+
+
+def ask(context, name, lives, staying):
+    made, (status, reason) = started(context.value, name, "s", lives, 1, staying)
+    context.value = made or context.value
+    context.lines.append(f"{name} takes {', '.join(lives)}: {status} {reason}")
+
+
+@when("plan a takes w1 and w2, and plan b takes w2")
+def overlap(context):
+    ask(context, "a", ["w1", "w2"], 1)
+    ask(context, "b", ["w2"], 1)
+
+
+@when("plan c takes w3, plan a is asked for again, and another plan is called a")
+def again(context):
+    ask(context, "c", ["w3"], 0)
+    ask(context, "a", ["w1", "w2"], 1)
+    ask(context, "a", ["w1"], 2)
+    ask(context, "d", [], 1)
+
+
+@then('the plans are answered "{name}"')
+def answered(context, name):
+    approve(name, context.lines)
+
+
+@when("plan a takes w1 and w2 while 5 of 6 slots are busy")
+def busy(context):
+    ask(context, "a", ["w1", "w2"], 1)
+
+
+@then("after {first:d} s none of them closes, and after {last:d} s the plan is stopped: {why}")
+def waits(context, first, last, why):
+    roll, machine = Roll(), Withdrawals(7.4)
+    for name in ("w1", "w2", "w3"):
+        roll.merge(0.0, name, Row("s", f"{name}:1", "z", 2, "ready", 1))
+    room = {"s": Room(5.0, {"w1": 2.0, "w2": 2.0, "w3": 2.0})}
+    for tenth in range(10 * last):
+        machine.present(tenth / 10, set())
+        change = machine.step(tenth / 10, context.value, roll, room)
+        if change is not None:
+            context.value = change(context.value)[0] or context.value
+        if tenth == 10 * first:
+            assert set(steps_of(context.value).values()) == {"told"}
+    assert (plans_of(context.value)["a"]["state"], plans_of(context.value)["a"]["why"]) == ("stopped", why)
+
+
+@then("w1 is in use")
+def use(context):
+    assert "w1" not in out_of(context.value)
+
+
+def plan(context, step):
+    context.steering.take_table({"n": context.steering.table_n + 1, "base": 1, "d": {}, "w": {"w1": step}})
+
+
+@when("key 7's client began at w1, and a plan takes w1")
+def began(context):
+    context.steering.pin(0.0, "s", "7", "w1", 2.0)
+    plan(context, "told")
+
+
+@then("its next step goes to w1 at {early:d} s, and elsewhere after {late:d} s")
+def bound(context, early, late):
+    assert context.steering.pinned(early, "s", "7") == "w1"
+    assert context.steering.left(early)["w1"] == [0, 1, 0.0]
+    assert context.steering.pinned(late, "s", "7") is None and context.steering.left(late) == {}
+
+
+@then("of {count:d} effects none goes to w1 once it is in the plan, though it still gets lookups")
+def effects(context, count):
+    chosen = [context.steering.choose(5.0, "s", None, f"e{i}", set()) for i in range(count)]
+    assert "w1" not in chosen
+    assert "w1" in [context.steering.choose(5.0, "s", None, f"e{i}", set(), True) for i in range(count)]
+
+
+@then("once it closes w1 gets nothing new")
+def closes(context):
+    plan(context, "closing")
+    assert "w1" not in [context.steering.choose(5.0, "s", None, f"e{i}", set(), True) for i in range(200)]
