--- a/bramblewood/archive/feed.py
+++ b/bramblewood/archive/feed.py
@@ -8,6 +8,8 @@
 
 from collections import deque
 
+from ..catalogue.table import CLOSING
+from .health import unwell
 from .withdrawal import steps_of
 
 KEPT = 200  # changes of the table that a difference can be made of
@@ -16,7 +18,7 @@
 class Feed:
     def __init__(self) -> None:
         self.n, self.table = 0, {}
-        self.leaving: dict[str, str] = {}  # workers in an operator's plan, and their steps
+        self.leaving: dict[str, str] = {}  # workers in a plan, with their steps, and those that are ill
         self.left_at = 0  # the version that changed that last
         self.log: deque[tuple[int, int, dict[str, list[str]]]] = deque(maxlen=KEPT)
 
@@ -27,7 +29,8 @@
             before = self.table.get(service, {})
             if found := [start for start, entry in entries.items() if entry != before.get(start)]:
                 changes[service] = found
-        if (leaving := steps_of(value)) != self.leaving:
+        leaving = {**dict.fromkeys(unwell(value), CLOSING), **steps_of(value)}
+        if leaving != self.leaving:
             self.leaving, self.left_at = leaving, value["n"]
         self.log.append((self.n, value["n"], changes))
         self.n, self.table = value["n"], value["s"]
--- /dev/null
+++ b/bramblewood/archive/health.py
@@ -0,0 +1,105 @@
+"""Which workers are ill, by what desks met on their own requests: agreed, bounded, and damped. Pure.
+
+Health answers are never asked for here: a false one takes nobody out and brings nobody back. A worker is
+ill where a quarter of its tries, over five reports and from three in a row, ended with a failure of its own
+at two desks at least, and three times as many as at its service's usual worker. What one desk alone meets
+is its own way. Silence and broken connections are not looked at here: a full worker resets what it has no
+room for, and taking it out loads the others; those are the desks' rests and the manager's doubts.
+
+Who is out stands in the table's value under "h": {life: [times, version]}, so a new scribe and a new desk
+know it. It comes back by itself, after a span that doubles with each time; of a service at most a fifth is
+out at once.
+"""
+
+from collections import Counter, deque
+
+from ..policy.figures import HELD, REPORTS, usual
+
+ILL = 0.25  # of its tries that go wrong; lost and garbled answers stay below a tenth on the days played
+OVER = 3.0  # times the usual worker's part
+FEW = 10  # tries over the reports, fewer say nothing
+DESKS = 2  # that met it
+MOST = 0.2  # of a service's workers out at once; more is a fault of the view
+REST = 4.0  # s out at the first time, doubled each time
+DOUBLED = 3  # times that it doubles: 32 s
+FORGIVEN = 60.0  # s in use after which its times are forgotten
+
+
+def out_of_health(value: dict | None) -> dict[str, list]:
+    return value.get("h", {}) if value else {}
+
+
+def unwell(value: dict | None) -> list[str]:
+    """The workers that are out."""
+    return sorted(life for life, (_, version) in out_of_health(value).items() if version > 0)
+
+
+class Health:
+    """One archive's view of one gateway's workers."""
+
+    def __init__(self) -> None:
+        self.now: dict[str, dict[str, list[int]]] = {}  # by worker and desk, since the last cycle: tries, bad
+        self.past: deque[dict[str, dict[str, list[int]]]] = deque(maxlen=REPORTS)
+        self.held: Counter = Counter()
+        self.since: dict[tuple[str, int], float] = {}  # by worker and version: when known here
+
+    def report(self, desk: str, life: str, tries: int, bad: int) -> None:
+        told = self.now.setdefault(life, {}).setdefault(desk, [0, 0])
+        told[0] += tries
+        told[1] += bad
+
+    def learn(self, now: float, value: dict) -> None:
+        stands = {(life, version) for life, (_, version) in out_of_health(value).items()}
+        self.since = {one: self.since.get(one, now) for one in stands}
+
+    def cycle(self, services: dict[str, list[str]]) -> set[str]:
+        """Once a cycle: the workers that look ill now; services: those in use, by service."""
+        self.past.append(self.now)
+        self.now = {}
+        ill = set()
+        for lives in services.values():
+            parts, desks = {}, {}
+            for life in lives:
+                told = [desk for cycle in self.past for desk in cycle.get(life, {}).items()]
+                tries = sum(t for _, (t, _) in told)
+                if tries >= FEW:
+                    parts[life] = sum(b for _, (_, b) in told) / tries
+                    desks[life] = len({desk for desk, (_, b) in told if b})
+            common = usual(parts.values())
+            for life, part in parts.items():
+                if part >= max(ILL, OVER * common) and desks[life] >= DESKS:
+                    ill.add(life)
+        self.held = Counter({life: self.held[life] + 1 for life in ill})
+        return {life for life in ill if self.held[life] >= HELD}
+
+    def wanted(
+        self, now: float, value: dict, ill: set[str], services: dict[str, list[str]]
+    ) -> dict[str, list]:
+        """What should stand under "h", but for versions: [times, out]."""
+        told = {life: [times, version > 0] for life, (times, version) in out_of_health(value).items()}
+        for life, (times, version) in out_of_health(value).items():
+            age = now - self.since.get((life, version), now)
+            if version > 0 and age >= REST * 2 ** min(times - 1, DOUBLED):
+                told[life] = [times, False]
+            elif version < 0 and age >= FORGIVEN:
+                del told[life]
+        for lives in services.values():
+            room = int(MOST * len(lives)) - sum(told.get(life, [0, False])[1] for life in lives)
+            for life in sorted(ill.intersection(lives)):
+                times, out = told.get(life, [0, False])
+                if not out and room > 0:
+                    told[life], room = [times + 1, True], room - 1
+        known = {life for lives in services.values() for life in lives}
+        return {life: one for life, one in told.items() if life in known}
+
+
+def judged(value: dict | None, told: dict[str, list]) -> tuple[dict | None, bool]:
+    """The table with these judgements; what changes gets the new version, less it where a worker is back."""
+    had, number = out_of_health(value), (value["n"] if value else 0) + 1
+    made = {}
+    for life, (times, out) in told.items():
+        same = life in had and had[life][0] == times and (had[life][1] > 0) == out
+        made[life] = had[life] if same else [times, number if out else -number]
+    if value is None or made == had:
+        return None, True
+    return {**value, "n": number, "h": made}, True
--- a/bramblewood/archive/placement.py
+++ b/bramblewood/archive/placement.py
@@ -31,6 +31,7 @@
 from ..policy.manager import Manager
 from .copies import wanted as readers_wanted
 from .crowds import Crowds, Told
+from .health import unwell
 from .nearness import Nearness
 from .roll import DRAINING, GONE, READY, Roll
 from .withdrawal import TOLD, Room, steps_of
@@ -366,7 +367,7 @@
         self.events: dict[str, list] = {}
         self.first_at: dict[str, float] = {}
         self.start, self.beat = start, beat
-        self.leaving: set[str] = set()  # workers that an operator's plan takes out of use
+        self.leaving: set[str] = set()  # workers that a plan takes out of use, or that are ill
 
     def report(
         self,
@@ -395,7 +396,7 @@
         """The changes to ask for now; nothing where the table is as it should be."""
         wanted = {}
         stands, steps = table["s"] if table else {}, steps_of(table)
-        self.leaving = {life for life, step in steps.items() if step != TOLD}
+        self.leaving = {life for life, step in steps.items() if step != TOLD} | set(unwell(table))
         for service, told in services.items():
             rows = {life: row for life, row in roll.rows.items() if row.service == service}
             ready = [life for life, row in rows.items() if row.phase == READY and life not in silent]
@@ -444,7 +445,7 @@
         for life, row in rows.items():
             state = door.GONE if life in silent else STATES.get(row.phase, door.GONE)
             if state == door.READY and life in self.leaving:
-                state = door.DRAINING  # by an operator's plan: its slices move at once, it serves what it has
+                state = door.DRAINING  # by a plan, or ill: its slices move at once, it serves what it has
             office.facts["warm_after"] = max(office.facts["warm_after"], row.cold)
             listed[life] = (
                 state,
--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -33,11 +33,12 @@
 from .ballots import CONFIG, FOUNDING, NONE, REGISTERS, TABLE, VOTERS, VOTES, Ballots, Out, trace
 from .copies import Copies, Lease, forgotten, taken_off
 from .feed import Feed
+from .health import Health, judged
 from .holds import RENEW_PART, Call, Freed, Holds
 from .roll import GONE, READY, Roll, Row
 from .sessions import PULSE, Sessions
 from .shelf import Shelf
-from .withdrawal import CLOSING, TOLD, Withdrawals, ended, in_use, out_of, plans_of, started
+from .withdrawal import CLOSING, TOLD, Withdrawals, ended, in_use, out_of, plans_of, started, steps_of
 
 TICK = 0.1  # s between looks at what is due
 DESK_PULSE = 0.5  # s between pulses to desks; two lost ones are noticed within their QUIET
@@ -65,7 +66,7 @@
         self.founding: Ballots | None = None
         self.desks: dict[str, Link] = {}
         self.holds, self.copies = Holds(told.bounds.HoldMaxS), Copies()
-        self.withdrawals = Withdrawals(self.holds.expiry)
+        self.withdrawals, self.health = Withdrawals(self.holds.expiry), Health()
         self.ids = itertools.count(1)
         self.confirms: dict[int, asyncio.Future] = {}
         self.confirmed: set[tuple[str, str]] = set()
@@ -84,7 +85,7 @@
         self.refused: dict[str, int] = {}
         self.to_free: dict[tuple, Freed] = {}
         self.freeing = False
-        self.pulse_at = self.desk_pulse_at = self.turn_at = 0.0
+        self.pulse_at = self.desk_pulse_at = self.turn_at = self.health_at = 0.0
         self.proposing = self.was_scribe = self.was_whole = False
 
     # --- start and end
@@ -286,6 +287,7 @@
                 if version > self.feed.n:
                     self.feed.learned(self.ballots.value(TABLE))
                     self.copies.learn(self.loop.time(), self.ballots.value(TABLE))
+                    self.health.learn(self.loop.time(), self.ballots.value(TABLE))
                 self.loop.call_later(GRANT_FIRST, self.show, register, version)
             else:
                 self.show(register, version)
@@ -333,6 +335,9 @@
                 self.propose(TABLE, lambda value: forgotten(value, over), self.proposed, 1.0)
             if out_of(table) and not self.proposing:
                 self.withdraw(now, table)
+        if table is not None and now >= self.health_at:
+            self.health_at = now + TURN
+            self.judge(now, table)
         if not self.proposing:
             wanted = self.placement.step(now, services, self.aims, self.roll, self.silent(now), table)
             if wanted:
@@ -348,6 +353,18 @@
             self.proposing = True
             self.propose(TABLE, change, self.proposed, 1.0)
 
+    def judge(self, now: float, table: dict) -> None:
+        """Take workers out that look ill to the desks, and back after a while."""
+        leaving, in_service = self.silent(now) | steps_of(table).keys(), {}
+        for life, row in self.roll.rows.items():
+            if row.phase == READY and life not in leaving:
+                in_service.setdefault(row.service, []).append(life)
+        told = self.health.wanted(now, table, self.health.cycle(in_service), in_service)
+        if judged(table, told)[0] is not None and not self.proposing:
+            self.proposing = True
+            self.log.info("health", step="placement", told=told)
+            self.propose(TABLE, lambda value: judged(value, told), self.proposed, 1.0)
+
     def proposed(self, outcome: Any) -> None:
         self.proposing = False
         if outcome is None:
@@ -615,10 +632,11 @@
         if "n" in message:
             self.withdrawals.hear(link.peer, message["n"], message.get("left", {}))
         met: dict[str, list] = {service: [] for service in {**message["heat"], **by_key}}
-        for life, (tries, unanswered, mean_time, load) in message["met"].items():
+        for life, (tries, unanswered, mean_time, load, *bad) in message["met"].items():
             row = self.roll.rows.get(life)
             if row is None:
                 continue
+            self.health.report(link.peer, life, tries, sum(bad))
             if tries > unanswered:
                 self.roll.heard[life] = max(self.roll.heard.get(life, 0.0), now - over)
             met.setdefault(row.service, []).append(
--- a/bramblewood/desk/program.py
+++ b/bramblewood/desk/program.py
@@ -449,6 +449,8 @@
             steering.loaded(now, life, answer.named.get("X-Server-Load", ""))
             if answer.status in (429, 503):
                 steering.turned_away(now, life)
+            if answer.status >= 500 and "X-Not-Run" not in answer.named:
+                steering.wrong(life)
         elif how is How.TURNED:
             steering.turned_away(now, life)
         else:
--- a/bramblewood/desk/steering.py
+++ b/bramblewood/desk/steering.py
@@ -55,6 +55,7 @@
         "gate",
         "tries",
         "unanswered",
+        "bad",
         "time",
         "said",
     )
@@ -65,7 +66,7 @@
         self.load, self.load_at = (0, 0, 0), -1e9  # running, waiting, slots, as the worker said
         self.rests_until, self.rest, self.full_until = 0.0, REST[0], 0.0
         self.gate = Gate()
-        self.tries = self.unanswered = 0  # since the last report
+        self.tries = self.unanswered = self.bad = 0  # since the last report; bad: went wrong by its own fault
         self.time, self.said = 0.0, False
 
 
@@ -300,6 +301,10 @@
         seen.time += took
         seen.rest, seen.rests_until = REST[0], 0.0
 
+    def wrong(self, life: str) -> None:
+        """A worker answered with a failure of its own: it ran, and could not do it."""
+        self.of(life).bad += 1
+
     def turned_away(self, now: float, life: str) -> None:
         seen = self.of(life)
         seen.full_until = now + FULL_FOR
@@ -326,7 +331,9 @@
                     round(seen.time / good, 4) if good else 0.0,
                     seen.load if seen.said else None,
                 )
-            seen.tries = seen.unanswered = 0
+            if life in met and seen.bad:
+                met[life] = (*met[life], seen.bad)
+            seen.tries = seen.unanswered = seen.bad = 0
             seen.time, seen.said = 0.0, False
         heat, keys, self.heat, self.by_key = self.heat, self.by_key, {}, {}
         told: dict[str, Any] = {"k": "report", "over": round(over, 3), "heat": heat, "met": met}
--- /dev/null
+++ b/features/steps/health.py
@@ -0,0 +1,57 @@
+from behave import given, then, when
+
+from bramblewood.archive.health import Health, judged, unwell
+
+CYCLE = 0.5  # s
+
+
+@given("ten workers, and desks that try each {tries:d} times a report")
+def workers(context, tries):
+    context.lives, context.tries, context.now = [f"w{i}" for i in range(10)], tries, 100.0
+    context.health, context.value = Health(), {"n": 1, "s": {}}
+
+
+def cycle(context, bad, desks):
+    """One report: so many of the tries of some workers go wrong at some desks."""
+    context.now += CYCLE
+    out = unwell(context.value)
+    for life in context.lives:
+        for desk in ("d1", "d2", "d3"):
+            if life not in out:
+                context.health.report(desk, life, context.tries, bad.get(life, 0) if desk in desks else 0)
+    ill = context.health.cycle({"s": context.lives})
+    told = context.health.wanted(context.now, context.value, ill, {"s": context.lives})
+    context.value = judged(context.value, told)[0] or context.value
+    context.health.learn(context.now, context.value)
+
+
+@when("{names} fails {bad:d} of 4 at {desks} for {count:d} reports")
+def fails(context, names, bad, desks, count):
+    some = context.lives if names == "every worker" else [names]
+    for _ in range(count):
+        cycle(context, dict.fromkeys(some, bad), desks.split(" and "))
+
+
+@when("w0, w1, w2 and w3 fail {bad:d} of 4 at d1 and d2 for {count:d} reports")
+def many(context, bad, count):
+    for _ in range(count):
+        cycle(context, dict.fromkeys(("w0", "w1", "w2", "w3"), bad), ("d1", "d2"))
+
+
+@then("nobody is out")
+def nobody(context):
+    assert unwell(context.value) == []
+
+
+@then("two are out")
+def two(context):
+    assert len(unwell(context.value)) == 2
+
+
+@then("{life} is out, and for {span:g} s")
+def out(context, life, span):
+    assert unwell(context.value) == [life]
+    began = context.now
+    while unwell(context.value):
+        cycle(context, {}, ())
+    assert abs(context.now - began - span) <= 2 * CYCLE, context.now - began
