Reread: a summary that nothing used, an import inside a function, a word spelled twice

lab/audit.summary had no caller; lab/run imported the wire inside a function without need; tests/copies_play spelled recall's word for done beside importing it.

--- a/bramblewood/lab/audit.py
+++ b/bramblewood/lab/audit.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter, defaultdict
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from .ledger import Line
 
@@ -82,7 +82,3 @@
                 Finding("stale", one.order, f"key {one.key}: {one.lines} lines, {least} were answered")
             )
     return found
-
-
-def summary(found: list[Finding]) -> dict[str, Any]:
-    return dict(Counter(finding.what for finding in found))
--- a/bramblewood/lab/run.py
+++ b/bramblewood/lab/run.py
@@ -23,6 +23,7 @@
 from .ledger import Ledger
 from .operator import ROUTE_FIELDS, configuration
 from .scenario import Scenario
+from .wire import Wire
 
 INNER, CONTROL, FRONT, READY, WORKER = 27540, 28544, 28548, 28542, 28700
 UP_WITHIN = 30.0  # s for all to be ready
@@ -57,8 +58,6 @@
     # --- machines
 
     async def machines(self) -> None:
-        from .wire import Wire
-
         self.wire = Wire()
         bounds = tuple(self.scenario.get("bounds", ()))
         fronts: dict[str, tuple[str, str]] = {}
--- a/tests/copies_play.py
+++ b/tests/copies_play.py
@@ -9,7 +9,8 @@
 from bramblewood.archive.roll import Roll, Row
 from bramblewood.archive.sessions import WORD
 from bramblewood.catalogue.table import readers_of, with_readers
-from bramblewood.desk.recall import CLEAR, Confirm, Drop, Recall, TakeOff, Until
+from bramblewood.desk import recall as words
+from bramblewood.desk.recall import Confirm, Drop, Recall, TakeOff, Until
 
 STEP = 0.02  # s
 KEY = 4096
@@ -125,7 +126,7 @@
     def recall(self, name, desk, recall, value, until):
         sure_at = self.now if self.careless == "sure" else desk.sure_at
         match recall.next(self.now, sure_at, desk.readers):
-            case "clear":
+            case words.CLEAR:
                 self.floor, self.answered = max(self.floor, value), self.answered + 1
                 desk.recalls.remove((recall, value, until))
             case Confirm():
@@ -179,6 +180,3 @@
         for _ in range(int(seconds / STEP)):
             self.step()
         return self
-
-
-assert CLEAR == "clear"
