--- a/bramblewood/archive/patches.py
+++ b/bramblewood/archive/patches.py
@@ -12,7 +12,6 @@
 SET, DROP, INTO = "=", "-", "+"
 MISSING = object()
 NESTED = {dict, list, tuple}
-UNKNOWN = lambda: MISSING  # noqa: E731  # a plain map can't be referred to without keeping it
 
 
 class Made(dict):
@@ -84,7 +83,8 @@
     if SET in change:
         return change[SET]
     made = Made(old)
-    made.change, made.base = change, ref(old) if isinstance(old, Made) else UNKNOWN
+    # a plain map can't be referred to without keeping it: `object()` is none that anybody holds
+    made.change, made.base = change, ref(old) if isinstance(old, Made) else object
     for key in change.get(DROP, ()):
         made.pop(key, None)
     for key, inner in change[INTO].items():
