--- a/bramblewood/archive/accession.py
+++ b/bramblewood/archive/accession.py
@@ -15,7 +15,10 @@
 CONFIG_MOST = 32 * 2**20  # bytes of a configuration
 INSTANCES = "/bramblewood/instances/"
 CONFIG_PATH = "/bramblewood/config"
-KEPT = 400  # earlier versions whose digests are remembered, so that a repeat is known
+# versions whose digests are kept, so that a repeat is known: five times the 730 changes that operators plan for
+# a day, so whoever repeats an order within its day and the four days after hears what became of it
+KEPT = 3650
+REFUSED_MOST = 64  # orders kept as refused whose parent may still come: eight at once, eight times over
 
 
 class Summary(TypedDict):
@@ -202,21 +205,47 @@
 
 
 def succeed(edition: Edition, stands: dict | None) -> tuple[dict | None, tuple[int, str]]:
-    """What follows the register's value, and the answer: 200, 412 (another version stands) or 400 (it does
-    not rise).
+    """What follows the register's value, and the answer.
 
-    The value: {"n": number, "config": as it was put, "past": {number: digest}}.
+    200: this very configuration was taken, whatever came after. 412 (another version stands) and 400 (it does
+    not rise): it never was in force and never will be, for numbers only rise, and an order whose parent may
+    still come is written down as refused. 503: unclear, as what would tell is forgotten or not there yet.
+
+    The value: {"n": number, "config": as it was put, "past": {number: digest} of the newest KEPT,
+    "forgotten": the highest number that `past` no longer holds, "refused": {digest: the parent that is not
+    there yet}}.
     """
     number, past = (stands["n"], stands["past"]) if stands else (0, {})
     if past.get(str(edition.number)) == edition.digest:
         return None, (200, "")
-    if edition.parent != number:
+    if edition.number <= edition.parent:
+        return None, (400, f"Revision: expected above r{edition.parent}, found r{edition.number}")
+    if edition.number <= forgotten(stands):
+        return None, (503, f"r{edition.number} is too long ago: whether it was taken is no longer known")
+    refused = dict(stands.get("refused", {})) if stands else {}
+    if edition.parent < number or edition.digest in refused:
         return None, (412, f"r{number} is current")
-    if edition.number <= number:
-        return None, (400, f"Revision: expected above r{number}, found r{edition.number}")
-    kept = dict(list(past.items())[-KEPT:])
+    if edition.parent > number:  # its parent may still come: refused for good only once that is agreed, too
+        if stands is None or len(refused) >= REFUSED_MOST:
+            return None, (503, f"r{edition.parent} is not known, r{number} is current")
+        refused[edition.digest] = edition.parent
+        return {**stands, "refused": refused}, (412, f"r{number} is current")
+    past = {**past, str(edition.number): edition.digest}
+    rising = sorted(past, key=int)
     return {
         "n": edition.number,
         "config": edition.raw,
-        "past": {**kept, str(edition.number): edition.digest},
+        "past": {name: past[name] for name in rising[-KEPT:]},
+        "forgotten": int(rising[-KEPT - 1]) if len(rising) > KEPT else forgotten(stands),
+        "refused": {mark: parent for mark, parent in refused.items() if parent >= edition.number},
     }, (200, "")
+
+
+def forgotten(stands: dict | None) -> int:
+    """The highest number whose digest is no longer kept; 0 where all are. Values that older programs left on
+    a disk don't say it: there, all below the oldest kept.
+    """
+    if stands is None:
+        return 0
+    oldest = min(map(int, stands["past"]), default=stands["n"] + 1)
+    return stands.get("forgotten", oldest - 1)
