--- a/bramblewood/archive/accession.py
+++ b/bramblewood/archive/accession.py
@@ -15,8 +15,8 @@
 CONFIG_MOST = 32 * 2**20  # bytes of a configuration
 INSTANCES = "/bramblewood/instances/"
 CONFIG_PATH = "/bramblewood/config"
-# versions whose digests are kept, so that a repeat is known: five times the 730 changes that operators plan for
-# a day, so whoever repeats an order within its day and the four days after hears what became of it
+# versions whose digests are kept, so that a repeat is known: five times the 730 changes planned for a day, so
+# whoever repeats an order within its day or the four days after hears what became of it
 KEPT = 3650
 REFUSED_MOST = 64  # orders kept as refused whose parent may still come: eight at once, eight times over
 
--- a/bramblewood/archive/ballots.py
+++ b/bramblewood/archive/ballots.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from .contention import Contention
 from .patches import difference, patched
 
 Ballot = tuple[int, str, int]  # counter, archive, that archive's life; compared in turn
@@ -21,7 +22,7 @@
 CONFIG, TABLE, VOTERS = "config", "table", "voters"
 REGISTERS = (CONFIG, TABLE)
 FOUNDING = (VOTERS,)  # agreed once, by the seeds of the first boot
-VOTES = {"prepare", "promise", "accept", "accepted", "refuse", "fetch", "chosen"}  # kinds of messages
+VOTES = {"prepare", "promise", "accept", "accepted", "refuse", "fetch", "chosen", "done"}  # kinds of messages
 # s that a step of a round waits for its majority: many times the way between zones and a sync
 PATIENCE = 0.25
 BACKOFF = 0.04  # s, the unit of waits after a lost ballot; some times a round's own length
@@ -70,6 +71,7 @@
         self.promises: dict[str, tuple[Ballot, Any]] = {}
         self.accepts: set[str] = set()
         self.outcome: Any = None
+        self.carried: list[Round] = []  # whose changes are in this ballot, each made on the one before
 
 
 class Ballots:
@@ -95,6 +97,7 @@
         self.rounds: dict[str, list[Round]] = {name: [] for name in self.registers}
         self.relearning: dict[str, Round] = {}
         self.asked_at: dict[str, float] = {}
+        self.contention = Contention(me, PATIENCE)
         # the newest refusal of a ballot of ours, for the log: who, which ballot, what it had promised
         self.lost_to: tuple[str, Ballot, Ballot] | None = None
 
@@ -131,7 +134,11 @@
         waiting = self.rounds[register]
         while waiting and now >= waiting[0].until:
             out.answers.append((waiting.pop(0).tag, None))
-        if waiting and waiting[0].step == "wait" and now >= waiting[0].next_at:
+        if not waiting or waiting[0].step != "wait" or now < waiting[0].next_at:
+            return
+        if not self.contention.busy(now, register):
+            # all that wait now; of what comes later, the promises to this ballot may know too little
+            waiting[0].carried = list(waiting)
             self.begin(now, waiting[0], out)
 
     def begin(self, now: float, round: Round, out: Out) -> None:
@@ -168,22 +175,30 @@
             return
         best = max(ballot for ballot, _ in round.promises.values())
         stands = next(value for ballot, value in round.promises.values() if ballot == best)
-        following, round.outcome = round.change(stands)
+        following, value = None, stands
+        for one in round.carried:
+            made, one.outcome = one.change(value)
+            if made is not None:
+                following = value = made
         if following is None and (best == NONE or all(b == best for b, _ in round.promises.values())):
             if best != NONE:
                 self.learn(round.register, best, stands)
+            message = {"k": "done", "r": round.register, "b": round.ballot}
+            out.sends.extend((peer, message) for peer in self.voters if peer != self.me)
             return self.finish(now, round, out)  # what stands is chosen already: nothing to write
         round.step, round.step_until = "accept", now + PATIENCE
         message = {"k": "accept", "r": round.register, "b": round.ballot}
-        value = stands if following is None else following
         change = {**message, "base": best, "d": difference(stands, value)}
         for peer in self.voters:  # who holds what stands needs the difference only
             same = best != NONE and round.promises.get(peer, (NONE, None))[0] == best
             out.sends.append((peer, change if same else {**message, "v": value}))
 
     def finish(self, now: float, round: Round, out: Out) -> None:
-        self.rounds[round.register].remove(round)
-        out.answers.append((round.tag, round.outcome))
+        waiting = self.rounds[round.register]
+        for one in round.carried:
+            if one in waiting:
+                waiting.remove(one)
+                out.answers.append((one.tag, one.outcome))
         self.advance(now, round.register, out)
 
     def current(self, message: dict) -> Round | None:
@@ -205,6 +220,7 @@
         self.seen[register] = max(self.seen[register], ballot[0])
         if kind == "prepare" and self.voting:
             if acceptor.prepare(ballot):
+                self.contention.heard(now, register, ballot)
                 out.writes.append((register, acceptor.promised, acceptor.accepted, acceptor.value))
                 reply = {"k": "promise", "r": register, "b": ballot, "a": acceptor.accepted}
                 if tuple(message["have"]) != acceptor.accepted:
@@ -217,6 +233,7 @@
                 return out  # it stands on a value that we no longer hold; the next try brings it whole
             value = patched(acceptor.value, message["d"]) if "base" in message else message["v"]
             if acceptor.accept(ballot, value):
+                self.contention.heard(now, register, ballot)
                 out.writes.append((register, acceptor.promised, acceptor.accepted, acceptor.value))
                 told = {*self.voters, peer}
                 out.sends.extend(
@@ -231,12 +248,17 @@
         elif kind == "refuse":
             round = self.current(message)
             self.seen[register] = max(self.seen[register], message["p"][0])
+            if self.me in self.voters:
+                self.contention.heard(now, register, tuple(message["p"]))
             if round is not None and round.step in ("prepare", "accept"):
                 self.lost_to = (peer, round.ballot, tuple(message["p"]))
                 self.lost(now, round)
         elif kind == "fetch" and self.learned[register][0] >= ballot:
             chosen, value = self.learned[register]
             out.sends.append((peer, {"k": "chosen", "r": register, "b": chosen, "v": value}))
+        elif kind == "done":  # a ballot that had nothing to write
+            self.contention.chosen(register, ballot)
+            self.advance(now, register, out)
         elif kind == "chosen":
             self.learn(register, ballot, message["v"])
         return out
@@ -263,6 +285,7 @@
                 acceptor = self.acceptors[register]
                 if acceptor.accepted == ballot:
                     self.learn(register, ballot, acceptor.value)
+                    self.advance(now, register, out)
                 elif now >= self.asked_at.get(register, 0.0):
                     self.asked_at[register] = now + PATIENCE
                     out.sends.append((peer, {"k": "fetch", "r": register, "b": ballot}))
@@ -270,6 +293,7 @@
     def learn(self, register: str, ballot: Ballot, value: Any) -> None:
         if ballot > self.learned[register][0]:
             self.learned[register] = (ballot, value)
+            self.contention.chosen(register, ballot)
 
     def tick(self, now: float) -> Out:
         out = Out([], [], [])
