--- /dev/null
+++ b/benchmarks/orders.py
@@ -0,0 +1,46 @@
+"""Eight orders at once: s from an order's first call to its clear answer, by kind of site: `python -m
+benchmarks.orders`. One JSON row for each; the clock is the play's own, so figures are the same anywhere.
+
+Archives' own work takes no time there; links, syncs, waits and callers' pauses do. worst and median: of all
+orders of all seeds; by_seed: each seed's [worst, median].
+"""
+
+import argparse
+import json
+import statistics
+
+from tests.orders_play import Site, eight
+
+NEAR, WIDE, FAR = (0.0005, 0.003), (0.0005, 0.06), (0.055, 0.06)  # s one way
+SITES = {
+    "near": {"delays": NEAR},
+    "wide": {"delays": WIDE},
+    "far": {"delays": FAR},
+    "wide, one link of 250 ms": {"delays": WIDE, "slow": 0.25},
+    "wide, a voter that hears none": {"delays": WIDE, "deaf": True},
+    "wide, a voter that none hears": {"delays": WIDE, "mute": True},
+    "wide, accidents": {"delays": WIDE, "lost": 0.03, "answers_lost": 0.2},
+}
+
+
+def main() -> None:
+    words = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    words.add_argument("--seeds", type=int, default=50)
+    told = words.parse_args()
+    for voters in (3, 5):
+        for name, site in SITES.items():
+            for spread in (True, False):
+                took = [eight(seed, Site(voters, **site), spread=spread) for seed in range(told.seeds)]
+                row = {
+                    "voters": voters,
+                    "site": name,
+                    "at": "all archives" if spread else "one archive",
+                    "worst": round(max(max(some) for some in took), 2),
+                    "median": round(statistics.median(one for some in took for one in some), 2),
+                    "by_seed": [[round(max(some), 2), round(statistics.median(some), 2)] for some in took],
+                }
+                print(json.dumps(row), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/bramblewood/archive/accession.py
+++ b/bramblewood/archive/accession.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Literal, NotRequired, TypedDict
 
@@ -204,14 +205,14 @@
     )
 
 
-def succeed(edition: Edition, stands: dict | None) -> tuple[dict | None, tuple[int, str]]:
+def succeed(edition: Edition, stands: dict | None, kept: int = KEPT) -> tuple[dict | None, tuple[int, str]]:
     """What follows the register's value, and the answer.
 
     200: this very configuration was taken, whatever came after. 412 (another version stands) and 400 (it does
     not rise): it never was in force and never will be, for numbers only rise, and an order whose parent may
     still come is written down as refused. 503: unclear, as what would tell is forgotten or not there yet.
 
-    The value: {"n": number, "config": as it was put, "past": {number: digest} of the newest KEPT,
+    The value: {"n": number, "config": as it was put, "past": {number: digest} of the newest `kept`,
     "forgotten": the highest number that `past` no longer holds, "refused": {digest: the parent that is not
     there yet}}.
     """
@@ -235,12 +236,22 @@
     return {
         "n": edition.number,
         "config": edition.raw,
-        "past": {name: past[name] for name in rising[-KEPT:]},
-        "forgotten": int(rising[-KEPT - 1]) if len(rising) > KEPT else forgotten(stands),
+        "past": {name: past[name] for name in rising[-kept:]},
+        "forgotten": int(rising[-kept - 1]) if len(rising) > kept else forgotten(stands),
         "refused": {mark: parent for mark, parent in refused.items() if parent >= edition.number},
     }, (200, "")
 
 
+def settled(edition: Edition, stands: dict | None, follow: Callable = succeed) -> tuple[int, str] | None:
+    """The answer that a version known to be chosen settles for good, whatever came after it; None where it
+    takes an agreement to tell.
+    """
+    if stands is None:
+        return None
+    following, told = follow(edition, stands)
+    return told if following is None and told[0] != 503 else None
+
+
 def forgotten(stands: dict | None) -> int:
     """The highest number whose digest is no longer kept; 0 where all are. Values that older programs left on
     a disk don't say it: there, all below the oldest kept.
--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -28,6 +28,7 @@
     decode,
     most,
     plan_call,
+    settled,
     succeed,
 )
 from .ballots import CONFIG, FOUNDING, NONE, REGISTERS, TABLE, VOTERS, VOTES, Ballots, Out, trace
@@ -722,7 +723,8 @@
                     return answer(200)
                 return await self.registered(life, row._replace(phase=GONE, seq=row.seq + 1), True)
             case PutConfig(edition):
-                told = await self.agreed(CONFIG, lambda stands: succeed(edition, stands))
+                told = settled(edition, self.ballots.value(CONFIG))
+                told = told or await self.agreed(CONFIG, lambda stands: succeed(edition, stands))
                 self.log.info(
                     "configuration", step="put", number=edition.number, parent=edition.parent, told=told
                 )
--- /dev/null
+++ b/features/steps/orders.py
@@ -0,0 +1,182 @@
+from functools import partial
+
+from behave import given, then, when
+
+from bramblewood.archive import accession
+from bramblewood.catalogue.bootfile import Bounds
+from tests import orders_play
+from tests.core_play import Broken, edition
+from tests.orders_play import FEW, Play, Site, begun, build, eight, long_day, readers, storm
+
+FAR = {"delays": (0.055, 0.06)}
+SITES = {"far": FAR, "one slow": {"slow": 0.25}}
+KINDS = {
+    "a majority": orders_play.Hasty,
+    "a value that a minority holds is not yet chosen": orders_play.Trusting,
+}
+RULES = {
+    "what is forgotten is not refused": orders_play.forgetful,
+    "an order is known again": orders_play.unrepeated,
+    "an order is known by its content, not its number": orders_play.by_number,
+    "a refusal of what may still come is agreed": orders_play.unwritten,
+    "one version on each parent": orders_play.parentless,
+}
+
+
+def kind(made):
+    return partial(build, kind=made)
+
+
+def found_out(play, count):
+    for seed in range(count):
+        try:
+            play(seed)
+        except Broken:
+            return
+    raise AssertionError(f"not found out within {count}")
+
+
+@then("{count:d} storms of orders at {voters:d} voters keep every answer")
+def storms(context, count, voters):
+    orders = [order for seed in range(count) for order in storm(seed, voters, follow=FEW).orders]
+    for status in (200, 412):
+        assert sum(order.status == status for order in orders) > 5 * count, "the storms prove little"
+
+
+@then("each of these is found out within {count:d} storms at {voters:d} voters")
+def guards(context, count, voters):
+    for row in context.table:
+        guard = row["guard taken out"]
+        make, follow = kind(KINDS.get(guard, orders_play.Ballots)), RULES.get(guard, FEW)
+        assert guard in {**KINDS, **RULES}, guard
+        found_out(lambda seed: storm(seed, voters, make, follow), count)  # noqa: B023
+
+
+@given("a register of an older program that holds r9 after r7")
+def old_value(context):
+    context.value = {"n": 9, "config": {}, "past": {"7": "r7", "9": "r9"}}
+
+
+@then("orders are answered in turn")
+def in_turn(context):
+    for row in context.table:
+        wanted = edition(int(row["number"]), int(row["parent"]), row["content"])
+        following, (status, _) = accession.succeed(wanted, context.value)
+        assert status == int(row["answer"]), (row, status)
+        context.value = following or context.value
+
+
+@then("no trace of refused orders is left")
+def no_trace(context):
+    assert context.value["refused"] == {}
+
+
+@then(
+    "of {count:d} orders whose parent is not there {some:d} are refused and the others have no clear answer"
+)
+def bounded(context, count, some):
+    for number in range(count):
+        wanted = edition(101 + number, 100 + number, f"early{number}")
+        following, (status, _) = accession.succeed(wanted, context.value)
+        assert status == (412 if number < some else 503), (number, status)
+        context.value = following or context.value
+
+
+@then("{count:d} plays of a far reader at {voters:d} voters keep what was acknowledged")
+def far_readers(context, count, voters):
+    context.count, context.voters = count, voters
+    for seed in range(count):
+        readers(seed, voters)
+
+
+@then("the same with waits left out, as no rule rests on waits")
+def pushing_readers(context):
+    for seed in range(context.count):
+        readers(seed, context.voters, kind(orders_play.Pushing))
+
+
+@then("letting changes into a ballot that has begun is found out within {count:d} of these")
+def late_comers(context, count):
+    found_out(lambda seed: readers(seed, context.voters, kind(orders_play.Latecomers)), count)
+
+
+@then("a day of {count:d} changes acknowledges all, and each repeat")
+def day(context, count):
+    context.changes = count
+    play = long_day(1, 3, count)
+    assert len(play.taken) == count + 1
+    assert {order.status for order in play.orders} == {200}
+
+
+@then("where {kept:d} digests are kept, repeats of what is older have no clear answer and none is refused")
+def short_memory(context, kept):
+    play = long_day(2, 5, context.changes, partial(accession.succeed, kept=kept))
+    assert len(play.taken) == context.changes + 1 and not play.refused
+    assert {order.status for order in play.orders} == {200, 0}
+
+
+@given("archives that know that r2 followed r1")
+def two_versions(context):
+    play = context.play = begun(1, Site(3))
+    context.first, context.second = play.orders[0].wanted, edition(2, 1, "second")
+    order = play.order(context.second, play.names[1])
+    play.run(play.now + 5.0, lambda: order.status)
+    play.run(play.now + 1.0)
+
+
+@when("all links of one are cut")
+def cut(context):
+    context.play.deaf = context.play.mute = {context.play.names[0]}
+
+
+def status(play: Play, wanted):
+    """What the archive that is cut off answers to one call; 503 = nothing clear."""
+    order = play.order(wanted, play.names[0])
+    play.run(play.now + 3.0, lambda: order.status or order.met)
+    order.call += 1  # it is not sent again
+    return order.status or order.met[0]
+
+
+@then("it acknowledges r1 and r2 again")
+def known_again(context):
+    assert [status(context.play, wanted) for wanted in (context.first, context.second)] == [200, 200]
+
+
+@then("it refuses another order on r1")
+def refused(context):
+    assert status(context.play, edition(3, 1, "late")) == 412
+
+
+@then("it has no clear answer for an order on r2")
+def unclear(context):
+    assert status(context.play, edition(3, 2, "third")) == 503
+
+
+@then("eight at {voters:d} voters, {site}, have clear answers within half of AckS in {count:d} seeds")
+def in_time(context, voters, site, count):
+    for seed in range(count):
+        worst = max(eight(seed, Site(voters, **SITES[site])))
+        assert worst < Bounds.AckS / 2, (seed, worst)
+
+
+@then("leaving the way to nobody is found out by the time within {count:d} seeds")
+def no_way(context, count):
+    worst = max(max(eight(seed, Site(5, **FAR), make=kind(orders_play.Pushing))) for seed in range(count))
+    assert worst > Bounds.AckS / 2, worst
+
+
+def at_one(seed, made=orders_play.Ballots):
+    """The worst time of eight at one archive over that of one."""
+    alone = begun(seed, Site(3, **FAR)).orders[0].took
+    return max(eight(seed, Site(3, **FAR), spread=False, make=kind(made))) / alone
+
+
+@then("eight at one archive far from others take three times as long as one, not eight times")
+def folded(context):
+    worst = max(at_one(seed) for seed in range(20))
+    assert worst < 3, worst
+
+
+@then("one change in a ballot is found out by that within {count:d} seeds")
+def singly(context, count):
+    assert any(at_one(seed, orders_play.Singly) > 3 for seed in range(count))
