--- a/bramblewood/archive/accession.py
+++ b/bramblewood/archive/accession.py
@@ -244,12 +244,12 @@
 
 def settled(edition: Edition, stands: dict | None, follow: Callable = succeed) -> tuple[int, str] | None:
     """The answer that a version known to be chosen settles for good, whatever came after it; None where it
-    takes an agreement to tell.
+    takes an agreement to tell: the order follows that version, or one that is not known here.
     """
     if stands is None:
         return None
     following, told = follow(edition, stands)
-    return told if following is None and told[0] != 503 else None
+    return told if following is None and edition.parent <= stands["n"] else None
 
 
 def forgotten(stands: dict | None) -> int:
