--- a/features/orders.feature
+++ b/features/orders.feature
@@ -2,7 +2,7 @@
 
   Scenario Outline: Orders amid losses, doubles, late messages, stops and lost answers
     Then 40 storms of orders at <voters> voters keep every answer
-    And each of these is found out within 10 storms at <voters> voters
+    And each of these is found out within 20 storms at <voters> voters
       | guard taken out                                                |
       | a majority                                                     |
       | a value that a minority holds is not yet chosen                |
