--- a/bramblewood/archive/accession.py
+++ b/bramblewood/archive/accession.py
@@ -114,7 +114,7 @@
             return Ok(GetConfig())
         if method == "PUT":
             return parse(body).map(PutConfig).map_err(lambda fault: Refusal(400, str(fault)))
-        return Err(Refusal(405, f"{method} is not for {CONFIG_PATH}", "GET, PUT"))
+        return Err(Refusal(405, f"{method:.20} is not for {CONFIG_PATH}", "GET, PUT"))
     if path.startswith(INSTANCES):
         life = path[len(INSTANCES) :]
         if not re.fullmatch(r"[\w.~-]{1,128}", life):
@@ -123,7 +123,7 @@
             return Ok(TakeLeave(life))
         if method == "PUT":
             return beat(life, body)
-        return Err(Refusal(405, f"{method} is not for {INSTANCES}", "PUT, DELETE"))
+        return Err(Refusal(405, f"{method:.20} is not for {INSTANCES}", "PUT, DELETE"))
     return Err(Refusal(404, "no such call"))
 
 
--- a/bramblewood/catalogue/bootfile.py
+++ b/bramblewood/catalogue/bootfile.py
@@ -1,15 +1,19 @@
 """The settings file of a process: read, checked, and its bounds made numbers. Times in seconds."""
 
+import math
 import os
 import tomllib
-from dataclasses import dataclass
-from typing import NotRequired, TypedDict
+from dataclasses import dataclass, field, replace
+from typing import Any, NotRequired, TypedDict
 
 from result import Err, Ok, Result
 
 from .typed import check
 
 VARIABLE = "BRAMBLEWOOD_BOOT"
+LONELY = 10.0  # s without any other manager after which the file is read again: it may name others now
+# the parts of the rules that this program was written for; `ContractList` names those in force
+KNOWN_PARTS = frozenset(("base", "drain", "config", "cost", "retry", "recover", "health", "pool", "own"))
 
 
 class LimitsOfMachine(TypedDict):
@@ -17,8 +21,10 @@
     MaxFds: NotRequired[int]
 
 
-class Tolerance(TypedDict):
+class ToleranceFields(TypedDict):
     Machines: NotRequired[int]
+    Zones: NotRequired[int]
+    Regions: NotRequired[int]
 
 
 class Boot(TypedDict):
@@ -38,7 +44,18 @@
     Bounds: NotRequired[list[str]]
     BindMap: dict[str, str]
     Limits: NotRequired[LimitsOfMachine]
-    Tolerance: NotRequired[Tolerance]
+    Tolerance: NotRequired[ToleranceFields]
+    ContractList: NotRequired[list[str]]
+    Zones: NotRequired[dict[str, str]]
+
+
+@dataclass(frozen=True)
+class Tolerance:
+    """What may be lost at once: so many machines that count, or zones, or regions."""
+
+    machines: int = 1
+    zones: int = 0
+    regions: int = 0
 
 
 @dataclass(frozen=True)
@@ -77,15 +94,25 @@
     memory: float  # bytes
     descriptors: int
     bounds: Bounds
-    losses: int = 1  # machines with a disk that may be away at once
+    tolerance: Tolerance = Tolerance()
     notice: bool = True  # whether crowded records are looked for
     bind: str = ""  # where to listen for managers and to dial them from, where others know another address
+    counted: bool = True  # whether the loss of this machine is one of those that `Tolerance` bounds
+    zones: dict[str, str] = field(default_factory=dict)  # zone: region
+    contract: tuple[str, ...] = ()  # the parts of the rules that are in force
+    unread: tuple[str, ...] = ()  # what the file says and this program can't act on
+    path: str = ""  # of the file
 
     @property
     def inner(self) -> int:
         """The port at which archives hear other managers; the same on all machines."""
         return self.ports[0]
 
+    @property
+    def losses(self) -> int:
+        """Voters that may be away at once, where no two stand in a zone or region that may go whole."""
+        return max(self.tolerance.machines, self.tolerance.zones, self.tolerance.regions)
+
     def seed_ips(self) -> tuple[str, ...]:
         return tuple(seed.rpartition(":")[0] for seed in self.seeds)
 
@@ -97,17 +124,36 @@
     return Ok((host, int(port)))
 
 
-def bounds_of(texts: list[str]) -> Result[Bounds, str]:
-    """`name=value` texts; unknown names are ignored, a known one that is no number is a fault."""
-    found = {}
+def bounds_of(texts: list[str]) -> Result[tuple[Bounds, tuple[str, ...]], str]:
+    """`name=value` texts, and those of known names that say true or false, which leave the default standing.
+
+    Unknown names are ignored; a known one that is no number of 0 or more, nor true or false, is a fault.
+    """
+    found, unread = {}, []
     for place, text in enumerate(texts):
-        name, _, value = text.partition("=")
-        if name in Bounds.__dataclass_fields__:
-            try:
-                found[name] = float(value)
-            except ValueError:
-                return Err(f"Bounds.{place}: expected {name}=a number, found {text!r:.60}")
-    return Ok(Bounds(**found))
+        name, _, value = (part.strip() for part in text.partition("="))
+        if name not in Bounds.__dataclass_fields__:
+            continue
+        if value in ("true", "false"):
+            unread.append(text)
+            continue
+        try:
+            found[name] = float(value)
+        except ValueError:
+            found[name] = -1.0
+        if not 0 <= found[name] < math.inf:
+            return Err(f"Bounds.{place}: expected {name}=a number of 0 or more, found {text!r:.60}")
+    return Ok((Bounds(**found), tuple(unread)))
+
+
+def tolerance_of(told: ToleranceFields | None) -> Result[Tolerance, str]:
+    """Without the table one machine may go; in it, what is not named may not."""
+    if told is None:
+        return Ok(Tolerance())
+    for name, count in told.items():
+        if count < 0:
+            return Err(f"Tolerance.{name}: expected 0 or more, found {count}")
+    return Ok(Tolerance(told.get("Machines", 0), told.get("Zones", 0), told.get("Regions", 0)))
 
 
 def settings_of(data: bytes) -> Result[Settings, str]:
@@ -133,7 +179,11 @@
     bounds = bounds_of(boot.get("Bounds", []))
     if isinstance(bounds, Err):
         return bounds
-    limits = boot.get("Limits", {})
+    tolerance = tolerance_of(boot.get("Tolerance"))
+    if isinstance(tolerance, Err):
+        return tolerance
+    limits, (figures, unread) = boot.get("Limits", {}), bounds.ok_value
+    contract = tuple(boot.get("ContractList", ()))
     return Ok(
         Settings(
             boot["NodeName"],
@@ -147,10 +197,14 @@
             listen,
             limits.get("MemoryMb", 256.0) * 2**20,
             limits.get("MaxFds", 1024),
-            bounds.ok_value,
-            boot.get("Tolerance", {}).get("Machines", 1),
+            figures,
+            tolerance.ok_value,
             boot.get("NoticeCrowds", True),
             boot.get("BindIp", ""),
+            boot.get("Counted", True),
+            boot.get("Zones", {}),
+            contract,
+            (*(f"ContractList: {part}" for part in contract if part not in KNOWN_PARTS), *unread),
         )
     )
 
@@ -163,4 +217,17 @@
             data = file.read()
     except OSError as problem:
         return Err(f"{path}: {problem.strerror}")
-    return settings_of(data).map_err(lambda what: f"{path}: {what}")
+    told = settings_of(data).map(lambda found: replace(found, path=path))
+    return told.map_err(lambda what: f"{path}: {what}")
+
+
+def seeds_again(told: Settings, log: Any) -> tuple[str, ...]:
+    """The managers that the file names now; a faulty file is told and names none. The rest of what has
+    changed waits for the next start.
+    """
+    found = load(told.path)
+    if isinstance(found, Err):
+        log.warning("settings refused", step="settings", reason=found.err_value)
+        return ()
+    log.info("settings read again", step="settings", seeds=found.ok_value.seeds)
+    return found.ok_value.seed_ips()
--- a/bramblewood/catalogue/daybook.py
+++ b/bramblewood/catalogue/daybook.py
@@ -40,3 +40,10 @@
     """Start the log of this process; logger.info("event", step=..., peer=...) writes a line."""
     Daybook(name).push_application()
     return logbook.Logger(name)
+
+
+def started(log: logbook.Logger, unread: tuple[str, ...], **told: object) -> None:
+    """A program runs; once, what its settings say that it can't act on."""
+    log.info("started", step="start", **told)
+    if unread:
+        log.warning("settings not known", step="start", what=unread)
--- a/bramblewood/cli/enquiries.py
+++ b/bramblewood/cli/enquiries.py
@@ -22,6 +22,7 @@
 from .codes import FOUND
 
 ASK = 3.0  # s for an archive's answer
+FOLLOWED = 2  # times that a call goes where a 307 points; PROTOCOL, "The operator"
 JSON = click.option("--json", "as_json", is_flag=True, help="one JSON value")
 ARCHIVE = click.option(
     "--archive", metavar="HOST:PORT", help="an archive's inner address; else the settings' seeds"
@@ -36,23 +37,39 @@
 
 
 def call(addresses: list[str], method: str, path: str, body: bytes | None = None) -> tuple[int, bytes]:
-    """The answer of the first place that gives one."""
+    """The answer of the first place that gives one; as callers of `control` do, it follows 307 and goes on
+    after a failure, a 5xx, a 408 or 429.
+    """
     why = "no address given"
     for place in addresses:
-        request = urllib.request.Request(f"http://{place}{path}", data=body, method=method)
-        request.add_header("Content-Type", "application/json")
-        try:
-            with urllib.request.urlopen(request, timeout=ASK) as answer:
-                return answer.status, answer.read()
-        except urllib.error.HTTPError as problem:
-            if problem.code < 500:
-                return problem.code, problem.read()
-            why = f"{place}: {problem.code}"
-        except OSError as problem:
-            why = f"{place}: {getattr(problem, 'reason', problem)}"
+        url = f"http://{place}{path}"
+        for _ in range(1 + FOLLOWED):
+            request = urllib.request.Request(url, data=body, method=method)
+            request.add_header("Content-Type", "application/json")
+            try:
+                with urllib.request.urlopen(request, timeout=ASK) as answer:
+                    return answer.status, answer.read()
+            except urllib.error.HTTPError as problem:
+                told = problem.read()
+                if problem.code not in (307, 408, 429) and problem.code < 500:
+                    return problem.code, told
+                why = f"{place}: {problem.code} {failure(told)}".strip()
+                url = problem.headers.get("Location", "") if problem.code == 307 else ""
+            except OSError as problem:
+                why, url = f"{place}: {getattr(problem, 'reason', problem)}", ""
+            if not url:
+                break
     fail(f"no archive answers: {why}")
 
 
+def failure(answer: bytes) -> str:
+    """The reason that an answer gives."""
+    try:
+        return json.loads(answer)["Failure"]
+    except (ValueError, KeyError, TypeError):
+        return ""
+
+
 def places(archive: str | None, boot: str | None) -> list[str]:
     """Inner addresses of archives."""
     return [archive] if archive else [f"{ip}:{settings(boot).inner}" for ip in settings(boot).seed_ips()]
--- a/bramblewood/desk/program.py
+++ b/bramblewood/desk/program.py
@@ -13,7 +13,7 @@
 
 from ..archive.roll import GONE, Row
 from ..catalogue import counters, daybook
-from ..catalogue.bootfile import Settings
+from ..catalogue.bootfile import LONELY, Settings, seeds_again
 from ..catalogue.doors import BACKLOG, door
 from ..catalogue.edition import Edition, edition_of
 from ..catalogue.links import QUIET, Link, Links
@@ -25,6 +25,7 @@
 
 # without a configuration: bytes of headers and body, s for a first request and between requests
 HEADER_BYTES, BODY_BYTES, HEADER_TIME, IDLE = 2**14, 2**26, 3.0, 15.0
+MEET = 0.01  # s after a standstill in which requests that came meanwhile are met: some turns of the loop
 REPORT = 0.5  # s between reports to the scribe: the design's cycle, whose length is free
 START_WAIT = 0.25  # s that a request waits for the first configuration: a restart of all is over soon
 TIDY = 1.0  # s between looks at kept connections
@@ -87,7 +88,7 @@
         loop = self.loop = asyncio.get_running_loop()
         self.leaving, self.changed = asyncio.Event(), asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, self.leaving.set)
-        loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        loop.add_signal_handler(signal.SIGHUP, self.seeds_again)
         for peer in self.told.seed_ips():
             self.links.keep(peer, self.told.inner)
         probe = web.Server(self.readiness, access_log=None, keepalive_timeout=5.0)
@@ -96,7 +97,8 @@
             made = await loop.create_server(server, sock=sock, backlog=BACKLOG)
             self.front = made if name == "Front" else self.front
         self.reported_at = tidy_at = loop.time()
-        self.log.info("started", step="start")
+        lonely_at = self.reported_at + LONELY
+        daybook.started(self.log, self.told.unread, contract=self.told.contract)
         while not self.leaving.is_set():
             try:
                 async with asyncio.timeout(REPORT):
@@ -105,6 +107,10 @@
                 pass
             now = loop.time()
             self.report(now)
+            if self.links.up or now >= lonely_at:
+                if not self.links.up:
+                    self.seeds_again()
+                lonely_at = now + LONELY
             if now >= tidy_at:
                 tidy_at = now + TIDY
                 rows = self.steering.roll.rows.items()
@@ -126,19 +132,22 @@
         """The protocol of a client's new connection, by the limits of now."""
         if self.clients is None or self.clients[0] is not self.edition:
             size = int(self.limit("MaxHeaderBytes", HEADER_BYTES))
+            # a request that begins at the end of a rest has its own time still
+            rest = self.limit("IdleTimeoutS", IDLE) + self.limit("HeaderTimeoutS", HEADER_TIME)
             made = web.Server(
                 self.serve,
                 access_log=None,
                 max_line_size=size,
                 max_field_size=size,
                 max_headers=256,
-                keepalive_timeout=self.limit("IdleTimeoutS", IDLE),
+                keepalive_timeout=rest,
                 auto_decompress=False,
             )
             self.clients = (self.edition, made)
         handler = self.clients[1]()
         self.young.add(id(handler))  # the timer holds it meanwhile
-        self.loop.call_later(self.limit("HeaderTimeoutS", HEADER_TIME), self.late, handler)
+        within = self.limit("HeaderTimeoutS", HEADER_TIME)
+        self.loop.call_later(within, self.loop.call_later, MEET, self.late, handler)
         return handler
 
     def late(self, handler: Any) -> None:
@@ -168,6 +177,10 @@
 
     # --- the archives
 
+    def seeds_again(self) -> None:
+        for peer in seeds_again(self.told, self.log):
+            self.links.keep(peer, self.told.inner)
+
     def hello(self, peer: str) -> dict:
         return {"k": "hello", "role": "desk", "from": self.told.name}
 
--- a/features/carrying.feature
+++ b/features/carrying.feature
@@ -76,6 +76,11 @@
     Given a desk whose configuration allows 300 bytes of headers, 20 of body and 0.1 s for a first request
     Then a client that sends half a request is let go
     And large headers are answered 431, a large body 413, and a proper request 200
+    And a request that came while the desk stood still is answered, though its time is over by then
+
+  Scenario: A connection may rest as long as the configuration says, and a request may still begin then
+    Given a desk whose clients may rest for 5 s and take 2 s for the headers of a request
+    Then it keeps a connection for 7 s after an answer
 
   Scenario: A worker without room for a connection has run nothing
     Given a desk before
--- a/features/steps/desk.py
+++ b/features/steps/desk.py
@@ -59,6 +59,46 @@
     assert asyncio.run(play()) == b""
 
 
+@then("a request that came while the desk stood still is answered, though its time is over by then")
+def stood_still(context):
+    async def play():
+        made = Play()
+        await made.start({"w1": []}, context.limits)
+        loop, desk = made.desk.loop, made.desk
+        reader, writer = await asyncio.open_connection("127.0.0.1", made.port)
+        while not desk.young:
+            await asyncio.sleep(0)
+        for _ in range(3):  # until the desk reads from it
+            await asyncio.sleep(0)
+        until = loop.time() + context.limits["HeaderTimeoutS"] + 0.02
+        writer.write(b"GET /look/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: s1\r\n\r\n")
+        while loop.time() < until:
+            pass
+        try:
+            return await asyncio.wait_for(reader.readline(), 2)
+        finally:
+            writer.close()
+            await made.end()
+
+    assert asyncio.run(play()).startswith(b"HTTP/1.1 200 ")
+
+
+@given("a desk whose clients may rest for {rest:g} s and take {time:g} s for the headers of a request")
+def rests(context, rest, time):
+    context.limits = {"IdleTimeoutS": rest, "HeaderTimeoutS": time}
+
+
+@then("it keeps a connection for {rest:g} s after an answer")
+def kept_for(context, rest):
+    async def play():
+        made = Play()
+        await made.start({"w1": []}, context.limits)
+        await made.end()
+        return made.desk.newcomer().keepalive_timeout
+
+    assert asyncio.run(play()) == rest
+
+
 @then("large headers are answered 431, a large body 413, and a proper request 200")
 def large(context):
     async def play():
