--- a/bramblewood/__main__.py
+++ b/bramblewood/__main__.py
@@ -12,7 +12,8 @@
 signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
 # the gateway's commands; what they need is not imported by the manager
-ROOMS = ("desk", "archive", "config", "roll", "holds", "sessions", "explain", "shelf", "lab", "withdraw")
+ROOMS = ("desk", "archive", "config", "roll", "holds", "sessions", "explain", "shelf", "lab", "members",
+         "withdraw")
 
 
 def gateway(words: list[str]) -> bool:
--- a/bramblewood/archive/accession.py
+++ b/bramblewood/archive/accession.py
@@ -15,6 +15,7 @@
 CONFIG_MOST = 32 * 2**20  # bytes of a configuration
 INSTANCES = "/bramblewood/instances/"
 CONFIG_PATH = "/bramblewood/config"
+ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}")  # of a machine, as `Ip` gives it
 KEPT = 400  # earlier versions whose digests are remembered, so that a repeat is known
 
 
@@ -90,6 +91,28 @@
     state: Literal["stopped", "back"]
 
 
+@dataclass(frozen=True)
+class ReplaceMember:
+    """A spare archive, `new`, is to get the seat of the voter `old`; both by address."""
+
+    old: str
+    new: str
+
+
+@dataclass(frozen=True)
+class RemoveMember:
+    """A voter is to give up its seat, and nobody gets it."""
+
+    old: str
+
+
+@dataclass(frozen=True)
+class AddMember:
+    """A spare archive is to get a seat of its own."""
+
+    new: str
+
+
 @dataclass(frozen=True)
 class Refusal:
     """The answer to a call that can't be taken."""
@@ -170,6 +193,40 @@
     )
 
 
+class MembersCall(TypedDict):
+    """An operator's call about who votes, on the listener for other managers."""
+
+    Do: Literal["replace", "remove", "add"]
+    Old: NotRequired[str]
+    New: NotRequired[str]
+
+
+def members_call(body: bytes) -> Result[ReplaceMember | RemoveMember | AddMember, Refusal]:
+    try:
+        told = check(json.loads(body), MembersCall)
+    except (ValueError, RecursionError):
+        return Err(Refusal(400, "the body is no JSON"))
+    if isinstance(told, Err):
+        return Err(Refusal(400, str(told.err_value)))
+    told = told.ok_value
+    wanted = {"replace": ("Old", "New"), "remove": ("Old",), "add": ("New",)}[told["Do"]]
+    for name in ("Old", "New"):
+        if (name in wanted) != (name in told):
+            found, expected = ("nothing", "an address") if name in wanted else ("an address", "nothing")
+            return Err(Refusal(400, f"{name}: expected {expected} to {told['Do']}, found {found}"))
+        if name in told and not ADDRESS.fullmatch(told[name]):
+            expected = "an address such as 10.0.0.4"
+            return Err(Refusal(400, f"{name}: expected {expected}, found {told[name]!r:.60}"))
+    match told["Do"]:
+        case "remove":
+            return Ok(RemoveMember(told["Old"]))
+        case "add":
+            return Ok(AddMember(told["New"]))
+    if told["Old"] == told["New"]:
+        return Err(Refusal(400, f"New: expected another archive than {told['Old']}"))
+    return Ok(ReplaceMember(told["Old"], told["New"]))
+
+
 def beat(life: str, body: bytes) -> Result[Register, Refusal]:
     try:
         told = check(json.loads(body), Beat)
--- a/bramblewood/cli/enquiries.py
+++ b/bramblewood/cli/enquiries.py
@@ -76,7 +76,10 @@
 
 
 def ask(archive: str | None, boot: str | None, what: str) -> Any:
-    return json.loads(call(places(archive, boot), "GET", f"/view/{what}")[1])
+    status, answer = call(places(archive, boot), "GET", f"/view/{what}")
+    if status != 200:
+        fail(f"{status} {failure(answer)}")
+    return json.loads(answer)
 
 
 def controls(control: str | None, boot: str | None) -> list[str]:
--- a/bramblewood/cli/rooms.py
+++ b/bramblewood/cli/rooms.py
@@ -50,7 +50,8 @@
 if sys.argv[1:2] not in (["desk"], ["archive"]):  # programs at work need none of the other commands' memory
     from .enquiries import COMMANDS
     from .lab import lab
+    from .members import members
     from .withdraw import withdraw
 
-    for command in (*COMMANDS, lab, withdraw):
+    for command in (*COMMANDS, lab, members, withdraw):
         rooms.add_command(command)
