--- a/bramblewood/cli/boot.py
+++ b/bramblewood/cli/boot.py
@@ -18,8 +18,12 @@
     sys.exit(code)
 
 
-def settings(path: str | None) -> bootfile.Settings:
+def settings(path: str | None, *listens: str) -> bootfile.Settings:
+    """The settings; listens: what `BindMap` has to name for this program."""
     told = bootfile.load(path)
     if isinstance(told, Err):
         fail(told.err_value)
+    for name in listens:
+        if name not in told.ok_value.listen:
+            fail(f"{told.ok_value.path}: BindMap.{name}: expected host:port, found nothing")
     return told.ok_value
--- a/bramblewood/cli/rooms.py
+++ b/bramblewood/cli/rooms.py
@@ -35,7 +35,7 @@
     """Run a desk: take clients' requests and carry them to workers."""
     from ..desk.program import Desk
 
-    play(Desk(settings(boot), doors))
+    play(Desk(settings(boot, "Front", "ReadyProbe"), doors))
 
 
 @rooms.command()
@@ -44,7 +44,7 @@
     """Run an archive: keep the configuration, the roll of workers and the tables."""
     from ..archive.program import Archive
 
-    play(Archive(settings(boot)))
+    play(Archive(settings(boot, "Control")))
 
 
 if sys.argv[1:2] not in (["desk"], ["archive"]):  # programs at work need none of the other commands' memory
--- a/features/calls.feature
+++ b/features/calls.feature
@@ -56,3 +56,7 @@
       | GET    | /bramblewood/config?x=1       |  |
       | GET    | /elsewhere                    |  |
     Then the answers are "calls"
+
+  Scenario: What a worker is answered fits into the 4 KiB that it reads
+    When a worker's call holds 60,000 bytes in any one of its fields, or under any odd name, path or method
+    Then each answer is a 2xx or has its reason, in 4 KiB with its head
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -28,6 +28,12 @@
     When a program starts by "ContractList = ["base","tides"]"
     Then its log holds "started" with the parts base and tides, then "settings not known" with tides
 
+  Scenario: A program whose address is not named does not start
+    Given the settings of a machine
+    Then "archive" by "BindMap = {Front = "10.0.0.4:8548"}" ends with 2 and "BindMap.Control: expected host:port, found nothing"
+    And "desk" by "BindMap = {Front = "10.0.0.4:8548"}" ends with 2 and "BindMap.ReadyProbe: expected host:port, found nothing"
+    And "desk" by "Ip = 7" ends with 2 and "Ip: expected a text, found 7"
+
   Scenario: The file names other managers now
     Given the settings of a machine
     When a program that runs by them finds the seeds 10.0.0.7 and 10.0.0.8
--- a/features/steps/settings.py
+++ b/features/steps/settings.py
@@ -8,10 +8,12 @@
 
 import logbook
 from behave import given, then, when
+from click.testing import CliRunner
 
 from bramblewood.archive.founders import Place, founders
 from bramblewood.catalogue import daybook
 from bramblewood.catalogue.bootfile import Bounds, Settings, Tolerance, load, seeds_again, settings_of
+from bramblewood.cli.rooms import rooms
 from tests.approved import approve
 
 PAGE = {
@@ -74,13 +76,25 @@
     assert (second["event"], second["what"]) == ("settings not known", ["ContractList: tides"])
 
 
-@when("a program that runs by them finds the seeds {one} and {other}")
-def finds(context, one, other):
+def written(context, lines: str) -> str:
     with tempfile.NamedTemporaryFile("wb", suffix=".toml", delete=False) as file:
-        file.write(text(""))
+        file.write(text(lines))
     context.add_cleanup(os.unlink, file.name)
-    context.told = load(file.name).ok_value
-    with open(file.name, "wb") as file:
+    return file.name
+
+
+@then('"{program}" by "{lines}" ends with {code:d} and "{words}"')
+def ends(context, program, lines, code, words):
+    path = written(context, lines)
+    result = CliRunner().invoke(rooms, [program, "--boot", path])
+    assert result.exit_code == code and result.output == f"bramblewood: {path}: {words}\n", result.output
+
+
+@when("a program that runs by them finds the seeds {one} and {other}")
+def finds(context, one, other):
+    path = written(context, "")
+    context.told = load(path).ok_value
+    with open(path, "wb") as file:
         file.write(text(f'SeedNodes = ["{one}:8544","{other}:8544"]'))
     context.book = logbook.TestHandler()
     with context.book.applicationbound():
