--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -33,7 +33,6 @@
 from .ballots import CONFIG, FOUNDING, NONE, REGISTERS, TABLE, VOTERS, VOTES, Ballots, Out, trace
 from .copies import Copies, Lease, forgotten, taken_off
 from .feed import Feed
-from .founders import Place, founders
 from .health import Health, judged
 from .holds import RENEW_PART, Call, Freed, Holds
 from .roll import GONE, READY, Roll, Row
@@ -64,7 +63,6 @@
         self.links = Links(self.hello, self.hear, self.link_told, None, told.bind)
         self.up_since: dict[str, float] = {}
         self.archives: set[str] = set()
-        self.places = {self.me: self.place(told.zone, told.counted)}  # and of archives that have said hello
         self.founding: Ballots | None = None
         self.desks: dict[str, Link] = {}
         self.holds, self.copies = Holds(told.bounds.HoldMaxS), Copies()
@@ -121,8 +119,8 @@
             servers.append(server)
         connector = aiohttp.TCPConnector(socket_factory=careful_socket, limit=0, keepalive_timeout=4.0)
         self.calls = aiohttp.ClientSession(connector=connector, auto_decompress=False)
-        told = {"contract": self.told.contract, "voters": self.ballots.voters, "voting": self.ballots.voting}
-        daybook.started(self.log, self.told.unread, **told)
+        told = {"voters": self.ballots.voters, "voting": self.ballots.voting}
+        daybook.started(self.log, self.told.unread, contract=self.told.contract, **told)
         while not self.leaving.is_set():
             self.tick(loop.time())
             try:
@@ -140,32 +138,32 @@
 
     # --- who votes
 
+    def seeds_again(self) -> None:
+        for peer in seeds_again(self.told, self.log):
+            self.know(peer)
+
     def know(self, peer: str) -> None:
         if peer != self.me and peer not in self.archives:
             self.archives.add(peer)
             self.links.keep(peer, self.told.inner)
 
-    def seeds_again(self) -> None:
-        for peer in seeds_again(self.told, self.log):
-            self.know(peer)
-
     def found(self, now: float) -> None:
-        """At the first boot the seeds agree once on who votes."""
-        if self.founding.rounds[VOTERS]:
-            return
-        places = {**dict.fromkeys(self.told.seed_ips()), **self.places}
-        late = now >= self.started + FOUND_WITHIN
-        chosen = founders(places, self.told.seed_ips(), self.told.tolerance, late)
-        if chosen is None:
+        """At the first boot the seeds agree once on who votes: so many archives that the losses to be borne
+        leave a majority, or all that have shown themselves by then.
+        """
+        enough = 2 * self.told.losses + 1
+        known = sorted({self.me, *self.archives})
+        if self.founding.rounds[VOTERS] or len(known) < enough and now < self.started + FOUND_WITHIN:
             return
-        value = {"n": 1, "voters": [*chosen]}
+        count = min(len(known), enough)
+        chosen = [
+            *sorted(set(self.told.seed_ips())),
+            *(one for one in known if one not in self.told.seed_ips()),
+        ]
+        value = {"n": 1, "voters": sorted(chosen[: count - (count % 2 == 0)])}
         change = lambda stands: (None if stands else value, True)  # noqa: E731
         self.carry(self.founding.propose(now, VOTERS, change, None, 1.0))
 
-    def place(self, zone: str, counted: bool) -> Place:
-        """Where an archive stands, by what it says of itself."""
-        return Place(zone, self.told.zones.get(zone, zone), counted)
-
     def adopt(self, voters: tuple[str, ...]) -> None:
         """Who votes is agreed: known for good once it is on the disk."""
         if self.ballots.voters or not voters:
@@ -192,11 +190,10 @@
                     self.adopt(tuple(value["voters"]))
                 else:
                     self.found(now)
-        if self.links.up:
-            self.lonely_at = now + LONELY
-        elif now >= self.lonely_at:
+        if self.links.up or now >= self.lonely_at:
+            if not self.links.up:
+                self.seeds_again()
             self.lonely_at = now + LONELY
-            self.seeds_again()
         if now >= self.pulse_at:
             self.pulse_at = now + PULSE
             self.pulse(now)
@@ -551,8 +548,6 @@
             "k": "hello",
             "role": "archive",
             "from": self.me,
-            "zone": self.told.zone,
-            "counted": self.told.counted,
             "rows": self.rows(),
         }
 
@@ -567,7 +562,6 @@
         link.peer, link.role = str(message["from"]), message["role"]
         if link.role == "archive":
             self.know(link.peer)
-            self.places[link.peer] = self.place(message["zone"], message["counted"])
             self.take_rows(message.get("rows", {}))
             return
         self.desks[link.peer] = link
@@ -734,7 +728,10 @@
             case Register(life, row) as call:
                 return await self.registered(life, row, call.leaving)
             case TakeLeave(life):
-                return await self.registered(life, self.roll.leave(life), True)
+                row = self.roll.rows.get(life)
+                if row is None:
+                    return answer(200)
+                return await self.registered(life, row._replace(phase=GONE, seq=row.seq + 1), True)
             case PutConfig(edition):
                 told = await self.agreed(CONFIG, lambda stands: succeed(edition, stands))
                 self.log.info(
--- a/bramblewood/archive/founders.py
+++ b/bramblewood/archive/quorums.py
@@ -1,4 +1,4 @@
-"""Who votes first: chosen once, at the first boot, from the archives that have shown themselves. Pure."""
+"""Which archives vote first, so that whatever `Tolerance` says may be lost leaves a majority. Pure."""
 
 from collections import Counter
 from collections.abc import Iterable
@@ -17,7 +17,7 @@
 
 
 def left(voters: Iterable[str], places: dict[str, Place], tolerance: Tolerance) -> int:
-    """Voters that are still there after the worst loss that is to be borne."""
+    """How many of these voters are there after the worst loss that is to be borne."""
     voters = list(voters)
     worst = 0
     for count, groups in (
@@ -29,29 +29,31 @@
     return len(voters) - worst
 
 
-def founders(
-    places: dict[str, Place | None], seeds: Iterable[str], tolerance: Tolerance, late: bool
+def bears(voters: Iterable[str], places: dict[str, Place], tolerance: Tolerance) -> bool:
+    voters = list(voters)
+    return 2 * left(voters, places, tolerance) > len(voters)
+
+
+def first_voters(
+    places: dict[str, Place], seeds: Iterable[str], tolerance: Tolerance, late: bool
 ) -> tuple[str, ...] | None:
     """The first voters by name, or None where it is better to wait for more to show themselves.
 
-    places: None for a seed that has said nothing yet; it may only be starting. late: wait no longer, and take
-    the best that is there, silent seeds too. Machines that don't count may go in any number, so they vote
-    only where none counts. Zones or regions that may go whole get as few voters each as can be.
+    places: of all archives that have shown themselves. late: wait no longer, and take what is there. Seeds
+    come first. Machines that don't count may go in any number, so they vote only where none counts. Zones or
+    regions that may go whole get as few voters each as can be.
     """
-    if not late and None in places.values():
-        return None
-    known = {name: place or Place(name, name, True) for name, place in places.items()}
-    counted = {name: place for name, place in known.items() if place.counted} or known
     first, groups = set(seeds), {}
+    if not late and not first <= places.keys():
+        return None
+    counted = {name: place for name, place in places.items() if place.counted} or places
     for name in sorted(counted, key=lambda name: (name not in first, name)):
         place = counted[name]
         group = place.region if tolerance.regions else place.zone if tolerance.zones else name
         groups.setdefault(group, []).append(name)
     in_turn = [name for name in chain(*zip_longest(*groups.values())) if name is not None]
     enough = 2 * max(tolerance.machines, tolerance.zones, tolerance.regions) + 1
-    count = min(len(in_turn), enough)
-    odd = range(count - (count % 2 == 0), 0, -2)
-    for some in (in_turn[:count] for count in odd):
-        if 2 * left(some, known, tolerance) > len(some):
-            return tuple(sorted(some))
-    return tuple(sorted(in_turn[: odd[0]])) if late else None
+    for count in range(min(enough, len(in_turn)), 0, -1):
+        if bears(in_turn[:count], places, tolerance):
+            return tuple(sorted(in_turn[:count]))
+    return tuple(sorted(in_turn[:enough])) if late else None
--- a/bramblewood/archive/roll.py
+++ b/bramblewood/archive/roll.py
@@ -26,9 +26,6 @@
         return (self.phase == GONE, self.seq, ORDER.get(self.phase, 0))
 
 
-NAMELESS = Row("", "", "", 0, READY, 0)  # a life of which only the name is known, as it takes leave
-
-
 class Roll:
     def __init__(self) -> None:
         self.rows: dict[str, Row] = {}
@@ -44,8 +41,6 @@
             self.heard[life] = max(self.heard.get(life, 0.0), now - age)
         if old is not None and row.rank() <= old.rank():
             return False
-        if old is not None and row.phase == GONE and not row.service:
-            row = old._replace(phase=GONE, seq=max(old.seq, row.seq))
         self.rows[life] = row
         news = old is None or (old.phase, old.address, old.slots) != (row.phase, row.address, row.slots)
         if news:
@@ -65,11 +60,6 @@
                 self.homes[row.address] = life
         return news
 
-    def leave(self, life: str) -> Row:
-        """The row of a life that takes leave; others may know one that was never heard here."""
-        row = self.rows.get(life, NAMELESS)
-        return row._replace(phase=GONE, seq=row.seq + 1)
-
     def listen(self, now: float, ages: dict[str, float]) -> None:
         """What another archive heard: how long ago each life spoke."""
         for life, age in ages.items():
--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -7,12 +7,6 @@
     When w1 is heard to be ready again at 10.1, by a call that was sent before
     Then of 200 requests at 10.2 none goes to w1
 
-  Scenario: A worker takes leave at an archive that never heard it
-    Given a service of w1 and w2, without keys
-    When w1 is heard to be draining at 10
-    And w1 takes leave at an archive that never heard it
-    Then w1 has ended here, and its service, address and zone are known as before
-
   Scenario: A key's holder that drains gets what nobody else holds, but for a part of DrainS only
     Given a service of w1 and w2, with keys all held by w1
     When w1 is heard to be draining at 10
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -47,4 +47,4 @@
 
   Scenario: The founders wait for a seed that is only starting, but not for ever
     Given the seeds a, b and c, of which c has said nothing
-    Then nobody is chosen yet, and once it is late a, b and c are
+    Then nobody is chosen yet, and once it is late a and b are
