--- a/features/doors.feature
+++ b/features/doors.feature
@@ -8,3 +8,8 @@
   Scenario: Settings that name an address that is taken, or no address, open nothing
     Given a settings file whose second door is taken
     Then no door stays open
+
+  Scenario: At the first start nobody need be listening yet
+    Given a manager that is told of two others, of which one is not listening yet and one never is
+    When it has dialled both in vain, and the first begins to listen
+    Then the first is linked, and the other is still dialled
