--- a/bramblewood/archive/accession.py
+++ b/bramblewood/archive/accession.py
@@ -15,7 +15,6 @@
 CONFIG_MOST = 32 * 2**20  # bytes of a configuration
 INSTANCES = "/bramblewood/instances/"
 CONFIG_PATH = "/bramblewood/config"
-ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}")  # of a machine, as `Ip` gives it
 KEPT = 400  # earlier versions whose digests are remembered, so that a repeat is known
 
 
@@ -193,6 +192,9 @@
     )
 
 
+ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}")  # of a machine, as `Ip` gives it
+
+
 class MembersCall(TypedDict):
     """An operator's call about who votes, on the listener for other managers."""
 
