--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -138,10 +138,6 @@
 
     # --- who votes
 
-    def seeds_again(self) -> None:
-        for peer in seeds_again(self.told, self.log):
-            self.know(peer)
-
     def know(self, peer: str) -> None:
         if peer != self.me and peer not in self.archives:
             self.archives.add(peer)
@@ -551,6 +547,10 @@
             "rows": self.rows(),
         }
 
+    def seeds_again(self) -> None:
+        for peer in seeds_again(self.told, self.log):
+            self.know(peer)
+
     def link_told(self, peer: str, up: bool) -> None:
         now = self.up_since[peer] = self.loop.time()
         if up:
