--- a/bramblewood/archive/membership.py
+++ b/bramblewood/archive/membership.py
@@ -12,7 +12,9 @@
 
 from result import Err, Ok, Result
 
+from ..catalogue.bootfile import Tolerance
 from .ballots import CONFIG, TABLE, Members, belongs, majority
+from .quorums import Place, bears, enough, first_voters
 
 SILENT_PART = 1 / 2  # of CatchUpS without a pulse, after which a voter's seat is given away
 STEADY_PART = 1 / 4  # of CatchUpS with pulses, before an archive may take a seat
@@ -23,6 +25,7 @@
 
     disk: str
     zone: str
+    counted: bool  # whether its loss is one of those that `Tolerance` bounds
     epoch: int
     votes: bool  # an active voter of that epoch
     leaving: bool
@@ -40,25 +43,6 @@
     return {**{name: kept for name, kept in voters.items() if name != old}, new: disk}
 
 
-def needed(losses: int) -> int:
-    """Voters of whom a majority is left after so many losses."""
-    return 2 * losses + 1
-
-
-def founded(
-    seeds: tuple[str, ...], peers: dict[str, Peer], losses: int, waited: bool
-) -> dict[str, str] | None:
-    """The voters of epoch 1: the seeds that have shown themselves, then others, as many as bear the losses.
-
-    peers: all that are there; waited: whether those who are missing have had their time. None: not yet.
-    """
-    ranked = [*sorted(seeds), *sorted(name for name in peers if name not in seeds)]
-    chosen = [name for name in ranked if name in peers][: needed(losses)]
-    if len(chosen) < needed(losses) and not waited:
-        return None
-    return {name: peers[name].disk for name in chosen}
-
-
 def current(peer: Peer, versions: dict[str, int]) -> bool:
     """Whether it holds the configuration in force, and a table: what joining then moves is small."""
     return peer.versions.get(CONFIG, 0) >= versions.get(CONFIG, 0) and (
@@ -67,29 +51,54 @@
 
 
 class Membership:
-    """The rules' figures: losses, machines that may be away at once; catch_up, `CatchUpS` in s."""
-
-    def __init__(self, losses: int, catch_up: float) -> None:
-        self.losses = losses
+    def __init__(self, tolerance: Tolerance, regions: dict[str, str], catch_up: float) -> None:
+        """regions: the region of each zone; catch_up: `CatchUpS` in s."""
+        self.tolerance, self.regions = tolerance, regions
         self.silent, self.steady = catch_up * SILENT_PART, catch_up * STEADY_PART
 
+    def places(self, peers: dict[str, Peer]) -> dict[str, Place]:
+        return {
+            name: Place(peer.zone, self.regions.get(peer.zone, peer.zone), peer.counted)
+            for name, peer in peers.items()
+        }
+
+    def founded(self, seeds: tuple[str, ...], peers: dict[str, Peer], late: bool) -> Change | None:
+        """The voters of epoch 1, of those who have shown themselves; None while it is better to wait."""
+        there = {name: peer for name, peer in peers.items() if self.there(peer)}
+        chosen = first_voters(self.places(there), seeds, self.tolerance, late)
+        return Change({name: there[name].disk for name in chosen}, "first boot") if chosen else None
+
     def there(self, peer: Peer | None) -> bool:
         return peer is not None and peer.steady > 0
 
     def spares(self, members: Members, peers: dict[str, Peer], versions: dict[str, int]) -> list[str]:
-        """Archives that may take a seat now, those of the zone with the fewest voters first."""
+        """Archives that may take a seat now."""
         voters = members["voters"]
-        zones = [peers[name].zone for name in voters if name in peers]
-        able = [
+        whoever = not any(peers[name].counted for name in voters if name in peers)
+        return sorted(
             name
             for name, peer in peers.items()
             if name not in voters
             and peer.steady >= self.steady
             and not peer.leaving
             and peer.epoch == members["n"]
+            and (peer.counted or whoever)
             and current(peer, versions)
-        ]
-        return sorted(able, key=lambda name: (zones.count(peers[name].zone), name))
+        )
+
+    def best(self, voters: dict[str, str], spares: list[str], peers: dict[str, Peer], old: str = "") -> dict:
+        """The voters once one of the spares has the seat of `old`, or one of its own: such that the losses to
+        be borne leave a majority, and of a zone with few voters.
+        """
+        places, stay = self.places(peers), [name for name in voters if name != old]
+        zones = [places[name].zone for name in stay if name in places]
+
+        def rank(name: str) -> tuple:
+            known = [one for one in (*stay, name) if one in places]
+            return (not bears(known, places, self.tolerance), zones.count(places[name].zone), name)
+
+        new = min(spares, key=rank)
+        return replaced(voters, old, new, peers[new].disk)
 
     def wanted(
         self, members: Members, peers: dict[str, Peer], versions: dict[str, int]
@@ -109,13 +118,12 @@
         spares = self.spares(members, peers, versions)
         if not spares:
             return None
-        new = spares[0]
         for why, due in (("leaves", self.goes), ("silent", self.lost)):
             for name in voters:
                 if due(peers.get(name)):
-                    return Change(replaced(voters, name, new, peers[new].disk), f"{name} {why}")
-        if len(voters) < needed(self.losses):
-            return Change({**voters, new: peers[new].disk}, "a seat is free")
+                    return Change(self.best(voters, spares, peers, name), f"{name} {why}")
+        if len(voters) < enough(self.tolerance):
+            return Change(self.best(voters, spares, peers), "a seat is free")
         return None
 
     def goes(self, peer: Peer | None) -> bool:
@@ -144,13 +152,51 @@
         made = {name: disk for name, disk in voters.items() if name != old}
         if new:
             made[new] = peers[new].disk
-        if len(made) < min(len(voters), needed(self.losses)):
-            return Err(f"{len(made)} voters don't bear {self.losses} losses: replace it, or add one first")
+        if len(made) < min(len(voters), enough(self.tolerance)):
+            return Err(f"{len(made)} voters don't bear what may be lost: replace it, or add one first")
         active = [name for name in made if self.there(peers.get(name)) and peers[name].votes]
         if len(active) + (1 if new else 0) < majority(made):
             return Err("no majority of that set can be heard")
         return Ok(Change(made, "by hand"))
 
+    def view(self, me: str, members: Members, peers: dict[str, Peer], versions: dict[str, int]) -> dict:
+        """What operators are shown of who votes, as this archive sees it."""
+        voters = members["voters"]
+
+        def shown(name: str) -> dict:
+            peer, disk = peers[name], voters.get(name)
+            return {
+                "disk": peer.disk or disk or "",
+                "state": self.state(members, name, peer),
+                "heard": None if peer.steady <= 0 and not peer.disk else round(peer.silent, 2),
+                "epoch": peer.epoch if peer.disk else None,
+                "lag": {kind: max(n - peer.versions.get(kind, 0), 0) for kind, n in versions.items()}
+                if peer.disk
+                else None,
+            }
+
+        return {
+            "me": me,
+            "epoch": members["n"],
+            "state": self.state(members, me, peers[me]),
+            "members": {name: shown(name) for name in sorted(voters)},
+            "others": {name: shown(name) for name in sorted(peers.keys() - voters.keys())},
+            "tolerance": (enough(self.tolerance) - 1) // 2,
+            "margin": self.margin(members, peers),
+        }
+
+    def state(self, members: Members, name: str, peer: Peer) -> str:
+        disk = members["voters"].get(name)
+        if not self.there(peer):
+            return "lost" if disk is not None and self.lost(peer) else "silent"
+        if peer.leaving:
+            return "leaving"
+        if disk is None:
+            return "spare" if peer.epoch == members["n"] > 0 else "new"
+        if not belongs({name: disk}, name, peer.disk):
+            return "other disk"
+        return "voter" if peer.votes else "joining"
+
 
 def may_leave(
     me: str,
--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -12,7 +12,7 @@
 from result import Err
 
 from ..catalogue import counters, daybook
-from ..catalogue.bootfile import Settings
+from ..catalogue.bootfile import LONELY, Settings, seeds_again
 from ..catalogue.edition import edition_of
 from ..catalogue.links import QUIET, Link, Links, accept, careful_socket
 from ..catalogue.spans import LEASE
@@ -26,6 +26,7 @@
     Register,
     TakeLeave,
     decode,
+    members_call,
     most,
     plan_call,
     succeed,
@@ -49,7 +50,7 @@
 from .feed import Feed
 from .health import Health, judged
 from .holds import RENEW_PART, Call, Freed, Holds
-from .membership import Change, Membership, Peer, founded, may_leave
+from .membership import Membership, Peer, may_leave
 from .roll import GONE, READY, Roll, Row
 from .sessions import PULSE, Sessions
 from .shelf import Shelf
@@ -79,7 +80,7 @@
         self.links = Links(self.hello, self.hear, self.link_told, None, told.bind)
         self.up_since: dict[str, float] = {}
         self.archives: set[str] = set()
-        self.membership = Membership(told.losses, told.bounds.CatchUpS)
+        self.membership = Membership(told.tolerance, told.zones, told.bounds.CatchUpS)
         self.facts_due: dict[str, Any] = {}  # not yet safe on disk: goes with every write until it is
         self.changing = False  # the set of voters, from here
         self.desks: dict[str, Link] = {}
@@ -124,17 +125,20 @@
         for peer in {*self.told.seed_ips(), *self.ballots.voters, *facts.get("archives", ())}:
             self.know(peer)
         self.started = loop.time()
+        self.lonely_at = self.started + LONELY
         self.leaving = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, self.leaving.set)
+        loop.add_signal_handler(signal.SIGHUP, self.seeds_again)
         servers = []
         for place in (self.told.listen["Control"], (self.told.bind or self.told.ip, self.told.inner)):
             server = await loop.create_server(web.Server(self.serve, access_log=None), *place, backlog=512)
             servers.append(server)
         connector = aiohttp.TCPConnector(socket_factory=careful_socket, limit=0, keepalive_timeout=4.0)
         self.calls = aiohttp.ClientSession(connector=connector, auto_decompress=False)
-        self.log.info(
-            "started",
-            step="start",
+        daybook.started(
+            self.log,
+            self.told.unread,
+            contract=self.told.contract,
             epoch=self.ballots.epoch,
             voters=sorted(self.ballots.voters),
             voting=self.ballots.voting,
@@ -182,10 +186,11 @@
         silent since the start.
         """
         ballots = self.ballots
-        unheard = Peer("", "", 0, False, False, now - self.started, 0.0, {})
+        unheard = Peer("", "", True, 0, False, False, now - self.started, 0.0, {})
         mine = Peer(
             ballots.disk,
             self.told.zone,
+            self.told.counted,
             ballots.epoch,
             ballots.voting,
             self.leaving.is_set(),
@@ -206,10 +211,8 @@
             return
         change = None
         if ballots.epoch == 0:
-            there = {name: peer for name, peer in self.peers(now).items() if peer.steady > 0}
-            waited = now >= self.started + FOUND_WITHIN
-            if voters := founded(self.told.seed_ips(), there, self.told.losses, waited):
-                change = Change(voters, "first boot")
+            late = now >= self.started + FOUND_WITHIN
+            change = self.membership.founded(self.told.seed_ips(), self.peers(now), late)
         elif self.was_scribe:
             change = self.membership.wanted(ballots.members, self.peers(now), self.versions())
         if change is not None:
@@ -248,6 +251,10 @@
     def tick(self, now: float) -> None:
         self.carry(self.ballots.tick(now))
         self.seats(now)
+        if self.links.up or now >= self.lonely_at:
+            if not self.links.up:
+                self.seeds_again()
+            self.lonely_at = now + LONELY
         if now >= self.pulse_at:
             self.pulse_at = now + PULSE
             self.pulse(now)
@@ -288,6 +295,7 @@
         about = {
             "members": ballots.members,
             "zone": self.told.zone,
+            "counted": self.told.counted,
             "archives": sorted({self.me, *self.archives}),
             "desks": sorted(self.desks),
         }
@@ -625,6 +633,10 @@
             "rows": self.rows(),
         }
 
+    def seeds_again(self) -> None:
+        for peer in seeds_again(self.told, self.log):
+            self.know(peer)
+
     def link_told(self, peer: str, up: bool) -> None:
         now = self.up_since[peer] = self.loop.time()
         if up:
@@ -783,8 +795,11 @@
             return await accept(request, self.met, self.hear, self.left)
         method, path = request.method, request.raw_path
         if request.transport.get_extra_info("sockname")[1] == self.told.inner:
-            if method == "POST" and path == "/plan":
-                return await self.planned(plan_call((await request.content.read())[:BEAT_MOST]))
+            if method == "POST" and path in ("/plan", "/members"):
+                body = (await request.content.read())[:BEAT_MOST]
+                if path == "/plan":
+                    return await self.planned(plan_call(body))
+                return await self.seated(members_call(body))
             return self.view(path)
         body = b""
         bound = most(method, path)
@@ -847,6 +862,23 @@
         self.log.info("plan", step="withdraw", name=command.name, told=told)
         return answer(*told) if told else answer(503, "no majority heard in time")
 
+    async def seated(self, command: Any) -> web.Response:
+        """An operator's call about who votes: agreed by a majority of those who do."""
+        if isinstance(command, Err):
+            return answer(command.err_value.status, command.err_value.reason)
+        command, members = command.ok_value, self.ballots.members
+        old, new = getattr(command, "old", ""), getattr(command, "new", "")
+        change = self.membership.ordered(members, self.peers(self.loop.time()), self.versions(), old, new)
+        if isinstance(change, Err):
+            return answer(409, change.err_value)
+        told = await self.agreed(MEMBERS, succession(members, change.ok_value.voters))
+        self.log.info("member change", step="epoch", why="by hand", old=old, new=new, told=told)
+        if told is None:
+            return answer(503, "no majority heard in time")
+        if not told:
+            return answer(412, "another change came first")
+        return web.json_response({"Epoch": members["n"] + 1})
+
     def plans(self, now: float) -> dict:
         """The plans as they stand, with what keeps each worker."""
         table, told = self.ballots.value(TABLE), self.withdrawals
@@ -882,6 +914,9 @@
                     for life, row in self.roll.rows.items()
                 }
             )
+        if path == "/view/members":
+            shown = self.membership.view(self.me, self.ballots.members, self.peers(now), self.versions())
+            return web.json_response({**shown, "change": "a change is being agreed" if self.changing else ""})
         if path == "/view/plans":
             return web.json_response(self.plans(now))
         if path == "/view/table":
--- a/bramblewood/archive/sessions.py
+++ b/bramblewood/archive/sessions.py
@@ -38,7 +38,7 @@
         self.told: dict[str, dict] = {}  # by archive, what changes seldom and was said on its link
         self.stamps: dict[str, float] = {}  # last stamp of each other archive, to give back
         self.desks: dict[str, list[str]] = {}  # by archive, the desks that it last told of
-        self.zones: dict[str, str] = {}
+        self.places: dict[str, tuple[str, bool]] = {}  # by archive, its zone and whether its loss is counted
         self.since: dict[str, float] = {}  # by archive, since when its pulses come without a gap
 
     def anew(self, peer: str) -> None:
@@ -73,7 +73,8 @@
         self.stamps[peer] = message["t"]
         if "desks" in message:
             self.desks[peer] = message["desks"]
-        self.zones[peer] = message.get("zone", self.zones.get(peer, ""))
+        if "zone" in message:
+            self.places[peer] = (message["zone"], message["counted"])
 
     def word_until(
         self, now: float, voters: dict[str, str], epoch: int, register: str, known: Ballot, votes: bool
@@ -100,7 +101,7 @@
         return {
             name: Peer(
                 heard.disk,
-                self.zones.get(name, ""),
+                *self.places.get(name, ("", False)),
                 heard.epoch,
                 heard.votes,
                 heard.leaving,
--- a/features/calls.feature
+++ b/features/calls.feature
@@ -56,3 +56,6 @@
       | GET    | /bramblewood/config?x=1       |  |
       | GET    | /elsewhere                    |  |
     Then the answers are "calls"
+
+  Scenario: What a worker is answered fits into the 4 KiB that it reads
+    Then a call with 60000 bytes in any one field, in its path or method is refused within 4 KiB
--- a/features/steps/doors.py
+++ b/features/steps/doors.py
@@ -4,9 +4,11 @@
 import tempfile
 from unittest import mock
 
+from aiohttp import web
 from behave import given, then, when
 
 from bramblewood.catalogue.doors import door, open_early
+from bramblewood.catalogue.links import Links, accept
 
 
 def free() -> int:
@@ -65,3 +67,25 @@
 def closed(context):
     assert opened(context) == {}
     door("127.0.0.1", context.ports[0]).close()  # nobody holds it
+
+
+@then("of two managers that were dialled in vain one is linked once it listens, and the other still dialled")
+def dialled(context):
+    async def play():
+        met, port = asyncio.Event(), free()
+        links = Links(lambda peer: {"k": "hello"}, lambda *_: None, lambda *_: None, None)
+        with mock.patch("bramblewood.catalogue.links.asyncio.sleep", side_effect=asyncio.sleep) as waits:
+            for ip in ("127.0.0.2", "127.0.0.3"):
+                links.keep(ip, port)
+            while waits.call_count < 2:  # each has failed once, and waits for its next dial
+                await asyncio.wait(links.tasks.values(), timeout=0.01)
+        serve = web.Server(lambda asked: accept(asked, lambda *_: met.set(), *[lambda *_: None] * 2))
+        listening = await asyncio.get_running_loop().create_server(serve, "127.0.0.2", port)
+        async with asyncio.timeout(2):
+            await met.wait()
+        found = [*links.up], [task.done() for task in links.tasks.values()]
+        await links.end()
+        listening.close()
+        return found
+
+    assert asyncio.run(play()) == (["127.0.0.2"], [False, False])
