--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -107,7 +107,7 @@
         self.pulse_at = self.desk_pulse_at = self.turn_at = self.health_at = 0.0
         self.proposing = self.was_scribe = self.was_whole = False
         self.told_epoch = (-1, False)
-        self.leaving_at: float | None = None
+        self.leaving, self.leaving_at = asyncio.Event(), None  # told to end; when
 
     # --- start and end
 
@@ -126,7 +126,6 @@
             self.know(peer)
         self.started = loop.time()
         self.lonely_at = self.started + LONELY
-        self.leaving = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, self.leaving.set)
         loop.add_signal_handler(signal.SIGHUP, self.seeds_again)
         servers = []
@@ -213,7 +212,7 @@
         if ballots.epoch == 0:
             late = now >= self.started + FOUND_WITHIN
             change = self.membership.founded(self.told.seed_ips(), self.peers(now), late)
-        elif self.was_scribe:
+        elif self.sessions.scribe(now, self.whole(now)) == self.me:
             change = self.membership.wanted(ballots.members, self.peers(now), self.versions())
         if change is not None:
             self.changing = True
@@ -269,7 +268,11 @@
         self.steer(now)
 
     def whole(self, now: float) -> bool:
-        """Whether this archive may act for the core: a word of the majority, and a disk that answers."""
+        """Whether this archive may act for the core: a word of the majority, a disk that answers, and
+        nobody has told it to end.
+        """
+        if self.leaving.is_set():
+            return False
         stalled = self.writing_since is not None and now - self.writing_since > STALL
         return not stalled and self.word(now) > now
 
