--- a/bramblewood/archive/accession.py
+++ b/bramblewood/archive/accession.py
@@ -94,6 +94,28 @@
     state: Literal["stopped", "back"]
 
 
+@dataclass(frozen=True)
+class ReplaceMember:
+    """A spare archive, `new`, is to get the seat of the voter `old`; both by address."""
+
+    old: str
+    new: str
+
+
+@dataclass(frozen=True)
+class RemoveMember:
+    """A voter is to give up its seat, and nobody gets it."""
+
+    old: str
+
+
+@dataclass(frozen=True)
+class AddMember:
+    """A spare archive is to get a seat of its own."""
+
+    new: str
+
+
 @dataclass(frozen=True)
 class Refusal:
     """The answer to a call that can't be taken."""
@@ -118,7 +140,7 @@
             return Ok(GetConfig())
         if method == "PUT":
             return parse(body).map(PutConfig).map_err(lambda fault: Refusal(400, str(fault)))
-        return Err(Refusal(405, f"{method} is not for {CONFIG_PATH}", "GET, PUT"))
+        return Err(Refusal(405, f"{method:.20} is not for {CONFIG_PATH}", "GET, PUT"))
     if path.startswith(INSTANCES):
         life = path[len(INSTANCES) :]
         if not re.fullmatch(r"[\w.~-]{1,128}", life):
@@ -127,7 +149,7 @@
             return Ok(TakeLeave(life))
         if method == "PUT":
             return beat(life, body)
-        return Err(Refusal(405, f"{method} is not for {INSTANCES}", "PUT, DELETE"))
+        return Err(Refusal(405, f"{method:.20} is not for {INSTANCES}", "PUT, DELETE"))
     return Err(Refusal(404, "no such call"))
 
 
@@ -174,6 +196,43 @@
     )
 
 
+ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}")  # of a machine, as `Ip` gives it
+
+
+class MembersCall(TypedDict):
+    """An operator's call about who votes, on the listener for other managers."""
+
+    Do: Literal["replace", "remove", "add"]
+    Old: NotRequired[str]
+    New: NotRequired[str]
+
+
+def members_call(body: bytes) -> Result[ReplaceMember | RemoveMember | AddMember, Refusal]:
+    try:
+        told = check(json.loads(body), MembersCall)
+    except (ValueError, RecursionError):
+        return Err(Refusal(400, "the body is no JSON"))
+    if isinstance(told, Err):
+        return Err(Refusal(400, str(told.err_value)))
+    told = told.ok_value
+    wanted = {"replace": ("Old", "New"), "remove": ("Old",), "add": ("New",)}[told["Do"]]
+    for name in ("Old", "New"):
+        if (name in wanted) != (name in told):
+            found, expected = ("nothing", "an address") if name in wanted else ("an address", "nothing")
+            return Err(Refusal(400, f"{name}: expected {expected} to {told['Do']}, found {found}"))
+        if name in told and not ADDRESS.fullmatch(told[name]):
+            expected = "an address such as 10.0.0.4"
+            return Err(Refusal(400, f"{name}: expected {expected}, found {told[name]!r:.60}"))
+    match told["Do"]:
+        case "remove":
+            return Ok(RemoveMember(told["Old"]))
+        case "add":
+            return Ok(AddMember(told["New"]))
+    if told["Old"] == told["New"]:
+        return Err(Refusal(400, f"New: expected another archive than {told['Old']}"))
+    return Ok(ReplaceMember(told["Old"], told["New"]))
+
+
 def beat(life: str, body: bytes) -> Result[Register, Refusal]:
     try:
         told = check(json.loads(body), Beat)
@@ -242,7 +301,7 @@
     }, (200, "")
 
 
-def settled(edition: Edition, stands: dict | None, follow: Callable = succeed) -> tuple[int, str] | None:
+def final_answer(edition: Edition, stands: dict | None, follow: Callable = succeed) -> tuple[int, str] | None:
     """The answer that a version known to be chosen settles for good, whatever came after it; None where it
     takes an agreement to tell: the order follows that version, or one that is not known here.
     """
--- a/tests/orders_play.py
+++ b/tests/orders_play.py
@@ -10,7 +10,7 @@
 from functools import partial
 from typing import Any
 
-from bramblewood.archive.accession import settled, succeed
+from bramblewood.archive.accession import final_answer, succeed
 from bramblewood.archive.ballots import CONFIG, Ballots, Out
 from bramblewood.catalogue.edition import Edition
 
@@ -24,8 +24,9 @@
 
 
 def build(name: str, voters: tuple[str, ...], life: int, stored: dict, kind: type = Ballots) -> Ballots:
-    """The one place that makes an archive's core."""
-    return kind(name, voters, life, stored, name in voters)
+    """The one place that makes an archive's core: epoch 1, in which these voters are active."""
+    members = {"n": 1, "voters": {voter: f"{voter}'s disk" for voter in voters}, "before": {}}
+    return kind(name, f"{name}'s disk", life, stored, members, 1 if name in voters else -1)
 
 
 @dataclass(frozen=True)
@@ -131,7 +132,7 @@
             self.after(TICK, self.tick, name, machine)
 
     def carry(self, name: str, machine: Ballots, out: Out) -> None:
-        if not out.writes:
+        if not out.writes and not out.facts:
             return self.dispatch(name, machine, out)
         self.writing[name] = max(self.writing[name], self.now) + self.dice.uniform(*SYNC)
         self.after(self.writing[name] - self.now, self.written, name, machine, out)
@@ -198,7 +199,7 @@
             if self.dice.random() >= self.site.answers_lost:
                 self.after(self.way(), self.heard, order, call, status)
 
-        if known := settled(order.wanted, machine.value(CONFIG), self.follow):
+        if known := final_answer(order.wanted, machine.value(CONFIG), self.follow):
             return told(known)
         change = lambda stands: self.follow(order.wanted, stands)  # noqa: E731
         self.carry(name, machine, machine.propose(self.now, CONFIG, change, told, CALL_WITHIN))
