--- a/bramblewood/archive/ballots.py
+++ b/bramblewood/archive/ballots.py
@@ -11,7 +11,8 @@
 machine whose disk came back empty is a new member, and what its old disk promised binds only the epochs that
 the old disk was part of. A voter of e that knows of e + 1 is sealed: it answers no ballot of e any more. A
 voter of e + 1 becomes active once it holds what a majority of sealed voters of e held, or what one active
-voter of e + 1 holds; both include all that e has chosen. So nothing is chosen in e + 1 before e is sealed by
+voter of e + 1 holds; both include all that e has chosen. A voter that was never active in e holds nothing of
+it, and its seal counts, as it will accept nothing there. So nothing is chosen in e + 1 before e is sealed by
 a majority, and nothing that e chose is missing there. A value that was only carried over counts as chosen
 once a ballot of the epoch itself has chosen it.
 """
@@ -81,6 +82,28 @@
     return Out([], [], [], {})
 
 
+class Due:
+    """What every write brings along until it is safe on disk: facts, and the rows that a fact speaks of.
+
+    A disk may refuse one write and take the next. A row of a single ballot may then be missing, as nobody was
+    told of it; but a disk that says it holds an epoch must hold every row that this epoch began with.
+    """
+
+    def __init__(self, facts: dict) -> None:
+        self.facts, self.rows = facts, {}
+
+    def take(self, out: Out) -> tuple[list, dict]:
+        """The rows and facts to write for this Out; none at all where it needs no write."""
+        self.facts.update(out.facts)
+        self.rows |= {row[0]: row for row in out.writes if out.facts or row[0] in self.rows}
+        return list(({row[0]: row for row in out.writes} | self.rows).values()), dict(self.facts)
+
+    def safe(self, rows: list, facts: dict) -> None:
+        """These have been written."""
+        self.facts = {name: kept for name, kept in self.facts.items() if facts.get(name) != kept}
+        self.rows = {row[0]: row for row in self.rows.values() if not any(row is one for one in rows)}
+
+
 class Acceptor:
     """One register at one voter: what it promised and what it accepted."""
 
@@ -163,6 +186,11 @@
     def member(self) -> bool:
         return belongs(self.voters, self.me, self.disk)
 
+    @property
+    def named(self) -> bool:
+        """Whether this very disk is a member: one that came back empty to a seat of any disk may not join."""
+        return self.voters.get(self.me) == self.disk
+
     @property
     def voting(self) -> bool:
         """Whether this is an active voter of its epoch."""
@@ -336,8 +364,8 @@
         )
 
     def stored(self, register: str, accepted: Ballot) -> None:
-        """A write of this register is safe on disk."""
-        self.durable[register] = max(self.durable[register], accepted)
+        """A write of this register is safe on disk, the newest so far."""
+        self.durable[register] = accepted
 
     # --- the learner
 
@@ -378,7 +406,7 @@
                     self.lost(now, round)
             self.advance(now, register, out)
             self.settle(now, register, out)
-        if self.member and not self.voting:
+        if self.named and not self.voting:
             self.join(now, out)
         return out
 
@@ -410,24 +438,27 @@
             for round in rounds[:1]:
                 if round.step != "wait":
                     round.step, round.next_at = "wait", now + PATIENCE / 2  # what it asked for may be chosen
-        if self.member:
+        if self.named:
             self.join(now, out)
 
     def join(self, now: float, out: Out) -> None:
         """Ask for what this epoch is to hold: the voters of the one before, and those who are active."""
         joining = self.joining = self.joining or Joining()
-        if self.held == self.epoch - 1 and belongs(self.members["before"], self.me, self.disk):
+        before = self.members["before"]
+        if self.held == self.epoch - 1 and belongs(before, self.me, self.disk):
             held = {name: (a.accepted, a.value) for name, a in self.acceptors.items()}
             joining.told[self.me] = (self.held, held)
-            if self.enough(now, out):
-                return
+        elif before.get(self.me) == self.disk:
+            joining.told[self.me] = (self.held, {})
+        if joining.told and self.enough(now, out):
+            return
         if now < joining.next_at:
             return
         joining.wait = min(2 * joining.wait, JOIN_MOST)
         joining.next_at = now + joining.wait
         have = {name: max(a.accepted, self.learned[name][0]) for name, a in self.acceptors.items()}
         message = {"k": "join", "m": self.members, "have": have}
-        others = {*self.members["before"], *self.voters} - {self.me, *joining.told}
+        others = {*before, *self.voters} - {self.me, *joining.told}
         out.sends.extend((peer, message) for peer in sorted(others))
 
     def asked(self, now: float, peer: str, message: dict, out: Out) -> None:
@@ -437,11 +468,14 @@
         if self.epoch > epoch:
             out.sends.append((peer, {"k": "epoch", "m": self.members}))
         active = self.held == epoch and belongs(message["m"]["voters"], self.me, self.disk)
-        sealed = self.held == epoch - 1 and belongs(message["m"]["before"], self.me, self.disk)
-        if not (active or sealed) or self.epoch < epoch:
+        before = message["m"]["before"]
+        sealed = self.held == epoch - 1 and belongs(before, self.me, self.disk)
+        # never active in the epoch before, and never to be: it holds nothing of it, and its seal counts
+        unused = self.held < epoch - 1 and before.get(self.me) == self.disk
+        if not (active or sealed or unused) or self.epoch < epoch:
             return
         registers = {}
-        for name, acceptor in self.acceptors.items():
+        for name, acceptor in self.acceptors.items() if not unused else ():
             told = registers[name] = {"a": acceptor.accepted}
             if tuple(message["have"].get(name, NONE)) != acceptor.accepted:
                 told["v"] = acceptor.value
@@ -452,7 +486,7 @@
 
     def gathered(self, now: float, peer: str, message: dict, out: Out) -> None:
         joining = self.joining
-        if joining is None or message["e"] != self.epoch or not self.member or self.voting:
+        if joining is None or message["e"] != self.epoch or not self.named or self.voting:
             return
         at = self.voters if message["held"] == self.epoch else self.members["before"]
         if not belongs(at, peer, message["disk"]):
@@ -473,13 +507,14 @@
 
     def enough(self, now: float, out: Out) -> bool:
         """Whether what was told holds all that the epoch before has chosen; if so, this voter is active."""
-        told = self.joining.told
-        if not any(held == self.epoch for held, _ in told.values()):
-            sealed = [peer for peer, (held, _) in told.items() if held == self.epoch - 1]
-            if len(sealed) < majority(self.members["before"]):
-                return False
+        told = self.joining.told.values()
+        if not any(held == self.epoch for held, _ in told) and len(told) < majority(self.members["before"]):
+            return False
+        registers = [registers for held, registers in told if held >= self.epoch - 1]
+        if not registers:
+            return False  # those who chose this epoch were active in the one before: one is missing
         for name, acceptor in self.acceptors.items():
-            best, value = max((held[name] for _, held in told.values()), key=lambda one: one[0])
+            best, value = max((held[name] for held in registers), key=lambda one: one[0])
             acceptor.promised, acceptor.accepted, acceptor.value = best, best, value
             out.writes.append((name, best, best, value))
         self.held, self.joining = self.epoch, None
--- a/bramblewood/archive/membership.py
+++ b/bramblewood/archive/membership.py
@@ -31,6 +31,16 @@
     versions: dict[str, int]  # what it knows to be chosen, by register
 
 
+def votes_in(peer: Peer | None, members: Members, name: str) -> bool:
+    """Whether it said that it is an active voter of this very epoch, on the disk that this epoch knows."""
+    return (
+        peer is not None
+        and peer.votes
+        and peer.epoch == members["n"]
+        and belongs(members["voters"], name, peer.disk)
+    )
+
+
 class Change(NamedTuple):
     voters: dict[str, str]
     why: str
@@ -76,6 +86,9 @@
     def there(self, peer: Peer | None) -> bool:
         return peer is not None and peer.steady > 0
 
+    def votes_there(self, peers: dict[str, Peer], members: Members, name: str) -> bool:
+        return self.there(peers.get(name)) and votes_in(peers[name], members, name)
+
     def spares(self, members: Members, peers: dict[str, Peer], versions: dict[str, int]) -> list[str]:
         """Archives that may take a seat now, those of the zone with the fewest voters first."""
         voters = members["voters"]
@@ -98,7 +111,7 @@
         voters, n = members["voters"], members["n"]
         for name, disk in voters.items():
             peer = peers.get(name)
-            if self.there(peer) and belongs({name: disk}, name, peer.disk) and not peer.votes:
+            if self.there(peer) and peer.disk == disk and not votes_in(peer, members, name):
                 return None  # it is about to be active: one change at a time
         for name, disk in voters.items():
             peer = peers.get(name)
@@ -127,7 +140,7 @@
     def margin(self, members: Members, peers: dict[str, Peer]) -> int:
         """How many more active voters may be lost with a majority left; below 0: there is none."""
         voters = members["voters"]
-        active = [name for name in voters if self.there(peers.get(name)) and peers[name].votes]
+        active = [name for name in voters if self.votes_there(peers, members, name)]
         return len(active) - majority(voters)
 
     def ordered(
@@ -146,7 +159,7 @@
             made[new] = peers[new].disk
         if len(made) < min(len(voters), needed(self.losses)):
             return Err(f"{len(made)} voters don't bear {self.losses} losses: replace it, or add one first")
-        active = [name for name in made if self.there(peers.get(name)) and peers[name].votes]
+        active = [name for name in made if self.votes_there(peers, members, name)]
         if len(active) + (1 if new else 0) < majority(made):
             return Err("no majority of that set can be heard")
         return Ok(Change(made, "by hand"))
@@ -169,7 +182,7 @@
     """
     voters = members["voters"]
     if not belongs(voters, me, disk):
-        return sum(name in peers and peers[name].votes for name in voters) >= majority(voters)
+        return sum(votes_in(peers.get(name), members, name) for name in voters) >= majority(voters)
     if spare:
         return False
     others = [name for name in voters if name != me]
@@ -177,6 +190,7 @@
         name
         for name in others
         if name in durable
+        and votes_in(peers.get(name), members, name)
         and all(tuple(durable[name].get(register, ())) >= ballot for register, ballot in accepted.items())
     ]
     return len(hold) >= len(others) // 2 + 1 or not others
--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -39,6 +39,7 @@
     TABLE,
     VOTES,
     Ballots,
+    Due,
     Out,
     founders,
     nothing,
@@ -80,7 +81,7 @@
         self.up_since: dict[str, float] = {}
         self.archives: set[str] = set()
         self.membership = Membership(told.losses, told.bounds.CatchUpS)
-        self.facts_due: dict[str, Any] = {}  # not yet safe on disk: goes with every write until it is
+        self.due = Due({})
         self.changing = False  # the set of voters, from here
         self.desks: dict[str, Link] = {}
         self.holds, self.copies = Holds(told.bounds.HoldMaxS), Copies()
@@ -167,14 +168,14 @@
             members, held = founders(self.told.seed_ips()), 0
         disk = disk or f"{int.from_bytes(os.urandom(4), 'big'):08x}"
         self.ballots = Ballots(self.me, disk, self.life, stored, members, held)
-        self.facts_due = {"disk": disk, "held": held}
+        self.due.facts = {"disk": disk, "held": held}
         if members is not None:
-            self.facts_due["members"] = members
+            self.due.facts["members"] = members
 
     def know(self, peer: str) -> None:
         if peer != self.me and peer not in self.archives:
             self.archives.add(peer)
-            self.facts_due["archives"] = sorted(self.archives)
+            self.due.facts["archives"] = sorted(self.archives)
             self.links.keep(peer, self.told.inner)
 
     def peers(self, now: float) -> dict[str, Peer]:
@@ -268,8 +269,9 @@
 
     def word(self, now: float) -> float:
         ballots = self.ballots
-        known = ballots.learned[TABLE][0]
-        return self.sessions.word_until(now, ballots.voters, ballots.epoch, TABLE, known, ballots.voting)
+        known, accepted = ballots.learned[TABLE][0], ballots.acceptors[TABLE].accepted
+        mine = ballots.voting and accepted <= known
+        return self.sessions.word_until(now, ballots.voters, ballots.epoch, TABLE, known, mine)
 
     def pulse(self, now: float, only: str | None = None) -> None:
         ballots = self.ballots
@@ -558,27 +560,25 @@
 
     def carry(self, out: Out) -> None:
         """Writes first; sends and answers once they are safe."""
-        self.facts_due.update(out.facts)
-        if not out.writes and not out.facts and not self.facts_due:
+        rows, facts = self.due.take(out)
+        if not rows and not facts:
             if out.sends or out.answers:
                 self.dispatch(out)
             return
         if self.writing_since is None:
             self.writing_since = self.loop.time()
         self.writes += 1
-        facts = dict(self.facts_due)  # a vote that lies on disk without its epoch would be one of another
-        self.shelf.write(out.writes, facts, lambda problem: self.written(out, facts, problem))
+        self.shelf.write(rows, facts, lambda problem: self.written(out, rows, facts, problem))
 
-    def written(self, out: Out, facts: dict[str, Any], problem: str | None) -> None:
+    def written(self, out: Out, rows: list, facts: dict[str, Any], problem: str | None) -> None:
         self.writes -= 1
         self.writing_since = self.loop.time() if self.writes else None
         if problem:
             self.log.error("not written", step="write", problem=problem)
+            self.dispatch(nothing()._replace(answers=[(tag, None) for tag, _ in out.answers]))  # unclear
             return
-        for name, value in facts.items():
-            if self.facts_due.get(name) == value:
-                del self.facts_due[name]
-        for register, _, accepted, _ in out.writes:
+        self.due.safe(rows, facts)
+        for register, _, accepted, _ in rows:
             self.ballots.stored(register, accepted)
         self.dispatch(out)
 
--- a/bramblewood/archive/sessions.py
+++ b/bramblewood/archive/sessions.py
@@ -82,7 +82,8 @@
         does.
 
         voters, epoch: the set of voters that is known here, with their disks. A majority of it that was not
-        sealed as it stamped is a word that no later epoch had begun.
+        sealed as it stamped is a word that no later epoch had begun. votes: whether this archive is an active
+        voter itself and has accepted nothing newer.
         """
         stamps = [now] if votes and self.me in voters else []
         for peer, heard in self.heard.items():
