--- a/bramblewood/archive/health.py
+++ b/bramblewood/archive/health.py
@@ -93,9 +93,16 @@
         return {life: one for life, one in told.items() if life in known}
 
 
-def judged(value: dict | None, told: dict[str, list]) -> tuple[dict | None, bool]:
-    """The table with these judgements; what changes gets the new version, less it where a worker is back."""
+def judged(
+    value: dict | None, told: dict[str, list], seen: dict[str, list]
+) -> tuple[dict | None, bool]:
+    """The table with these judgements; what changes gets the new version, less it where a worker is back.
+
+    seen: what stood when it was judged. Where another archive has judged since, this changes nothing.
+    """
     had, number = out_of_health(value), (value["n"] if value else 0) + 1
+    if had != seen:
+        return None, True
     made = {}
     for life, (times, out) in told.items():
         same = life in had and had[life][0] == times and (had[life][1] > 0) == out
--- a/bramblewood/archive/holds.py
+++ b/bramblewood/archive/holds.py
@@ -98,7 +98,8 @@
         waiting.add(key)
         since = self.wait_from.setdefault(key, now)
         row = roll.rows.get(entry[OLD])
-        ended = row is not None and row.phase == GONE and roll.homes.get(row.address) != entry[OLD]
+        gone = row is not None and row.phase == GONE and row.address != ""
+        ended = gone and roll.homes.get(row.address) != entry[OLD]  # another life listens there
         if ended or now >= since + self.expiry:
             free.append(Freed(service, tuple(run), entry[FENCE], entry[OLD], ""))
         else:
@@ -126,6 +127,7 @@
         row, key = roll.rows.get(life), (kind, service, run[0], last, entry[FENCE])
         if (
             row is None
+            or not row.address
             or row.phase == GONE
             and kind == "grant"
             or key in self.out
--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -1,7 +1,6 @@
 """The archive's shell: sockets, disk, timers and signals round its state machines. It decides nothing."""
 
 import asyncio
-import itertools
 import json
 import os
 import signal
@@ -19,11 +18,13 @@
 from . import placement
 from .accession import (
     BEAT_MOST,
+    Command,
     EndPlan,
     GetConfig,
     PutConfig,
     Refusal,
     Register,
+    StartPlan,
     TakeLeave,
     decode,
     most,
@@ -33,8 +34,9 @@
 from .ballots import CONFIG, FOUNDING, NONE, REGISTERS, TABLE, VOTERS, VOTES, Ballots, Out, trace
 from .copies import Copies, Lease, forgotten, taken_off
 from .feed import Feed
-from .health import Health, judged
+from .health import Health, judged, out_of_health
 from .holds import RENEW_PART, Call, Freed, Holds
+from .leaves import HELD_WITHIN, Leaves
 from .roll import GONE, READY, Roll, Row
 from .sessions import PULSE, Sessions
 from .shelf import Shelf
@@ -45,7 +47,6 @@
 TURN = 0.5  # s between turns of placement, the manager's own
 # s for an operator's or worker's call: callers go elsewhere after a second of silence; PROTOCOL
 CALL_WITHIN = 0.85
-SEEN_BY_ANOTHER = 0.6  # s that a leave waits for another archive's word, within that second
 FOUND_WITHIN = 3.0  # s of the first boot in which more archives may show themselves; all start at once
 STALL = 0.3  # s that a write may take before this archive leaves the proposing to others
 GRANT_FIRST = 0.025  # s that a table waits for its grants before desks follow it: ways to a worker and back
@@ -67,9 +68,8 @@
         self.desks: dict[str, Link] = {}
         self.holds, self.copies = Holds(told.bounds.HoldMaxS), Copies()
         self.withdrawals, self.health = Withdrawals(self.holds.expiry), Health()
-        self.ids = itertools.count(1)
-        self.confirms: dict[int, asyncio.Future] = {}
-        self.confirmed: set[tuple[str, str]] = set()
+        self.leaves = Leaves(self.me)
+        self.confirms: dict[int, asyncio.Future] = {}  # by round of leaves
         self.editions: tuple[int, Any] = (0, None)
         self.aims: dict[str, float] = {}
         self.shown: dict[str, int] = dict.fromkeys(REGISTERS, 0)
@@ -186,7 +186,7 @@
         if now >= self.pulse_at:
             self.pulse_at = now + PULSE
             self.pulse(now)
-        if now >= self.desk_pulse_at or self.whole(now) and not self.was_whole:
+        if now >= self.desk_pulse_at or self.whole(now) != self.was_whole:
             self.desk_pulse_at = now + DESK_PULSE
             self.pulse_desks(now)
         self.learned()
@@ -197,13 +197,22 @@
         self.steer(now)
 
     def whole(self, now: float) -> bool:
-        """Whether this archive may act for the core: a word of the majority, and a disk that answers."""
+        """Whether this archive may act for the core and be believed by desks: a word of the majority on all
+        registers, and a disk that answers.
+        """
         stalled = self.writing_since is not None and now - self.writing_since > STALL
         return not stalled and self.word(now) > now
 
-    def word(self, now: float) -> float:
+    def word(self, now: float, registers: tuple[str, ...] = REGISTERS) -> float:
+        """Until when a majority's word holds that nothing newer is chosen in these registers; 0 for none."""
         ballots = self.ballots
-        return self.sessions.word_until(now, ballots.voters, TABLE, ballots.learned[TABLE][0], ballots.voting)
+        known = {name: ballots.learned[name][0] for name in registers}
+        own = {name: acceptor.accepted for name, acceptor in ballots.acceptors.items()}
+        return self.sessions.word_until(now, ballots.voters, known, own if ballots.voting else None)
+
+    def contact(self, now: float) -> bool:
+        """Whether a majority of the voters has answered of late, whatever it has accepted."""
+        return self.word(now, ()) > now
 
     def pulse(self, now: float, only: str | None = None) -> None:
         ballots = self.ballots
@@ -331,8 +340,7 @@
             for lease in leases:
                 asyncio.ensure_future(self.lease(lease, until))
             if over and not self.proposing:
-                self.proposing = True
-                self.propose(TABLE, lambda value: forgotten(value, over), self.proposed, 1.0)
+                self.move(lambda value: forgotten(value, over))
             if out_of(table) and not self.proposing:
                 self.withdraw(now, table)
         if table is not None and now >= self.health_at:
@@ -341,17 +349,15 @@
         if not self.proposing:
             wanted = self.placement.step(now, services, self.aims, self.roll, self.silent(now), table)
             if wanted:
-                self.proposing = True
                 moves = {service: (len(c.lines), len(c.splits)) for service, c in wanted.items()}
                 self.log.info("moves", step="placement", moves=moves, table=self.ballots.version(TABLE))
-                self.propose(TABLE, lambda value: placement.apply(value, wanted, keyed), self.proposed, 1.0)
+                self.move(lambda value: placement.apply(value, wanted, keyed))
 
     def withdraw(self, now: float, table: dict) -> None:
         """The next step of the plans that take workers out of service."""
         change = self.withdrawals.step(now, table, self.roll, self.placement.rooms())
         if change is not None:
-            self.proposing = True
-            self.propose(TABLE, change, self.proposed, 1.0)
+            self.move(change)
 
     def judge(self, now: float, table: dict) -> None:
         """Take workers out that look ill to the desks, and back after a while."""
@@ -360,10 +366,16 @@
             if row.phase == READY and life not in leaving:
                 in_service.setdefault(row.service, []).append(life)
         told = self.health.wanted(now, table, self.health.cycle(in_service), in_service)
-        if judged(table, told)[0] is not None and not self.proposing:
-            self.proposing = True
+        seen = out_of_health(table)
+        if judged(table, told, seen)[0] is not None and not self.proposing:
             self.log.info("health", step="placement", told=told)
-            self.propose(TABLE, lambda value: judged(value, told), self.proposed, 1.0)
+            self.move(lambda value: judged(value, told, seen))
+
+    def move(self, change: Any) -> None:
+        """A change of the table by the scribe; void if this archive is whole no more when its turn comes."""
+        self.proposing = True
+        fenced = lambda value: change(value) if self.whole(self.loop.time()) else (None, None)  # noqa: E731
+        self.propose(TABLE, fenced, self.proposed, 1.0)
 
     def proposed(self, outcome: Any) -> None:
         self.proposing = False
@@ -551,11 +563,12 @@
         link.peer, link.role = str(message["from"]), message["role"]
         if link.role == "archive":
             self.know(link.peer)
-            self.take_rows(message.get("rows", {}))
+            self.take_rows(message.get("rows", {}), link.peer)
             return
         self.desks[link.peer] = link
-        leaving = {life: [*row] for life, row in self.roll.rows.items() if row.phase != READY}
-        link.send({"k": "roll", "rows": leaving})
+        self.withdrawals.anew(link.peer)
+        self.take_rows(message.get("rows", {}))  # what all archives forgot in a restart, desks have kept
+        link.send({"k": "roll", "rows": self.roll.leaving()})
         self.pulse_desks(self.loop.time())
 
     def left(self, link: Link) -> None:
@@ -586,18 +599,22 @@
                     self.ballots.voted(now, link.peer, register, tuple(ballot), out)
             self.carry(out)
             self.learned()
+            self.look_leaves()
             if not self.was_whole and self.whole(now):
                 self.pulse_desks(now)
             self.adopt(tuple(message.get("voters", ())))
             for peer in message.get("archives", ()):
                 self.know(peer)
         elif kind == "roll":
-            self.take_rows(message["rows"])
-            self.links.send(link.peer, {"k": "rolled", "id": message["id"]})
+            newer = self.take_rows(message["rows"], link.peer)
+            if "id" in message:
+                self.links.send(link.peer, {"k": "rolled", "id": message["id"], "rows": newer})
+            elif newer:
+                self.links.send(link.peer, {"k": "roll", "rows": newer})
         elif kind == "rolled":
-            waiting = self.confirms.get(message["id"])
-            if waiting is not None and not waiting.done():
-                waiting.set_result(True)
+            self.take_rows(message["rows"], link.peer)
+            self.leaves.held(message["id"], link.peer)
+            self.look_leaves()
         elif kind == "home":
             self.home(link, message)
         elif kind == "want":
@@ -606,7 +623,8 @@
             self.reported(now, link, message)
         elif kind == "confirm":
             if self.whole(now):
-                link.send({"k": "confirmed", "t": message["t"], "n": self.ballots.version(TABLE)})
+                newest = {register: self.ballots.version(register) for register in REGISTERS}
+                link.send({"k": "confirmed", "t": message["t"], "n": newest})
         elif kind == "off":
             self.take_off(link, message)
         elif kind in VOTES:
@@ -647,11 +665,17 @@
                 heat, keys = message["heat"].get(service, {}), by_key.get(service, {})
                 self.placement.report(now, service, link.peer, heat, keys, over, some)
 
-    def take_rows(self, rows: dict) -> None:
-        now = self.loop.time()
-        fresh = {life: row for life, row in rows.items() if self.roll.merge(now, life, Row(*row))}
-        if fresh:
-            self.tell_desks(fresh)
+    def take_rows(self, rows: dict, sender: str = "") -> dict[str, list]:
+        """Take rows that another manager sent; those of its workers that leave of which we have a newer word.
+
+        News of a leave goes on to the other archives, as its sender may reach but some of them.
+        """
+        news, newer = self.roll.take(self.loop.time(), rows)
+        if news:
+            self.tell_desks(news)
+        if leaving := {life: row for life, row in news.items() if Row(*row).phase != READY}:
+            self.share(leaving, but=sender)
+        return newer
 
     def tell_desks(self, rows: dict) -> None:
         """News of workers: to the desks whose home this is; of those that leave to all, as one archive may be
@@ -667,24 +691,25 @@
                 if name not in self.homes:
                     link.send(message)
 
-    def note(self, life: str, row: Row) -> int | None:
-        """Take a row; where it is news, tell all desks and archives. The number that the archives confirm."""
-        if not self.roll.merge(self.loop.time(), life, row):
-            return None
-        rows = {life: [*row]}
+    def note(self, life: str, row: Row, number: int | None = None) -> None:
+        """Take a row; where it is news, tell all desks and archives. With a number all archives answer."""
+        news = self.roll.merge(self.loop.time(), life, row)
+        rows = {life: [*self.roll.rows[life]]}
+        if news or number is not None:
+            self.share(rows, number)
+        if not news:
+            return
         self.tell_desks(rows)
-        number = self.share(rows)
-        if row.phase != "ready":
+        if row.phase != READY:
             self.log.info("worker leaves", step="roll", peer=life, phase=row.phase)
             self.loop.call_soon(self.steer, self.loop.time())
-        return number
 
-    def share(self, rows: dict) -> int:
-        """Send rows to the other archives; the number by which they confirm them."""
-        number = next(self.ids)
+    def share(self, rows: dict, number: int | None = None, but: str = "") -> None:
+        """Send rows to the other archives; with a number they answer that they hold them."""
+        message = {"k": "roll", "rows": rows} | ({} if number is None else {"id": number})
         for peer in list(self.links.up):
-            self.links.send(peer, {"k": "roll", "id": number, "rows": rows})
-        return number
+            if peer != but:
+                self.links.send(peer, message)
 
     def rows(self) -> dict[str, list]:
         """The whole roll as it travels."""
@@ -713,13 +738,15 @@
                 self.log.info("configuration refused", step="check", reason=refusal.reason)
             headers = {"Allow": refusal.allow} if refusal.allow else {}
             return answer(refusal.status, refusal.reason, headers)
-        match command.ok_value:
+        return await self.obey(command.ok_value)
+
+    async def obey(self, command: Command) -> web.Response:
+        """A worker's or the operator's call: taken, served or refused for good by a majority only."""
+        match command:
             case Register(life, row) as call:
                 return await self.registered(life, row, call.leaving)
             case TakeLeave(life):
-                row = self.roll.rows.get(life)
-                if row is None:
-                    return answer(200)
+                row = self.roll.rows.get(life) or Row("", "", "", 1, GONE, 0)  # others may know it
                 return await self.registered(life, row._replace(phase=GONE, seq=row.seq + 1), True)
             case PutConfig(edition):
                 told = await self.agreed(CONFIG, lambda stands: succeed(edition, stands))
@@ -740,27 +767,35 @@
         if isinstance(command, Err):
             return answer(command.err_value.status, command.err_value.reason)
         command = command.ok_value
+
+        def start(value: dict | None) -> tuple[dict | None, tuple[int, str]]:
+            lives = self.chosen(command, value)
+            staying = len(set(in_use(self.roll, command.service, out_of(value))) - set(lives))
+            return started(value, command.name, command.service, lives, command.wave, staying)
+
         if isinstance(command, EndPlan):
             told = await self.agreed(TABLE, lambda value: ended(value, command.name, command.state))
-        else:
-            table = self.ballots.value(TABLE)
-            able = in_use(self.roll, command.service, out_of(table))
-            lives = [life for life in able if not command.lives or life in command.lives]
-            lives = [life for life in lives if command.zone in ("", self.roll.rows[life].zone)]
-            lives = [life for life in lives if command.revision in ("", self.roll.rows[life].revision)]
-            lives = lives[: command.count or len(lives)]
-            if command.name in plans_of(table):
-                lives = plans_of(table)[command.name]["lives"]  # asked again
-            staying, wave = len(set(able) - set(lives)), command.wave
-            change = lambda value: started(value, command.name, command.service, lives, wave, staying)  # noqa: E731
-            if command.only_tell:
-                status, reason = change(table)[1]
-                waves = [lives[i : i + wave] for i in range(0, len(lives), wave)]
+        elif command.only_tell:
+            read = lambda value: (None, (self.chosen(command, value), start(value)[1]))  # noqa: E731
+            if (told := await self.agreed(TABLE, read)) is not None:
+                lives, (status, reason) = told
+                waves = [lives[i : i + command.wave] for i in range(0, len(lives), command.wave)]
                 return web.json_response({"Waves": waves, "Failure": "" if status == 200 else reason})
-            told = await self.agreed(TABLE, change)
+        else:
+            told = await self.agreed(TABLE, start)
         self.log.info("plan", step="withdraw", name=command.name, told=told)
         return answer(*told) if told else answer(503, "no majority heard in time")
 
+    def chosen(self, command: StartPlan, value: dict | None) -> list[str]:
+        """The workers that a plan names, by the table that stands."""
+        if command.name in plans_of(value):
+            return plans_of(value)[command.name]["lives"]  # asked again
+        able = in_use(self.roll, command.service, out_of(value))
+        lives = [life for life in able if not command.lives or life in command.lives]
+        lives = [life for life in lives if command.zone in ("", self.roll.rows[life].zone)]
+        lives = [life for life in lives if command.revision in ("", self.roll.rows[life].revision)]
+        return lives[: command.count or len(lives)]
+
     def plans(self, now: float) -> dict:
         """The plans as they stand, with what keeps each worker."""
         table, told = self.ballots.value(TABLE), self.withdrawals
@@ -852,33 +887,48 @@
         return answer(404, "no such view")
 
     async def agreed(self, register: str, change: Any) -> Any:
-        waiting = self.loop.create_future()
+        """The outcome of a round among a majority; None where there was none in time, also after a thaw."""
+        waiting, asked = self.loop.create_future(), self.loop.time()
         self.propose(
             register, change, lambda outcome: waiting.done() or waiting.set_result(outcome), CALL_WITHIN
         )
         try:
             async with asyncio.timeout(CALL_WITHIN + TICK):
-                return await waiting
+                outcome = await waiting
         except TimeoutError:
             return None
+        return outcome if self.loop.time() <= asked + CALL_WITHIN + TICK else None
 
     async def registered(self, life: str, row: Row, leaving: bool) -> web.Response:
-        """A worker's call. A leave is acknowledged once another archive knows it too, or not at all."""
-        number = self.note(life, row)
-        if not leaving or (life, row.phase) in self.confirmed:
-            return web.json_response({})
-        if number is None:  # known already, perhaps from another archive, but never confirmed here
-            number = self.share({life: [*self.roll.rows[life]]})
-        self.confirms[number] = self.loop.create_future()
+        """A worker's call: noted and told on at once, but answered 200 in touch with a majority only, so that
+        its worker goes to an archive that the others hear. A leave is confirmed once a majority holds it.
+        """
+        if not leaving:
+            self.note(life, row)
+            heard = self.contact(self.loop.time())
+            return web.json_response({}) if heard else answer(503, "no majority heard")
+        number = self.leaves.ask(self.loop.time())
+        waiting = self.confirms[number] = self.loop.create_future()
+        self.note(life, row, number)
+        self.look_leaves()
         try:
-            async with asyncio.timeout(SEEN_BY_ANOTHER):
-                await self.confirms[number]
+            async with asyncio.timeout(HELD_WITHIN):
+                await waiting
         except TimeoutError:
-            return answer(503, "no other archive has heard it in time")
-        finally:
-            del self.confirms[number]
-        self.confirmed.add((life, row.phase))
-        return web.json_response({})
+            pass
+        held = self.held(number)  # by the clock of now: a freeze may lie before
+        del self.confirms[number]
+        self.leaves.end(number)
+        return web.json_response({}) if held else answer(503, "no majority holds it in time")
+
+    def held(self, number: int) -> bool:
+        now = self.loop.time()
+        return self.leaves.confirmed(now, number, self.ballots.voters, self.contact(now))
+
+    def look_leaves(self) -> None:
+        for number, waiting in self.confirms.items():
+            if not waiting.done() and self.held(number):
+                waiting.set_result(True)
 
 
 def answer(status: int, reason: str = "", headers: dict | None = None) -> web.Response:
--- a/bramblewood/archive/roll.py
+++ b/bramblewood/archive/roll.py
@@ -3,6 +3,9 @@
 A row is (service, address, zone, slots, phase, call number). Of two rows of one life the one with the higher
 call number stands; of equal ones the later phase (ready, draining, gone). "Gone" is final. When a worker was
 last heard travels as an age, never as a time of day.
+
+The last call of a life that an archive has never heard of makes a row without an address. It is gone like any
+other, and takes what it lacks from any row of that life, whichever comes first.
 """
 
 from typing import NamedTuple
@@ -40,7 +43,11 @@
         if row.phase != GONE:
             self.heard[life] = max(self.heard.get(life, 0.0), now - age)
         if old is not None and row.rank() <= old.rank():
+            if row.address and not old.address:
+                self.rows[life] = row._replace(phase=GONE, seq=old.seq)
             return False
+        if old is not None and not row.address:
+            row = old._replace(phase=GONE, seq=row.seq)
         self.rows[life] = row
         news = old is None or (old.phase, old.address, old.slots) != (row.phase, row.address, row.slots)
         if news:
@@ -60,6 +67,27 @@
                 self.homes[row.address] = life
         return news
 
+    def take(self, now: float, rows: dict[str, list]) -> tuple[dict[str, list], dict[str, list]]:
+        """Rows that another manager sent: those that were news here, and of workers that leave those that it
+        has an older word of.
+        """
+        news = {life: row for life, row in rows.items() if self.merge(now, life, Row(*row))}
+        ours = {life: self.rows[life] for life in rows}
+        newer = {
+            life: [*row]
+            for life, row in ours.items()
+            if row.phase != READY and row.rank() > Row(*rows[life]).rank()
+        }
+        return news, newer
+
+    def leaving(self, since: float = 0.0) -> dict[str, list]:
+        """The rows of workers that leave or have gone, as they travel; since: those that changed after it."""
+        return {
+            life: [*row]
+            for life, row in self.rows.items()
+            if row.phase != READY and self.since.get(life, 0.0) >= since
+        }
+
     def listen(self, now: float, ages: dict[str, float]) -> None:
         """What another archive heard: how long ago each life spoke."""
         for life, age in ages.items():
--- a/bramblewood/archive/sessions.py
+++ b/bramblewood/archive/sessions.py
@@ -6,6 +6,9 @@
 accepted nothing newer when that stamp was set, or later. A word rests on the stamps of a majority and is good
 for WORD s from the oldest of them: whatever a majority chooses later is chosen after that stamp, so whoever
 moves keys on a chosen change need wait no longer than WORD for the last renewal that rested on an older word.
+
+All times are this archive's own steady clock, and a stamp counts only once it came there and back. So a word
+ends by itself after a freeze, and after a cut in either direction, whatever still waits in a socket.
 """
 
 from typing import NamedTuple
@@ -32,6 +35,7 @@
         self.told: dict[str, dict] = {}  # by archive, what changes seldom and was said on its link
         self.stamps: dict[str, float] = {}  # last stamp of each other archive, to give back
         self.desks: dict[str, list[str]] = {}  # by archive, the desks that it last told of
+        self.level: dict[str, float] = {}  # by register, when we had accepted nothing newer than was known
 
     def anew(self, peer: str) -> None:
         """A link to this archive stands anew: whoever listens there now may know nothing."""
@@ -51,14 +55,27 @@
             self.desks[peer] = message["desks"]
 
     def word_until(
-        self, now: float, voters: tuple[str, ...], register: str, known: Ballot, votes: bool
+        self,
+        now: float,
+        voters: tuple[str, ...],
+        known: dict[str, Ballot],
+        own: dict[str, Ballot] | None,
     ) -> float:
-        """Until when the word holds that nothing newer than `known` is chosen in this register; 0 where none
-        does.
+        """Until when the word holds that in these registers nothing newer than `known` is chosen; 0 where
+        none does. With no register it tells of contact alone.
+
+        own: what this archive has accepted itself, None where it does not vote. It counts as heard when it
+        was last found to have accepted nothing newer: with one more voter that may be the majority.
         """
-        stamps = [now] if votes and self.me in voters else []
+        stamps = []
+        if own is not None and self.me in voters:
+            for register, ballot in known.items():
+                if own[register] <= ballot:
+                    self.level[register] = now
+            stamps.append(min((self.level.get(register, -WORD) for register in known), default=now))
         for peer, heard in self.heard.items():
-            if peer in voters and heard.votes and heard.accepted.get(register, NONE) <= known:
+            level = all(heard.accepted.get(register, NONE) <= ballot for register, ballot in known.items())
+            if peer in voters and heard.votes and level:
                 stamps.append(heard.stamp)
         needed = len(voters) // 2 + 1
         if len(stamps) < needed:
--- a/bramblewood/archive/withdrawal.py
+++ b/bramblewood/archive/withdrawal.py
@@ -112,6 +112,10 @@
         self.began = now if self.began is None else self.began
         self.there.update(dict.fromkeys(desks, now))
 
+    def anew(self, desk: str) -> None:
+        """A desk's link stands anew: it may be another life of it, so what was said before counts no more."""
+        self.desks.pop(desk, None)
+
     def hear(self, desk: str, table: int, left: dict[str, list]) -> None:
         self.desks[desk] = (table, {life: Left(*told) for life, told in left.items()})
 
@@ -138,6 +142,7 @@
         meanwhile.
         """
         moves: dict[str, str] = {}
+        rests_on = {life: version for life, (_, _, version) in out_of(value).items()}
         for life, (_, step, version) in out_of(value).items():
             row = roll.rows.get(life)
             if step != OUT and (row is None or row.phase == GONE):
@@ -153,7 +158,9 @@
                 self.wave(now, name, plan, value, roll, rooms, moves, ends)
         if not moves and not ends:
             return None
-        return lambda stands: advanced(stands, moves, ends)
+        return lambda stands: advanced(
+            stands, {life: (step, rests_on[life]) for life, step in moves.items()}, ends
+        )
 
     @staticmethod
     def holds(value: dict, life: str) -> bool:
@@ -199,12 +206,17 @@
         return found
 
 
-def advanced(value: dict | None, moves: dict[str, str], ends: dict[str, tuple[str, str]]):
-    """The table with workers a step further and plans ended, as far as they still stand there."""
-    order = [TOLD, CLOSING, CLOSED, OUT]
+def advanced(
+    value: dict | None, moves: dict[str, tuple[str, int]], ends: dict[str, tuple[str, str]]
+) -> tuple[dict | None, bool]:
+    """The table with workers a step further and plans ended, as far as they still stand there.
+
+    A move names the version of the step that it follows, its fence: the desks' word that they follow that
+    version says nothing of a later plan's.
+    """
     plans, out, found = dict(plans_of(value)), dict(out_of(value)), False
-    for life, step in moves.items():
-        if life in out and order.index(out[life][1]) < order.index(step):
+    for life, (step, version) in moves.items():
+        if life in out and out[life][2] == version:
             out[life], found = [out[life][0], step, value["n"] + 1], True
     for name, (state, why) in ends.items():
         if name in plans and plans[name]["state"] == RUNNING:
--- a/bramblewood/desk/program.py
+++ b/bramblewood/desk/program.py
@@ -5,7 +5,6 @@
 import os
 import signal
 import socket
-import zlib
 from typing import Any
 
 from aiohttp import web
@@ -17,6 +16,7 @@
 from ..catalogue.doors import BACKLOG, door
 from ..catalogue.edition import Edition, edition_of
 from ..catalogue.links import QUIET, Link, Links
+from .contact import Contact, Sends
 from .errand import Budget, Errand, Reply, Send, Wait
 from .recall import CLEAR, Confirm, Drop, Recall, TakeOff
 from .room import keeps
@@ -28,8 +28,7 @@
 REPORT = 0.5  # s between reports to the scribe: the design's cycle, whose length is free
 START_WAIT = 0.25  # s that a request waits for the first configuration: a restart of all is over soon
 TIDY = 1.0  # s between looks at kept connections
-WANT_AFTER = 0.2  # s in which the home may bring what another archive tells of
-WANT_AGAIN = 0.4  # s after which what was asked for and did not come is asked elsewhere
+LEFT_OF_LATE = 10.0  # s for which a leave is told to archives again: many times what a late call of it takes
 CONFIRM_AGAIN = 0.1  # s until an archive is asked again whether a table is the newest
 DROP_WITHIN = 0.2  # s for a reader to drop a copy: many times the way between zones
 OFF_WITHIN = 1.0  # s for a change of the table to be agreed and told
@@ -65,20 +64,14 @@
         self.stacks = Stacks()
         self.edition: Edition | None = None
         self.links = Links(self.hello, self.hear, self.link_told, QUIET, told.bind)
-        self.claims: dict[str, dict] = {}  # by archive: its newest pulse
-        self.wanted: dict[str, tuple[int, float]] = {}
-        self.scribe: str | None = None
-        self.home: str | None = None
-        self.zones: dict[str, str] = {}  # by archive
-        self.rolled = False  # whether a whole roll came
-        self.ready = self.ending = False
+        self.contact = Contact(told.name, told.zone)
+        self.ending = False
         self.front: asyncio.Server | None = None
         self.clients: tuple[Edition | None, web.Server] | None = None  # by whose limits, and what serves them
         self.young: set[int] = set()  # connections that have brought no request yet
         self.flight, self.held = 0, 0
         self.tries: dict[How, int] = dict.fromkeys(How, 0)
         self.answers: dict[int, int] = {}
-        self.sure_at = -1e9  # when the last confirmation that our table is the newest was asked for
         self.ids, self.offs = 0, {}
         self.changed: asyncio.Event | None = None
         self.reported_at = 0.0
@@ -169,35 +162,16 @@
     # --- the archives
 
     def hello(self, peer: str) -> dict:
-        return {"k": "hello", "role": "desk", "from": self.told.name}
+        """The first words to an archive: also who leaves, as a restart of all archives forgets it."""
+        leaving = self.steering.roll.leaving(self.loop.time() - LEFT_OF_LATE)
+        return {"k": "hello", "role": "desk", "from": self.told.name, "rows": leaving}
 
     def link_told(self, peer: str, up: bool) -> None:
-        if not up:
-            self.claims.pop(peer, None)
-            self.zones.pop(peer, None)
-            if self.scribe == peer:
-                self.scribe = None
-            self.choose_home()
-
-    def choose_home(self) -> None:
-        """One archive pushes all news here: of those with a word of the majority one of this zone, if there
-        is one.
-        """
-        able = [peer for peer, told in self.claims.items() if told["whole"] and peer in self.links.up]
-        best = min(
-            able,
-            key=lambda peer: (
-                self.zones.get(peer) != self.told.zone,
-                zlib.crc32(f"{self.told.name}{peer}".encode()),
-            ),
-            default=None,
-        )
-        if best is None or best == self.home:
-            return
-        if self.home is not None:
-            self.links.send(self.home, {"k": "home", "on": False})
-        self.home = best
-        self.links.send(best, {"k": "home", "on": True, "have": self.have()})
+        self.say(self.contact.link(peer, up, self.have()))
+
+    def say(self, sends: Sends) -> None:
+        for peer, message in sends:
+            self.links.send(peer, message)
 
     def have(self) -> dict[str, int]:
         return {"config": self.edition.number if self.edition else 0, "table": self.steering.table_n}
@@ -207,16 +181,19 @@
         if kind == "pulse":
             self.pulse(now, link.peer, message)
         elif kind == "roll":
-            self.rolled = self.rolled or "all" in message
             for life, row in message["rows"].items():
                 if self.steering.roll.merge(now, life, Row(*row)) and row[4] == GONE:
                     self.stacks.drop(life)
+            if "all" in message:
+                self.say(self.contact.roll(now, link.peer, self.have()))
             self.stir()
         elif kind == "config":
             self.take_config(message)
         elif kind == "confirmed":
-            if message["n"] <= self.steering.table_n:
-                self.sure_at = max(self.sure_at, message["t"])
+            was_ready = self.contact.ready
+            self.contact.confirmed(now, link.peer, message, self.have())
+            if self.contact.ready and not was_ready:
+                self.log.info("ready", step="start", number=self.edition.number)
             self.stir()
         elif kind == "offed":
             if (waiting := self.offs.get(message["id"])) is not None and not waiting.done():
@@ -225,37 +202,20 @@
             if not self.steering.take_table(message):
                 link.send({"k": "want", "r": "table", "have": 0})
             self.stir()
-        self.look_ready()
+        if kind in ("config", "table"):
+            self.say(self.contact.ask(now, self.have()))
 
     def pulse(self, now: float, peer: str, message: dict) -> None:
-        self.claims[peer] = message
-        if message["scribe"]:
-            self.scribe = peer
-            if "near" in message:
-                self.steering.take_crowds(message.get("crowds", {}))
-                near = message["near"].items()
-                self.steering.near = {service: parts.get(self.told.zone, 0.0) for service, parts in near}
+        if message["scribe"] and "near" in message:
+            self.steering.take_crowds(message.get("crowds", {}))
+            near = message["near"].items()
+            self.steering.near = {service: parts.get(self.told.zone, 0.0) for service, parts in near}
         if message["whole"]:
             self.steering.silent = set(message.get("silent", ()))
             self.budget.desks = max(message["desks"], 1)
-        if "zone" in message:
-            self.zones[peer] = message["zone"]
-            for other in message["archives"]:
-                self.links.keep(other, self.told.inner)
-        if peer == self.home and not message["whole"]:
-            self.home = None
-        self.choose_home()
-        for register, have in self.have().items():
-            number = message["n"][register]
-            if number <= have:
-                continue
-            # the home pushes: another is asked only if that does not come
-            first, at = self.wanted.get(register, (0, 0.0))
-            if number > first:
-                self.wanted[register] = (number, now + WANT_AFTER)
-            elif now >= at:
-                self.wanted[register] = (number, now + WANT_AGAIN)
-                self.links.send(peer, {"k": "want", "r": register, "have": have})
+        for other in message.get("archives", ()):
+            self.links.keep(other, self.told.inner)
+        self.say(self.contact.pulse(now, peer, message, self.have()))
 
     def take_config(self, message: dict) -> None:
         if self.edition is not None and message["n"] <= self.edition.number:
@@ -266,23 +226,6 @@
             self.log.info("configuration", step="take", number=self.edition.number)
             self.stir()
 
-    def look_ready(self) -> None:
-        """Ready once the newest that an archive with a word of the majority tells of is here; then for this
-        life.
-        """
-        if self.ready or self.edition is None or not self.rolled:
-            return
-        for told in self.claims.values():
-            if (
-                told["whole"]
-                and told["n"]["config"] <= self.edition.number
-                and told["n"]["table"] <= self.steering.table_n
-                and self.steering.table_n
-            ):
-                self.ready = True
-                self.log.info("ready", step="start", number=self.edition.number)
-                return
-
     def stir(self) -> None:
         """Requests that wait look again."""
         self.changed.set()
@@ -297,8 +240,9 @@
             pass
 
     def report(self, now: float) -> None:
-        if self.scribe is not None and self.links.send(
-            self.scribe, self.steering.report(now - self.reported_at, now)
+        scribe = self.contact.scribe
+        if scribe is not None and self.links.send(
+            scribe, self.steering.report(now - self.reported_at, now)
         ):
             self.reported_at = now
 
@@ -307,13 +251,13 @@
     async def readiness(self, request: web.BaseRequest) -> web.Response:
         if request.path == "/metrics":
             return web.Response(text=counters.text(self.counted()))
-        ready = self.ready and not self.ending
+        ready = self.contact.ready and not self.ending
         return web.Response(status=200 if ready else 503)
 
     def counted(self) -> dict[str, float]:
         ended = {f'desk_answers_total{{class="{kind}xx"}}': count for kind, count in self.answers.items()}
         return {
-            "desk_ready": int(self.ready and not self.ending),
+            "desk_ready": int(self.contact.ready and not self.ending),
             "desk_in_flight": self.flight,
             "desk_config_version": self.edition.number if self.edition else 0,
             "desk_table_version": self.steering.table_n,
@@ -484,7 +428,7 @@
         """
         recall, steering, key = Recall(), self.steering, errand.key
         while (now := self.loop.time()) < errand.until:
-            step = recall.next(now, self.sure_at, steering.readers(errand.service, key))
+            step = recall.next(now, self.contact.sure_at, steering.readers(errand.service, key))
             if step == CLEAR:
                 return True
             if isinstance(step, Confirm):
@@ -504,8 +448,8 @@
 
     def confirm(self, now: float) -> None:
         """Ask the home archive whether our table is the newest; the answer counts from now."""
-        if self.home is not None:
-            self.links.send(self.home, {"k": "confirm", "t": now})
+        if self.contact.home is not None:
+            self.links.send(self.contact.home, {"k": "confirm", "t": now})
 
     async def drop(self, life: str, key: int, fence: int) -> bool:
         """Have a reader drop its copy of a record."""
@@ -534,7 +478,7 @@
         waiting = self.offs[number] = self.loop.create_future()
         try:
             asked = {"k": "off", "id": number, "service": service, "key": key, "lives": lives}
-            if self.home is None or not self.links.send(self.home, asked):
+            if self.contact.home is None or not self.links.send(self.contact.home, asked):
                 await self.stirred(min(self.loop.time() + CONFIRM_AGAIN, until))
                 return False
             async with asyncio.timeout_at(min(self.loop.time() + OFF_WITHIN, until)):
--- a/features/steps/health.py
+++ b/features/steps/health.py
@@ -1,6 +1,6 @@
 from behave import given, then, when
 
-from bramblewood.archive.health import Health, judged, unwell
+from bramblewood.archive.health import Health, judged, out_of_health, unwell
 
 CYCLE = 0.5  # s
 
@@ -21,7 +21,7 @@
                 context.health.report(desk, life, context.tries, bad.get(life, 0) if desk in desks else 0)
     ill = context.health.cycle({"s": context.lives})
     told = context.health.wanted(context.now, context.value, ill, {"s": context.lives})
-    context.value = judged(context.value, told)[0] or context.value
+    context.value = judged(context.value, told, out_of_health(context.value))[0] or context.value
     context.health.learn(context.now, context.value)
 
 
--- a/features/steps/leaving.py
+++ b/features/steps/leaving.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from bramblewood.archive.ballots import TABLE
+from bramblewood.archive.ballots import NONE, TABLE
 from bramblewood.archive.roll import Row
 from bramblewood.desk import program
 from bramblewood.desk.steering import Steering
@@ -122,4 +122,4 @@
 
 @then("at {now:g} its word on ballot {ballot:d} is over")
 def over(context, now, ballot):
-    assert context.sessions.word_until(now, ("a", "b", "c"), TABLE, (ballot, "b", 1), True) < now
+    assert context.sessions.word_until(now, ("a", "b", "c"), {TABLE: (ballot, "b", 1)}, {TABLE: NONE}) < now
--- a/features/steps/sessions.py
+++ b/features/steps/sessions.py
@@ -1,6 +1,6 @@
 from behave import given, then, when
 
-from bramblewood.archive.ballots import TABLE
+from bramblewood.archive.ballots import NONE, TABLE
 from bramblewood.archive.sessions import Sessions
 
 ABOUT = {"voters": ["a", "b", "c"], "archives": ["a", "b", "c"], "desks": ["d1"]}
@@ -41,5 +41,5 @@
 
 @then("at {now:g} its word on ballot {ballot:d} holds until {until:g}")
 def word(context, now, ballot, until):
-    found = context.sessions.word_until(now, ("a", "b", "c"), TABLE, (ballot, "b", 1), True)
+    found = context.sessions.word_until(now, ("a", "b", "c"), {TABLE: (ballot, "b", 1)}, {TABLE: NONE})
     assert abs(found - until) < 1e-9, found
