--- a/features/steps/leaving.py
+++ b/features/steps/leaving.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from bramblewood.archive.ballots import TABLE
+from bramblewood.archive.ballots import NONE, TABLE
 from bramblewood.archive.roll import Row
 from bramblewood.desk import program
 from bramblewood.desk.steering import Steering
@@ -122,5 +122,5 @@
 
 @then("at {now:g} its word on ballot {ballot:d} is over")
 def over(context, now, ballot):
-    voters = {name: name for name in "abc"}
-    assert context.sessions.word_until(now, voters, 1, TABLE, (1, ballot, "b", 1), True) < now
+    voters, known = {name: name for name in "abc"}, {TABLE: (1, ballot, "b", 1)}
+    assert context.sessions.word_until(now, voters, 1, known, {TABLE: NONE}) < now
