--- a/bramblewood/archive/ballots.py
+++ b/bramblewood/archive/ballots.py
@@ -21,6 +21,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple, TypedDict
 
+from .contention import Contention
 from .patches import difference, patched
 
 Ballot = tuple[int, int, str, int]  # epoch, counter, archive, that archive's life; compared in turn
@@ -29,7 +30,10 @@
 REGISTERS = (CONFIG, TABLE)
 ALL = (*REGISTERS, MEMBERS)  # one group of registers: they share their voters and epochs
 # kinds of messages between archives that belong to this machine
-VOTES = {"prepare", "promise", "accept", "accepted", "refuse", "fetch", "chosen", "epoch", "join", "state"}
+VOTES = {
+    *("prepare", "promise", "accept", "accepted", "refuse", "done", "fetch", "chosen"),
+    *("epoch", "join", "state"),
+}
 # s that a step of a round waits for its majority: many times the way between zones and a sync
 PATIENCE = 0.25
 BACKOFF = 0.04  # s, the unit of waits after a lost ballot; some times a round's own length
@@ -133,6 +137,7 @@
         self.promises: dict[str, tuple[Ballot, Any]] = {}
         self.accepts: set[str] = set()
         self.outcome: Any = None
+        self.carried: list[Round] = []  # whose changes are in this ballot, each made on the one before
 
 
 class Joining:
@@ -171,6 +176,7 @@
         self.ahead_since: dict[str, float] = {}
         self.rounds: dict[str, list[Round]] = {name: [] for name in ALL}
         self.asked_at: dict[str, float] = {}
+        self.contention = Contention(me, PATIENCE)
         # the newest refusal of a ballot of ours, for the log: who, which ballot, what it had promised
         self.lost_to: tuple[str, Ballot, Ballot] | None = None
 
@@ -231,7 +237,12 @@
             out.answers.append((waiting.pop(0).tag, None))
         if not self.voters or self.epoch == 0 and register != MEMBERS:
             return  # nobody to ask yet
-        if waiting and waiting[0].step == "wait" and now >= waiting[0].next_at:
+        if not waiting or waiting[0].step != "wait" or now < waiting[0].next_at:
+            return
+        if not self.contention.busy(now, register):
+            # all that wait now; of what comes later, the promises to this ballot may know too little. Sets of
+            # voters follow each other one at a time
+            waiting[0].carried = waiting[:1] if register == MEMBERS else list(waiting)
             self.begin(now, waiting[0], out)
 
     def begin(self, now: float, round: Round, out: Out) -> None:
@@ -266,14 +277,19 @@
             return
         best = max(ballot for ballot, _ in round.promises.values())
         stands = next(value for ballot, value in round.promises.values() if ballot == best)
-        following, round.outcome = round.change(stands)
+        following, value = None, stands
+        for one in round.carried:
+            made, one.outcome = one.change(value)
+            if made is not None:
+                following = value = made
         if following is None and (best == NONE or self.is_chosen(best, round)):
             if best != NONE:
                 self.learn(now, round.register, best, stands, out)
+            message = {"k": "done", "r": round.register, "b": round.ballot}
+            out.sends.extend((peer, message) for peer in self.voters if peer != self.me)
             return self.finish(now, round, out)  # what stands is chosen already: nothing to write
         round.step, round.step_until = "accept", now + PATIENCE
         message = {"k": "accept", "r": round.register, "b": round.ballot}
-        value = stands if following is None else following
         change = {**message, "base": best, "d": difference(stands, value)}
         for peer in self.voters:  # who holds what stands needs the difference only
             same = best != NONE and round.promises.get(peer, (NONE, None))[0] == best
@@ -286,8 +302,11 @@
         return best[0] == self.epoch and all(ballot == best for ballot, _ in round.promises.values())
 
     def finish(self, now: float, round: Round, out: Out) -> None:
-        self.rounds[round.register].remove(round)
-        out.answers.append((round.tag, round.outcome))
+        waiting = self.rounds[round.register]
+        for one in round.carried:
+            if one in waiting:
+                waiting.remove(one)
+                out.answers.append((one.tag, one.outcome))
         self.advance(now, round.register, out)
 
     def current(self, message: dict) -> Round | None:
@@ -322,6 +341,7 @@
             pass
         elif kind == "prepare" and self.voting and ballot[0] == self.epoch:
             if acceptor.prepare(ballot):
+                self.contention.heard(now, register, ballot)
                 out.writes.append((register, acceptor.promised, acceptor.accepted, acceptor.value))
                 reply = {"k": "promise", "r": register, "b": ballot, "disk": self.disk}
                 reply["a"] = acceptor.accepted
@@ -335,6 +355,7 @@
                 return out  # it stands on a value that we no longer hold; the next try brings it whole
             value = patched(acceptor.value, message["d"]) if "base" in message else message["v"]
             if acceptor.accept(ballot, value):
+                self.contention.heard(now, register, ballot)
                 out.writes.append((register, acceptor.promised, acceptor.accepted, acceptor.value))
                 told = {"k": "accepted", "r": register, "b": ballot, "disk": self.disk}
                 out.sends.extend((other, told) for other in sorted({*self.voters, peer}))
@@ -347,12 +368,17 @@
         elif kind == "refuse":
             round = self.current(message)
             self.seen[register] = max(self.seen[register], message["p"][1])
+            if self.member:  # others don't hear what is chosen
+                self.contention.heard(now, register, tuple(message["p"]))
             if round is not None and round.step in ("prepare", "accept"):
                 self.lost_to = (peer, round.ballot, tuple(message["p"]))
                 self.lost(now, round)
         elif kind == "fetch" and self.learned[register][0] >= ballot:
             chosen, value = self.learned[register]
             out.sends.append((peer, {"k": "chosen", "r": register, "b": chosen, "v": value}))
+        elif kind == "done":  # a ballot that had nothing to write
+            self.contention.chosen(register, ballot)
+            self.advance(now, register, out)
         elif kind == "chosen":
             self.learn(now, register, ballot, message["v"], out)
         return out
@@ -387,6 +413,7 @@
                 acceptor = self.acceptors[register]
                 if acceptor.accepted == ballot:
                     self.learn(now, register, ballot, acceptor.value, out)
+                    self.advance(now, register, out)
                 elif now >= self.asked_at.get(register, 0.0):
                     self.asked_at[register] = now + PATIENCE
                     out.sends.append((peer, {"k": "fetch", "r": register, "b": ballot}))
@@ -395,6 +422,7 @@
         """This value is chosen. A set of voters that is chosen is followed at once."""
         if ballot > self.learned[register][0]:
             self.learned[register] = (ballot, value)
+            self.contention.chosen(register, ballot)
             if register == MEMBERS:
                 self.adopt(now, value, out)
 
--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -27,6 +27,7 @@
     StartPlan,
     TakeLeave,
     decode,
+    final_answer,
     members_call,
     most,
     plan_call,
@@ -850,7 +851,8 @@
                 row = self.roll.rows.get(life) or Row("", "", "", 1, GONE, 0)  # others may know it
                 return await self.registered(life, row._replace(phase=GONE, seq=row.seq + 1), True)
             case PutConfig(edition):
-                told = await self.agreed(CONFIG, lambda stands: succeed(edition, stands))
+                told = final_answer(edition, self.ballots.value(CONFIG))
+                told = told or await self.agreed(CONFIG, lambda stands: succeed(edition, stands))
                 self.log.info(
                     "configuration", step="put", number=edition.number, parent=edition.parent, told=told
                 )
