--- a/bramblewood/desk/errand.py
+++ b/bramblewood/desk/errand.py
@@ -9,8 +9,9 @@
 from typing import NamedTuple
 
 from ..catalogue.edition import Route
+from .connection import How
 from .gate import Gate
-from .stacks import Answer, How
+from .response import Answer
 from .steering import Steering
 
 # of the aim that a request waits for a worker: refused within a quarter of it, it still counts
@@ -19,6 +20,7 @@
 MOVING_PART = 0.6
 LATER_PART = 0.3  # of the time left after which to come back: clients honour up to a third
 SOON = 0.25  # s to come back after where a queue was full: a few requests' work
+PROMISES = (408, 429, 503)  # clients take them as a word that the request has not run and never will
 UNSENT_MOST = 4  # tries that never went out; each costs a dial
 TURNED_PART = 0.1  # of the aim before a worker without room for a connection is dialled again
 SHY_PART = 0.4  # of the aim before the same worker is asked again: a full queue's time, at usual work
@@ -88,6 +90,7 @@
         self.until = now + min(deadline - SPARE, route.timeout)
         self.hold_until = now + HOLD_PART * route.aim
         self.tried: set[str] = set()
+        self.carried: set[int] = set()  # numbers of the connections that it went out on
         self.sent = self.unsent = 0
         self.last: Answer | None = None  # the newest answer of a worker that may be handed on
         self.ran_maybe = False
@@ -185,6 +188,9 @@
             if answer.status >= 500 and self.route.pure:
                 self.last = answer
                 return None
+            if answer.status in PROMISES and not self.route.pure:
+                self.ran_maybe = True  # the worker did not say so
+                return self.give_up(now, "the worker did not say whether it ran")
             return Reply(answer.status, answer.reason, None, answer)
         self.ran_maybe = True
         self.shy, self.shy_until = life, now + SHY_PART * self.route.aim
--- a/bramblewood/desk/program.py
+++ b/bramblewood/desk/program.py
@@ -8,7 +8,8 @@
 import zlib
 from typing import Any
 
-from aiohttp import web
+from aiohttp import ClientPayloadError, web
+from aiohttp.http_exceptions import HttpProcessingError
 from multidict import CIMultiDict
 
 from ..archive.roll import GONE, Row
@@ -17,10 +18,12 @@
 from ..catalogue.doors import BACKLOG, door
 from ..catalogue.edition import Edition, edition_of
 from ..catalogue.links import QUIET, Link, Links
+from ..catalogue.table import KEYS
+from .connection import How
 from .errand import Budget, Errand, Reply, Send, Wait
 from .recall import CLEAR, Confirm, Drop, Recall, TakeOff
 from .room import keeps
-from .stacks import PROOF, How, Stacks
+from .stacks import PROOF, Stacks
 from .steering import Steering
 
 # without a configuration: bytes of headers and body, s for a first request and between requests
@@ -49,6 +52,9 @@
     b"proxy-authorization",
     b"expect",
 }
+# whose value decides who gets a request and whose an answer is: twice, it would be read in two ways
+ONCE = ("Host", "X-Attempt-Id", "X-Shard-Key", "X-Deadline-Ms")
+FOR_WORKERS = {name.lower().encode() for name in ONCE}  # no `Connection` field may take these away
 OURS = {b"x-deadline-ms", b"x-target-instance", b"content-length"}
 NOTHING = {b"content-length", b"date", b"server"}
 BACK_MOST = 60.0  # s, a deadline where a client names none
@@ -341,7 +347,8 @@
         finally:
             self.flight -= 1
         self.answers[response.status // 100] = self.answers.get(response.status // 100, 0) + 1
-        if self.ending:
+        unread = not request.content.at_eof()
+        if self.ending or unread and expects(request):  # who waits to send a body may send it or not
             response.force_close()
         return response
 
@@ -359,16 +366,18 @@
             "MaxHeaderBytes", HEADER_BYTES
         ):
             return own(431, "headers too large", close=True)
-        name = request.headers.get("X-Attempt-Id", "") or f"{self.told.name}-{os.urandom(8).hex()}"
+        for field in ONCE:
+            if len(request.headers.getall(field, ())) > 1:
+                return own(400, f"{field}: more than one")
+        name = request.headers.get("X-Attempt-Id") or f"{self.told.name}-{os.urandom(8).hex()}"
         service = route.service(name)
         key = None
         if edition.services[service].keyed:
-            told = request.headers.get("X-Shard-Key", "")
-            if not told.isdigit() or int(told) > 65535:
-                return own(400, "X-Shard-Key: expected a number from 0 to 65535")
-            key = int(told)
-        told = request.headers.get("X-Deadline-Ms", "")
-        deadline = int(told) / 1000 if told.isdigit() else BACK_MOST
+            key = number(request.headers.get("X-Shard-Key", ""))
+            if key is None or key >= KEYS:
+                return own(400, f"X-Shard-Key: expected a number from 0 to {KEYS - 1}")
+        told = number(request.headers.get("X-Deadline-Ms", ""))
+        deadline = BACK_MOST if told is None else told / 1000
         body = await self.body(request, self.limit("MaxBodyBytes", BODY_BYTES))
         if isinstance(body, web.Response):
             return body
@@ -385,16 +394,19 @@
         """The whole body, within what the configuration and this machine's memory allow."""
         if not request.can_read_body:
             return b""
-        if request.headers.get("Expect", "").lower() == "100-continue" and request.transport is not None:
+        if expects(request) and request.transport is not None:
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         parts, size = [], 0
-        async for part in request.content.iter_chunked(AT_ONCE):
-            size += len(part)
-            if size > most:
-                return own(413, f"at most {most} bytes", close=True)
-            if self.held + size > self.told.memory * MEMORY_PART:
-                return own(503, "too many bodies at once", 0.5, close=True)
-            parts.append(part)
+        try:
+            async for part in request.content.iter_chunked(AT_ONCE):
+                size += len(part)
+                if size > most:
+                    return own(413, f"at most {most} bytes", close=True)
+                if self.held + size > self.told.memory * MEMORY_PART:
+                    return own(503, "too many bodies at once", 0.5, close=True)
+                parts.append(part)
+        except (ClientPayloadError, HttpProcessingError, web.RequestPayloadError, ConnectionError):
+            return own(400, "the body can't be read", close=True)
         self.held += size
         return b"".join(parts)
 
@@ -412,7 +424,7 @@
                 continue
             reply = step if isinstance(step, Reply) else await self.attempt(request, body, errand, step)
             if reply is not None:
-                return finish(reply)
+                return finish(reply, request.method)
 
     async def attempt(
         self, request: web.BaseRequest, body: bytes, errand: Errand, step: Send
@@ -428,13 +440,14 @@
         began, answer = loop.time(), None
         try:
             address = steering.roll.rows[life].address
-            line, how = await self.stacks.lend(life, address, began, not errand.route.pure)
+            line, how = await self.stacks.lend(life, address, began, effect, errand.carried)
             if line is not None:
+                errand.carried.add(line.number)
                 now = loop.time()
                 rest = now - line.rests_from if line.rests_from else 0.0
-                how, answer = await line.exchange(
-                    head(request, body, errand, life, now) + body, errand.request, errand.until
-                )
+                asked = head(request, body, errand, life, now) + body
+                bare = request.method == "HEAD"
+                how, answer = await line.exchange(asked, errand.request, errand.until, bare)
                 at_once = how is How.BROKEN and rest and loop.time() - now < PROOF[1]
                 if at_once and steering.pressure(now, life) < 1.0:  # a full one resets what finds no room
                     self.stacks.found_dead(now, rest)
@@ -549,15 +562,13 @@
     """The request as a worker gets it: unchanged but for what concerns one connection, the time left and its
     target.
     """
-    named = {name.strip().lower().encode() for name in request.headers.get("Connection", "").split(",")}
+    named = options(request.headers) - FOR_WORKERS
     lines = [f"{request.method} {request.raw_path} HTTP/1.1".encode("utf-8", "surrogateescape")]
-    has_id = False
     for name, value in request.raw_headers:
         low = name.lower()
         if low not in HOPS and low not in OURS and low not in named:
-            has_id = has_id or low == b"x-attempt-id"
             lines.append(name + b": " + value)
-    if not has_id:
+    if not request.headers.get("X-Attempt-Id"):
         lines.append(f"X-Attempt-Id: {errand.request}".encode())
     lines.append(f"X-Deadline-Ms: {max(int((errand.until - now) * 1000), 1)}".encode())
     lines.append(f"X-Target-Instance: {life}".encode())
@@ -575,13 +586,31 @@
     return response
 
 
-def finish(reply: Reply) -> web.Response:
+def finish(reply: Reply, method: str) -> web.Response:
     if reply.answer is None:
         return own(reply.status, reply.reason, reply.later)
+    answer = reply.answer
     headers: CIMultiDict[Any] = CIMultiDict()
-    for name, value in reply.answer.headers:
-        if name.lower() not in HOPS and name.lower() not in NOTHING:
+    left_out = HOPS | options(answer.named) | NOTHING
+    for name, value in answer.headers:
+        if name.lower() not in left_out:
             headers.add(name.decode("utf-8", "surrogateescape"), value.decode("utf-8", "surrogateescape"))
-    return web.Response(
-        status=reply.answer.status, reason=reply.answer.reason, body=reply.answer.body, headers=headers
-    )
+    if method == "HEAD" and "Content-Length" in answer.named:
+        headers["Content-Length"] = answer.named["Content-Length"]  # of what a GET would bring
+    return web.Response(status=answer.status, reason=answer.reason, body=answer.body, headers=headers)
+
+
+def options(headers: Any) -> set[bytes]:
+    """The fields that concern one connection by the word of its `Connection` fields."""
+    told = ",".join(headers.getall("Connection", ()))
+    return {name.strip().lower().encode("utf-8", "surrogateescape") for name in told.split(",")}
+
+
+def expects(request: web.BaseRequest) -> bool:
+    """Whether the client waits for a word before it sends a body."""
+    return request.headers.get("Expect", "").lower() == "100-continue"
+
+
+def number(text: str) -> int | None:
+    """A whole number as a field brings it, of 18 digits at most; None if it is none."""
+    return int(text) if text.isascii() and text.isdigit() and len(text) <= 18 else None
--- a/bramblewood/desk/stacks.py
+++ b/bramblewood/desk/stacks.py
@@ -1,138 +1,62 @@
 """Connections to workers: kept, lent for one exchange at a time, and given up when their bytes can't be
 trusted.
 
-Aiohttp's client sends a GET or a PUT a second time by itself when a connection that it took up again closes;
-so its own parser is used here under a protocol that sends once and says whether anything went out. What a
-connection brings is told apart by `X-Attempt-Id`: an answer with another id belongs to nobody here, bytes
-while nothing is asked end it.
+Aiohttp's client sends a GET or a PUT a second time by itself when a connection that it took up again closes,
+and its parser takes what follows a cut answer for a part of it. So requests go out here once, and
+`connection.py` says whose answer came and whether a connection may be kept.
 """
 
 import asyncio
+import itertools
 import socket
-from collections import deque
-from enum import Enum
-from typing import NamedTuple
-
-from aiohttp.http import HttpResponseParser
 
 from ..catalogue.links import careful
+from .connection import Connection, Ended, How
+from .response import Answer
 
 DIAL = 0.35  # s for a connection to come up: a dropped opening packet is sent again after a second or more
 UNHEARD_MS = 500  # ms that sent bytes may stay unacknowledged: a worker's machine answers packets in a few ms
-ANSWER_MOST = 32 * 2**20  # bytes of one answer that is held here
 KEPT_PART = 0.6  # of the time that a worker says it keeps an idle connection
 KEPT_UNSAID = 0.8  # s, where it says none; it gives whole seconds if there are any
 # s at least (a timer's own lateness) and at most that a new connection is watched before anything goes out
 PROOF = (0.001, 0.02)
 TRUST_PART = 0.5  # of the rest after which a connection was found dead, that what may not repeat still trusts
 TRUST_BACK = 5.0  # s in which that doubles again: workers forget for some seconds, then as they said
-ID = "X-Attempt-Id"
-
-
-class How(Enum):
-    """How a try ended."""
-
-    WHOLE = "whole"  # a whole answer of this request
-    UNSENT = "unsent"  # nothing of it went out
-    TURNED = "turned"  # nothing of it went out: the worker takes no further connection now
-    BROKEN = "broken"  # it went out, and no answer of it can come any more
-    SILENT = "silent"  # it went out, and the time is over
-
-
-class Answer(NamedTuple):
-    status: int
-    reason: str
-    headers: tuple  # raw (name, value) pairs
-    named: dict  # by name, any case
-    body: bytes
+NUMBERS = itertools.count(1)
 
 
 class Line(asyncio.Protocol):
-    """One connection to a worker."""
+    """One connection to a worker: the shell around its state."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        self.loop, self.transport = loop, None
-        self.parser = HttpResponseParser(
-            self,
-            loop,
-            2**26,
-            max_line_size=16384,
-            max_field_size=32768,
-            max_headers=256,
-            auto_decompress=False,
-        )
-        self.came: deque = deque()
+        self.loop, self.transport, self.number = loop, None, next(NUMBERS)
+        self.connection, self.open = Connection(), False
         self.waiting: asyncio.Future | None = None
-        self.wanted, self.got = "", 0
-        self.open, self.clean = False, True
         self.idle_until = self.rests_from = 0.0
         self.gone = loop.create_future()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport, self.open = transport, True
 
-    def pause_reading(self) -> None:
-        """The parser asks when much lies unread; ANSWER_MOST bounds that here."""
-
-    def resume_reading(self, resume_parser: bool = True) -> None:
-        pass
-
     def data_received(self, data: bytes) -> None:
-        if self.waiting is None:
-            self.close()  # bytes that nobody asked for
-            return
-        self.got += len(data)
-        try:
-            messages, _, tail = self.parser.feed_data(data)
-        except Exception:  # the parser's many kinds: bytes that form no answer
-            self.look()
-            self.fail()
-            return
-        self.came.extend(messages)
-        self.clean = self.clean and not tail
-        self.look()
-        if self.got > ANSWER_MOST:
-            self.fail()
-
-    def look(self) -> None:
-        """Hand on the answer that is waited for once it is whole; let fall those of other requests."""
-        while self.came and self.waiting is not None:
-            message, payload = self.came[0]
-            if payload.exception() is not None:
-                self.fail()
-                return
-            if not payload.is_eof():
-                return
-            self.came.popleft()
-            told = message.headers.get(ID)
-            if message.code < 200:
-                continue
-            if told != self.wanted:
-                self.clean = False
-                if told is None:
-                    self.fail()
-                continue
-            body = payload.read_nowait(-1)
-            self.clean = self.clean and not message.should_close and not self.came
-            if self.clean:
-                self.rests_from = self.loop.time()
-                self.idle_until = self.rests_from + kept_for(message.headers.get("Keep-Alive", ""))
-            answer = Answer(message.code, message.reason, message.raw_headers, message.headers, body)
-            waiting, self.waiting = self.waiting, None
-            if not waiting.done():
-                waiting.set_result((How.WHOLE, answer))
-
-    def fail(self) -> None:
-        waiting, self.waiting = self.waiting, None
-        if waiting is not None and not waiting.done():
-            waiting.set_result((How.BROKEN, None))
-        self.close()
+        self.tell(self.connection.received(data, self.transport.get_write_buffer_size()))
+        if not self.connection.waiting and not self.usable:
+            self.close()
 
     def connection_lost(self, problem: Exception | None) -> None:
         self.open = False
         if not self.gone.done():
             self.gone.set_result(True)
-        self.fail()
+        self.tell(self.connection.closed())
+
+    def tell(self, ended: Ended | None) -> None:
+        if ended is not None and self.waiting is not None and not self.waiting.done():
+            self.waiting.set_result(ended)
+
+    @property
+    def usable(self) -> bool:
+        """Whether it may be kept and carry a request. One that is closing sends nothing any more."""
+        return self.open and not self.transport.is_closing() and self.connection.free
 
     async def proved(self, way: float) -> bool:
         """Whether a new connection still stands after a way there and back (s): a worker without room resets
@@ -142,26 +66,34 @@
         return self.open
 
     def close(self) -> None:
-        self.clean = False
+        self.tell(self.connection.closed())
         if self.open and self.transport is not None:
             self.open = False
             self.transport.abort()
 
-    async def exchange(self, request: bytes, wanted: str, until: float) -> tuple[How, Answer | None]:
-        if not self.open:
+    async def exchange(
+        self, request: bytes, wanted: str, until: float, bare: bool = False
+    ) -> tuple[How, Answer | None]:
+        """Send a request once; how that ended. `bare`: it is a HEAD."""
+        if not self.usable or not self.connection.send(wanted, bare):
             return How.UNSENT, None
-        self.waiting, self.wanted, self.got = self.loop.create_future(), wanted, 0
-        waiting = self.waiting
+        waiting = self.waiting = self.loop.create_future()
         self.transport.write(request)
         try:
             async with asyncio.timeout_at(until):
-                return await waiting
+                how, answer = await waiting
         except TimeoutError:
-            return How.SILENT, None
+            how, answer = self.connection.silence() or Ended(How.SILENT)
         finally:
-            if self.waiting is not None:  # given up with the answer still to come
-                self.waiting = None
+            self.waiting = None
+            if self.connection.waiting:  # the exchange itself was given up
+                self.connection.silence()
+            if not self.usable:
                 self.close()
+        if answer is not None:
+            self.rests_from = self.loop.time()
+            self.idle_until = self.rests_from + kept_for(answer.named.get("Keep-Alive", ""))
+        return how, answer
 
 
 def kept_for(text: str) -> float:
@@ -189,22 +121,33 @@
         """A connection that had rested so long was reset as it was used: workers may forget others."""
         self.forgot, self.forgot_at = min(rest, self.trusted(now)), now
 
-    async def lend(self, life: str, address: str, now: float, once: bool) -> tuple[Line | None, How]:
+    async def lend(
+        self, life: str, address: str, now: float, once: bool, carried: set[int] = frozenset()
+    ) -> tuple[Line | None, How]:
         """A connection that may carry a request; none, and why, where none came up. `once`: what it carries
-        may not be sent again.
+        may not be sent again; `carried`: connections that it went out on before.
         """
-        kept, trusted = self.kept.get(life, []), self.trusted(now) if once else float("inf")
-        while kept:
-            line = kept.pop()  # the one that rested least
-            if not line.open or not line.clean or line.idle_until <= now:
-                line.close()
-                continue
-            if now - line.rests_from > trusted:
+        line = self.take(life, now, once, carried)
+        return (line, How.WHOLE) if line is not None else await self.dial(address)
+
+    def take(self, life: str, now: float, once: bool, carried: set[int] = frozenset()) -> Line | None:
+        """A kept connection that may carry a request.
+
+        None that carried it before: a surplus answer of the first time has the same id.
+        """
+        trusted = self.trusted(now) if once else float("inf")
+        kept = []
+        for line in self.kept.get(life, ()):
+            if line.usable and line.idle_until > now:
                 kept.append(line)
-                break
-            self.reused += 1
-            return line, How.WHOLE
-        return await self.dial(address)
+            else:
+                line.close()
+        self.kept[life] = kept
+        for place in range(len(kept) - 1, -1, -1):  # the one that rested least first
+            if now - kept[place].rests_from <= trusted and kept[place].number not in carried:
+                self.reused += 1
+                return kept.pop(place)
+        return None
 
     async def dial(self, address: str) -> tuple[Line | None, How]:
         loop = asyncio.get_running_loop()
@@ -230,7 +173,7 @@
     def give_back(self, life: str, line: Line, most: int) -> None:
         """Keep a connection for later, if it is one of so many that may be kept to this worker."""
         kept = self.kept.setdefault(life, [])
-        if line.open and line.clean and len(kept) < most:
+        if line.usable and len(kept) < most:
             kept.append(line)
         else:
             line.close()
@@ -247,7 +190,7 @@
             if life not in lives:
                 self.drop(life)
                 continue
-            keep = [line for line in self.kept[life] if line.open and line.idle_until > now]
+            keep = [line for line in self.kept[life] if line.usable and line.idle_until > now]
             keep = keep[max(len(keep) - lives[life], 0) :]  # those that rested least
             for line in self.kept[life]:
                 if line not in keep:
--- a/features/steps/room.py
+++ b/features/steps/room.py
@@ -12,7 +12,7 @@
 def kept(context, a, b, c):
     context.stacks = Stacks()
     context.kept = [
-        types.SimpleNamespace(open=True, clean=True, rests_from=NOW - rest, idle_until=NOW + 100.0, rest=rest)
+        types.SimpleNamespace(usable=True, number=0, rests_from=NOW - rest, idle_until=NOW + 100.0, rest=rest)
         for rest in sorted((a, b, c), reverse=True)
     ]
 
