--- a/bramblewood/desk/program.py
+++ b/bramblewood/desk/program.py
@@ -348,7 +348,8 @@
             self.flight -= 1
         self.answers[response.status // 100] = self.answers.get(response.status // 100, 0) + 1
         unread = not request.content.at_eof()
-        if self.ending or unread and expects(request):  # who waits to send a body may send it or not
+        # who waits to send a body may send it or not; what follows a declined upgrade may be read in part
+        if self.ending or unread and expects(request) or "Upgrade" in request.headers:
             response.force_close()
         return response
 
@@ -369,14 +370,19 @@
         for field in ONCE:
             if len(request.headers.getall(field, ())) > 1:
                 return own(400, f"{field}: more than one")
-        name = request.headers.get("X-Attempt-Id") or f"{self.told.name}-{os.urandom(8).hex()}"
+        name = request.headers.get("X-Attempt-Id")
+        if name == "":
+            return own(400, "X-Attempt-Id: empty")
+        if request.headers.get("Transfer-Encoding", "chunked").lower() != "chunked":
+            return own(400, "Transfer-Encoding: expected chunked", close=True)
+        name = name or f"{self.told.name}-{os.urandom(8).hex()}"
         service = route.service(name)
         key = None
         if edition.services[service].keyed:
-            key = number(request.headers.get("X-Shard-Key", ""))
+            key = whole_number(request.headers.get("X-Shard-Key", ""))
             if key is None or key >= KEYS:
                 return own(400, f"X-Shard-Key: expected a number from 0 to {KEYS - 1}")
-        told = number(request.headers.get("X-Deadline-Ms", ""))
+        told = whole_number(request.headers.get("X-Deadline-Ms", ""))
         deadline = BACK_MOST if told is None else told / 1000
         body = await self.body(request, self.limit("MaxBodyBytes", BODY_BYTES))
         if isinstance(body, web.Response):
@@ -568,7 +574,7 @@
         low = name.lower()
         if low not in HOPS and low not in OURS and low not in named:
             lines.append(name + b": " + value)
-    if not request.headers.get("X-Attempt-Id"):
+    if "X-Attempt-Id" not in request.headers:
         lines.append(f"X-Attempt-Id: {errand.request}".encode())
     lines.append(f"X-Deadline-Ms: {max(int((errand.until - now) * 1000), 1)}".encode())
     lines.append(f"X-Target-Instance: {life}".encode())
@@ -611,6 +617,6 @@
     return request.headers.get("Expect", "").lower() == "100-continue"
 
 
-def number(text: str) -> int | None:
+def whole_number(text: str) -> int | None:
     """A whole number as a field brings it, of 18 digits at most; None if it is none."""
     return int(text) if text.isascii() and text.isdigit() and len(text) <= 18 else None
--- /dev/null
+++ b/features/steps/lines.py
@@ -0,0 +1,176 @@
+import asyncio
+import re
+
+from behave import then, when
+
+from bramblewood.desk.connection import How, State
+from tests.approved import approve
+from tests.desk_play import Play
+from tests.lines_play import Broken, dice, exhaust, heard
+
+LOOKUP = "GET /look/9 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: after\r\nX-Deadline-Ms: 900\r\n\r\n"
+
+
+def bytes_of(cell: str) -> bytes:
+    return cell.replace("\\n", "\r\n").encode()
+
+
+@then("over {count:d} states are met with and without keys, and no rule breaks in any")
+def all_orders(context, count):
+    for keyed in (False, True):
+        states, _ = exhaust(4, keyed)
+        assert states > count, states
+
+
+@then("{seeds:d} seeds of up to {steps:d} events break no rule")
+def by_dice(context, seeds, steps):
+    assert sum(dice(seed, steps, seed % 2 == 1) for seed in range(seeds)) > 20 * seeds
+
+
+@then('without "{guard}" a rule breaks within {seeds:d} seeds')
+def guarded(context, guard, seeds):
+    for seed in range(seeds):
+        try:
+            dice(seed, 80, seed % 2 == 1, guard)
+        except Broken:
+            return
+    raise AssertionError("no seed found it")
+
+
+@then("these are whole with their last byte and not before, in any two pieces, and kept with nothing beyond")
+def framings(context):
+    surplus = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: r\r\nContent-Length: 0\r\n\r\n"
+    for row in context.table:
+        data, bare = bytes_of(row["answer"]), row["method"] == "HEAD"
+        for cut in range(len(data)):
+            connection, ended = heard(data[:cut], (), bare)
+            assert ended is None and connection.closed().how is How.BROKEN, (data, cut)
+            connection, ended = heard(data, (cut,), bare)
+            assert ended.how is How.WHOLE and ended.answer.body == row["body"].encode(), (data, cut)
+            assert connection.state is State.READ and connection.free, (data, cut)
+        connection, ended = heard(data, tuple(range(1, len(data))), bare)
+        assert ended.answer.body == row["body"].encode() and connection.free
+        for more in range(1, len(surplus) + 1):
+            connection, ended = heard(data + surplus[:more], (), bare)
+            assert ended.answer.body == row["body"].encode() and connection.state is State.SPOILT, more
+            connection, ended = heard(data + surplus[:more], (len(data),), bare)
+            assert connection.state is State.SPOILT, more
+
+
+@then("these are no answers")
+def noise(context):
+    for row in context.table:
+        connection, ended = heard(bytes_of(row["answer"]))
+        assert ended is not None and ended.how is How.BROKEN and not connection.free, row["answer"]
+
+
+async def sent(port: int, data: bytes) -> bytes:
+    """What comes back on one connection, until it is closed or the answer to the lookup is whole."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    got = b""
+    try:
+        async with asyncio.timeout(2):
+            while not got.endswith(b"w1 after") and (part := await reader.read(2**16)):
+                got += part
+                if b"Connection: close" in got:  # as clients heed it
+                    break
+    except ConnectionResetError:
+        pass
+    writer.close()
+    return got
+
+
+@when("a client sends each of these and then a lookup on the same connection")
+def two_ways(context):
+    async def play():
+        made = Play()
+        await made.start(context.scripts)
+        for row in context.table:
+            fields, body = [f for f in row["fields"].split("; ") if f], bytes_of(row["body"])
+            fields += [f"Content-Length: {len(body) or 9}"] * ("Transfer" not in row["fields"])
+            lines = [f"POST {row['path']} HTTP/1.1", "Host: h.example", "X-Attempt-Id: r1", *fields]
+            head = "\r\n".join(lines) + "\r\n\r\n"
+            got = await sent(made.port, bytes_of(head) + body + LOOKUP.encode() * bool(body))
+            made.lines.append(f"client sends {row['path']} {row['fields']}".rstrip())
+            made.lines += [f"  {line}" for line in made.workers["w1"].arrivals]
+            assert not {"x-a", "x-b"} & made.workers["w1"].fields.keys()
+            made.workers["w1"].arrivals.clear()
+            statuses = re.findall(r"HTTP/1\.[01] (\d+)", got.decode())
+            closed = " and a close" * (not got.endswith(b"w1 after"))
+            made.lines.append(f"  client gets {' '.join(statuses)}{closed}")
+        await made.end()
+        return made.lines
+
+    context.lines = asyncio.run(play())
+
+
+@then('the answers on those connections are "{name}"')
+def two_ways_told(context, name):
+    approve(name, context.lines)
+
+
+@then('a HEAD is answered 200 with "{length}" and no body, and its connection is kept')
+def head(context, length):
+    async def play():
+        made = Play()
+        await made.start(context.scripts)
+        got = await sent(made.port, (LOOKUP.replace("GET", "HEAD").replace("after", "r") + LOOKUP).encode())
+        opened = made.desk.stacks.opened
+        await made.end()
+        return got.decode().partition("\r\n\r\n"), opened
+
+    (told, _, rest), opened = asyncio.run(play())
+    assert told.startswith("HTTP/1.1 200") and length in told.split("\r\n"), told
+    assert rest.startswith("HTTP/1.1 200") and opened == 1, (rest, opened)
+
+
+@when("a client leaves while its effect is at the worker")
+def leaves(context):
+    async def play(half: bool):
+        made = Play()
+        await made.start(context.scripts)
+        worker = made.workers["w1"]
+        reader, writer = await asyncio.open_connection("127.0.0.1", made.port)
+        writer.write(LOOKUP.replace("GET /look/9", "POST /pay/1").replace("after", "gone").encode())
+        await worker.reached.wait()
+        writer.write_eof() if half else writer.transport.abort()
+        answered = await reader.read() if half else b""
+        worker.go.set()
+        while made.desk.flight:
+            await asyncio.sleep(0)
+        await made.ask("POST", "/pay/2", "next", "x")
+        writer.close()
+        told = made.lines, answered, made.desk.stacks.opened
+        await made.end()
+        return told
+
+    context.told = [asyncio.run(play(half)) for half in (False, True)]
+
+
+@then("its effect ran once, and the next client gets its own answer on that connection")
+def left(context):
+    for lines, answered, opened in context.told:
+        assert [line.split()[4] for line in lines if " gets POST" in line] == ["gone", "next"], lines
+        assert "client gets 200 'w1 next'" in lines[-1] and answered == b"" and opened == 1, (lines, opened)
+
+
+@when("a client sends a body that the worker does not read")
+def early(context):
+    async def play():
+        made = Play()
+        await made.start(context.scripts)
+        await made.ask("POST", "/pay/1", "large", "x" * 2**24)
+        await made.ask("POST", "/pay/2", "next", "x")
+        told = made.lines, made.desk.stacks.opened
+        await made.end()
+        return told
+
+    context.told = asyncio.run(play())
+
+
+@then("the client gets the worker's 503, and the next request goes out on another connection")
+def early_told(context):
+    lines, opened = context.told
+    assert [line.split()[2] for line in lines if "client gets" in line] == ["503", "200"], lines
+    assert opened == 2, opened
--- a/tests/desk_play.py
+++ b/tests/desk_play.py
@@ -23,6 +23,7 @@
 
     def __init__(self, name: str, script: list[str]) -> None:
         self.name, self.script, self.arrivals, self.address = name, list(script), [], ""
+        self.fields: dict[str, str] = {}  # of the newest request
         self.reached, self.go = asyncio.Event(), asyncio.Event()
 
     async def start(self) -> None:
@@ -39,11 +40,17 @@
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
                 fields = {k.lower(): v for k, _, v in (x.partition(": ") for x in head.split("\r\n")[1:])}
+                if self.script[:1] == ["early"]:
+                    self.arrivals.append(f"{self.name} gets a head and no body: {self.script.pop(0)}")
+                    writer.write(answer(503, fields.get("x-attempt-id", ""), "", "X-Not-Run: 1"))
+                    await self.go.wait()
                 body = await reader.readexactly(int(fields.get("content-length", 0)))
                 method, path, _ = head.split("\r\n")[0].split(" ")
                 name, step = fields.get("x-attempt-id", ""), self.script.pop(0) if self.script else "answer"
                 self.arrivals.append(f"{self.name} gets {method} {path} {name} {body.decode()!r}: {step}")
-                whole = answer(200, name, f"{self.name} {name}")
+                self.fields, whole = fields, answer(200, name, f"{self.name} {name}")
+                if method == "HEAD":
+                    whole = whole[: whole.index(b"\r\n\r\n") + 4]
                 writer.write(late)
                 late = b""
                 match step:
--- /dev/null
+++ b/tests/lines_play.py
@@ -0,0 +1,321 @@
+"""Two requests, one of which may not repeat, over connections to two workers that do whatever workers may.
+
+A world plays what a worker and the wire did, event by event; the desk's own connections, shelf of kept ones
+and errands answer. After each event the worker's ledger is held against what the clients were told: MIXED,
+TWICE, REFUSED and UNASKED of the rules. All orders of events up to a depth are played, and dice beyond it.
+"""
+
+import random
+import re
+from types import SimpleNamespace
+from unittest.mock import patch
+
+from bramblewood.catalogue.edition import edition_of
+from bramblewood.desk import errand as errands
+from bramblewood.desk import response
+from bramblewood.desk.connection import Connection, Ended, How, State
+from bramblewood.desk.errand import Budget, Errand, Send, Wait
+from bramblewood.desk.stacks import Stacks
+from tests.desk_play import CONFIG, answer
+
+EDITION = edition_of(CONFIG).ok_value
+TWO = ("effect", "lookup")
+ROUTES = {"effect": EDITION.route("h.example", "/pay/1"), "lookup": EDITION.route("h.example", "/look/1")}
+MANY = tuple(f"{kind}{place}" for place in range(4) for kind in TWO)
+# what a worker may do with a request that is there
+ACTS = ("run", "error", "refuse", "bare", "double", "part", "late", "refuse late", "error part", "cut")
+ACTS += ("cut head", "drop", "run drop", "noise", "early", "foreign", "anonymous")
+
+
+class Broken(AssertionError):
+    """A rule that did not hold."""
+
+
+class Line(SimpleNamespace):
+    """A connection as the shell has it, and its worker's end."""
+
+    @property
+    def usable(self) -> bool:
+        return self.connection.free
+
+    def close(self) -> None:
+        self.connection.closed()
+
+
+class World:
+    def __init__(self, keyed: bool, careless: str = "", names: tuple[str, ...] = TWO) -> None:
+        self.keyed, self.careless, self.names = keyed, careless, names
+        self.now = dict.fromkeys(names, 0.0)
+        self.stacks, self.budget, self.lines = Stacks(), Budget(1.0, 5.0, 1e6), []
+        self.errands, self.out, self.replies = {}, {}, {}
+        self.ledger: list[str] = []
+        self.given: dict[str, list[tuple]] = {name: [] for name in names}
+        self.left: list[str] = []  # requests at workers that the desk has given up
+        self.steering = SimpleNamespace(
+            pinned=lambda *_: None,
+            choose=lambda now, service, key, request, tried, pure: next(
+                (life for life in ("w1", "w2") if life not in tried), None
+            ),
+            full=lambda *_: False,
+            crowd=lambda *_: False,
+            moving=lambda *_: False,
+        )
+
+    # --- the desk
+
+    def begin(self, name: str) -> None:
+        route, key = ROUTES[name.rstrip("0123456789")], 7 if self.keyed else None
+        self.errands[name] = Errand(0.0, route, "plain", key, name, 1.5)
+        self.proceed(name)
+
+    def proceed(self, name: str) -> None:
+        while name not in self.out and name not in self.replies:
+            step = self.errands[name].next(self.now[name], self.steering, self.budget)
+            if isinstance(step, Wait):
+                self.now[name] = step.until
+            elif isinstance(step, Send):
+                self.send(name, step.life)
+            else:
+                self.replies[name] = step
+
+    def send(self, name: str, life: str) -> None:
+        errand = self.errands[name]
+        carried = set() if self.careless == "same line" else errand.carried
+        line = self.stacks.take(life, 0.0, not errand.route.pure, carried)
+        if line is None:
+            line = Line(number=len(self.lines), connection=made(self.careless), life=life, idle_until=9e9)
+            line.rests_from, line.lies, line.shut, line.rest, line.asked = 0.0, b"", False, False, None
+            self.lines.append(line)
+        if line.rest:
+            raise Broken("UNASKED: the rest of a body is read as a request")
+        errand.carried.add(line.number)
+        line.connection.send(name, False)
+        self.out[name] = line
+        if line.shut:
+            self.ended(line, line.connection.closed())
+            return
+        line.asked, lies, line.lies = name, line.lies, b""
+        if lies:
+            self.arrive(line, lies)
+
+    def arrive(self, line: Line, data: bytes, unsent: int = 0) -> None:
+        self.ended(line, line.connection.received(data, unsent))
+
+    def ended(self, line: Line, ended: Ended | None) -> None:
+        if ended is None:
+            return
+        name = line.connection.wanted
+        del self.out[name]
+        if line.asked is not None:  # the desk is done with it, its worker is not
+            self.left.append(line.asked)
+            line.asked = None
+        self.stacks.give_back(line.life, line, 9)
+        errand = self.errands[name]
+        if self.careless == "again" and ended.how is How.BROKEN:
+            errand.route = errand.route._replace(pure=True)
+        reply = errand.ended(self.now[name], line.life, ended.how, ended.answer)
+        if reply is not None:
+            self.replies[name] = reply
+        self.proceed(name)
+
+    # --- workers and the wire
+
+    def events(self) -> list[tuple]:
+        found = [("begin", name) for name in self.names if name not in self.errands]
+        for line in self.lines:
+            if line.asked is not None:
+                found += [(act, line.number) for act in ACTS]
+            elif line.usable and not line.shut:
+                found += [("shut unseen", line.number), ("shut", line.number)]
+            if line.lies and line.usable:
+                found.append(("arrives", line.number))
+        found += [("silence", name) for name in self.out]
+        return found + [("late run", name) for name in sorted(set(self.left))]
+
+    def play(self, event: tuple) -> None:
+        what, whom = event
+        if what == "begin":
+            self.begin(whom)
+        elif what == "silence":
+            self.now[whom] = self.errands[whom].until
+            line = self.out[whom]
+            self.ended(line, line.connection.silence())
+        elif what == "late run":
+            self.left.remove(whom)
+            self.ledger.append(whom)
+        elif what == "arrives":
+            line = self.lines[whom]
+            lies, line.lies = line.lies, b""
+            self.arrive(line, lies)
+        elif what.startswith("shut"):
+            line = self.lines[whom]
+            line.shut = True
+            if what == "shut":
+                line.connection.closed()
+        else:
+            self.act(what, self.lines[whom])
+        self.judge()
+
+    def act(self, what: str, line: Line) -> None:
+        name, line.asked = line.asked, None
+        ran = what not in ("refuse", "refuse late", "drop", "noise", "early", "foreign", "anonymous")
+        self.ledger += [name] * ran
+        status = {"error": 500, "error part": 500, "bare": 503}.get(what, 200 if ran else 503)
+        body = f"{name} {len(self.ledger)}"
+        extra = "X-Response-Seal: s" if status == 200 else "X-Other: 1" if ran else "X-Not-Run: 1"
+        whole = answer(status, name, body, extra)
+        head, tail = whole.index(b"X-Attempt"), len(whole) - 3
+        data, unsent = whole, 0
+        match what:
+            case "double":
+                data += whole
+            case "part":
+                data += whole[: head - 2]  # its first line without the end
+            case "late" | "refuse late":
+                line.lies = whole
+            case "error part":
+                line.lies = whole[: head - 2]
+            case "cut":
+                data = whole[:tail]
+            case "cut head":
+                data = whole[:head]
+            case "drop" | "run drop":
+                data = b""
+            case "noise":
+                data = b"\0\1 no answer\r\n\r\n"
+            case "early":
+                unsent, line.rest = 9, True
+            case "foreign":
+                data = answer(200, "another", "another's") + whole
+            case "anonymous":
+                data = whole.replace(b"X-Attempt-Id", b"X-Other")
+        if data[: len(whole)] == whole or what == "foreign":
+            self.given[name].append((status, body))
+        if data:
+            self.arrive(line, data, unsent)
+        if what in ("cut", "cut head", "drop", "run drop"):
+            line.shut = True
+            self.ended(line, line.connection.closed())
+
+    # --- judges
+
+    def judge(self) -> None:
+        if any(self.ledger.count(name) > 1 for name in self.names if name.startswith("effect")):
+            raise Broken("TWICE")
+        for name, reply in self.replies.items():
+            told = reply.answer
+            if told is not None:
+                if (told.status, told.body.decode()) not in self.given[name]:
+                    raise Broken("MIXED")
+                if told.status != reply.status or (told.status == 200) != ("X-Response-Seal" in told.named):
+                    raise Broken("MIXED")
+            elif reply.status < 400:
+                raise Broken("MIXED")
+            promised = name.startswith("effect") and reply.status in (408, 421, 429, 503)
+            if promised and name in self.ledger:
+                raise Broken("REFUSED")
+
+    def key(self) -> tuple:
+        lines = []
+        for line in self.lines:
+            c = line.connection
+            lines += [c.state, c.wanted, bytes(c.reader.buffer), c.reader.head, c.surplus]
+            lines += [line.lies, line.shut, line.rest, line.asked, line.life]
+            lines.append(line in self.stacks.kept.get(line.life, ()))
+        tries = [(e.sent, sorted(e.tried), sorted(e.carried), e.ran_maybe) for e in self.errands.values()]
+        told = [(n, r.status, r.answer is None) for n, r in sorted(self.replies.items())]
+        return repr((lines, tries, list(self.errands), told, self.ledger, self.given, self.left, self.now))
+
+
+# --- guards taken out
+
+
+class AnyId(Connection):
+    def received(self, data: bytes, unsent: int = 0) -> Ended | None:
+        return super().received(re.sub(rb"(?<=X-Attempt-Id: )\w+", self.wanted.encode(), data), unsent)
+
+
+class KeptWhatever(Connection):
+    def received(self, data: bytes, unsent: int = 0) -> Ended | None:
+        ended = super().received(data, unsent)
+        if ended is not None and ended.how is How.WHOLE:
+            self.state = State.READ
+        return ended
+
+
+class TakesCut(Connection):
+    def closed(self) -> Ended | None:
+        head, rest = self.reader.head, bytes(self.reader.buffer)
+        ended = super().closed()
+        return Ended(How.WHOLE, head._replace(body=rest)) if ended and head is not None else ended
+
+
+CARELESS = {"id": AnyId, "kept": KeptWhatever, "cut": TakesCut}
+NEVER = re.compile(rb"(?!)")
+
+
+def made(careless: str) -> Connection:
+    return CARELESS.get(careless, Connection)()
+
+
+def without(careless: str):
+    """The module's guards that are no method's."""
+    if careless == "bare":
+        return patch.object(errands, "PROMISES", ())
+    return patch.object(response, "GLUED", NEVER if careless == "glued" else response.GLUED)
+
+
+# --- plays
+
+
+def world(trace: list[tuple], keyed: bool, careless: str = "") -> World:
+    made = World(keyed, careless)
+    for event in trace:
+        made.play(event)
+    return made
+
+
+def exhaust(depth: int, keyed: bool, careless: str = "", most: int = 10**9) -> tuple[int, int]:
+    """All orders of events up to this depth; how many states and events. Raises Broken with the trace."""
+    seen, events, level = set(), 0, [[]]
+    with without(careless):
+        for _ in range(depth):
+            after = []
+            for trace in level:
+                for event in world(trace, keyed, careless).events():
+                    events += 1
+                    if events > most:
+                        return len(seen), events
+                    try:
+                        reached = world([*trace, event], keyed, careless).key()
+                    except Broken as broken:
+                        raise Broken(f"{broken} after {events} events: {[*trace, event]}") from None
+                    if reached not in seen:
+                        seen.add(reached)
+                        after.append([*trace, event])
+            level = after
+    return len(seen), events
+
+
+def dice(seed: int, steps: int, keyed: bool, careless: str = "") -> int:
+    """One random play of many requests; how many events it had."""
+    throw, play = random.Random(seed), World(keyed, careless, MANY)
+    with without(careless):
+        for count in range(steps):
+            events = play.events()
+            if not events:
+                return count
+            play.play(throw.choice(events))
+    return steps
+
+
+# --- bytes of one answer
+
+
+def heard(data: bytes, cuts: tuple[int, ...] = (), bare: bool = False) -> tuple[Connection, Ended | None]:
+    """A connection whose request "r" was answered with these bytes, in pieces cut at these places."""
+    connection, ended = Connection(), None
+    connection.send("r", bare)
+    for start, end in zip((0, *cuts), (*cuts, len(data)), strict=True):
+        ended = connection.received(data[start:end]) or ended
+    return connection, ended
