--- a/bramblewood/desk/program.py
+++ b/bramblewood/desk/program.py
@@ -448,8 +448,11 @@
             address = steering.roll.rows[life].address
             line, how = await self.stacks.lend(life, address, began, effect, errand.carried)
             if line is not None:
-                errand.carried.add(line.number)
                 now = loop.time()
+                if now >= errand.until:  # its connection took that long to come up
+                    line.close()
+                    return errand.give_up(now, "no answer in time")
+                errand.carried.add(line.number)
                 rest = now - line.rests_from if line.rests_from else 0.0
                 asked = head(request, body, errand, life, now) + body
                 bare = request.method == "HEAD"
--- a/bramblewood/desk/response.py
+++ b/bramblewood/desk/response.py
@@ -87,7 +87,8 @@
         return whole
 
     def cut(self, count: int) -> bytes:
-        data = bytes(self.buffer[:count])
+        with memoryview(self.buffer) as view:
+            data = bytes(view[:count])
         del self.buffer[:count]
         return data
 
--- a/features/lines.feature
+++ b/features/lines.feature
@@ -96,3 +96,9 @@
       | w1     | early, answer |
     When a client sends a body that the worker does not read
     Then the client gets the worker's 503, and the next request goes out on another connection
+
+  Scenario: A connection that comes up after a request's time is over carries nothing
+    Given a desk before
+      | worker | script |
+      | w1     |        |
+    Then an effect whose connection takes longer than its client waits is answered 503, and never arrives
--- a/features/steps/holds.py
+++ b/features/steps/holds.py
@@ -122,11 +122,11 @@
 @then("a grant on a word of {more:g} s more is given up with that word")
 def given_up(context, more):
     async def play() -> float:
-        shell = asking()
+        shell, (host, port) = asking(), context.door.getsockname()
         began = shell.loop.time()
         try:
             async with asyncio.timeout(20 * more):
-                await shell.ask("grant", "127.0.0.1:%d" % context.door.getsockname()[1], "w1", {}, began + more)
+                await shell.ask("grant", f"{host}:{port}", "w1", {}, began + more)
         except TimeoutError:
             return shell.loop.time() - began
         finally:
--- a/features/steps/lines.py
+++ b/features/steps/lines.py
@@ -174,3 +174,25 @@
     lines, opened = context.told
     assert [line.split()[2] for line in lines if "client gets" in line] == ["503", "200"], lines
     assert opened == 2, opened
+
+
+@then("an effect whose connection takes longer than its client waits is answered 503, and never arrives")
+def too_late(context):
+    async def play():
+        made = Play()
+        await made.start(context.scripts)
+        lend, until = made.desk.stacks.lend, made.desk.loop.time() + 0.1
+
+        async def late(*told):
+            lent = await lend(*told)
+            while made.desk.loop.time() < until:
+                await asyncio.sleep(0)
+            return lent
+
+        made.desk.stacks.lend = late
+        await made.ask("POST", "/pay/1", "late", "x", "X-Deadline-Ms: 90")
+        await made.end()
+        return made.lines
+
+    lines = asyncio.run(play())
+    assert len(lines) == 2 and "client gets 503" in lines[1], lines
