--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -1,7 +1,6 @@
 """The archive's shell: sockets, disk, timers and signals round its state machines. It decides nothing."""
 
 import asyncio
-import itertools
 import json
 import os
 import signal
@@ -19,11 +18,13 @@
 from . import placement
 from .accession import (
     BEAT_MOST,
+    Command,
     EndPlan,
     GetConfig,
     PutConfig,
     Refusal,
     Register,
+    StartPlan,
     TakeLeave,
     decode,
     final_answer,
@@ -41,6 +42,7 @@
     TABLE,
     VOTES,
     Ballots,
+    Due,
     Out,
     founders,
     nothing,
@@ -49,8 +51,9 @@
 )
 from .copies import Copies, Lease, forgotten, taken_off
 from .feed import Feed
-from .health import Health, judged
+from .health import Health, judged, out_of_health
 from .holds import RENEW_PART, Call, Freed, Holds
+from .leaves import HELD_WITHIN, Leaves
 from .membership import Membership, Peer, may_leave
 from .roll import GONE, READY, Roll, Row
 from .sessions import PULSE, Sessions
@@ -62,7 +65,6 @@
 TURN = 0.5  # s between turns of placement, the manager's own
 # s for an operator's or worker's call: callers go elsewhere after a second of silence; PROTOCOL
 CALL_WITHIN = 0.85
-SEEN_BY_ANOTHER = 0.6  # s that a leave waits for another archive's word, within that second
 FOUND_WITHIN = 3.0  # s of the first boot in which more archives may show themselves; all start at once
 GRACE_PART = 2 / 3  # of GraceS that a vote is kept after SIGTERM, until others hold what it holds
 STALL = 0.3  # s that a write may take before this archive leaves the proposing to others
@@ -82,14 +84,13 @@
         self.up_since: dict[str, float] = {}
         self.archives: set[str] = set()
         self.membership = Membership(told.tolerance, told.zones, told.bounds.CatchUpS)
-        self.facts_due: dict[str, Any] = {}  # not yet safe on disk: goes with every write until it is
+        self.due = Due({})
         self.changing = False  # the set of voters, from here
         self.desks: dict[str, Link] = {}
         self.holds, self.copies = Holds(told.bounds.HoldMaxS), Copies()
         self.withdrawals, self.health = Withdrawals(self.holds.expiry), Health()
-        self.ids = itertools.count(1)
-        self.confirms: dict[int, asyncio.Future] = {}
-        self.confirmed: set[tuple[str, str]] = set()
+        self.leaves = Leaves(self.me)
+        self.confirms: dict[int, asyncio.Future] = {}  # by round of leaves
         self.editions: tuple[int, Any] = (0, None)
         self.aims: dict[str, float] = {}
         self.shown: dict[str, int] = dict.fromkeys(REGISTERS, 0)
@@ -133,8 +134,7 @@
         for place in (self.told.listen["Control"], (self.told.bind or self.told.ip, self.told.inner)):
             server = await loop.create_server(web.Server(self.serve, access_log=None), *place, backlog=512)
             servers.append(server)
-        connector = aiohttp.TCPConnector(socket_factory=careful_socket, limit=0, keepalive_timeout=4.0)
-        self.calls = aiohttp.ClientSession(connector=connector, auto_decompress=False)
+        self.calls, self.fresh = caller(keepalive_timeout=4.0), caller(force_close=True)
         daybook.started(
             self.log,
             self.told.unread,
@@ -156,6 +156,7 @@
             server.close()
         await self.links.end()
         await self.calls.close()
+        await self.fresh.close()
         self.shelf.close()
         return 0
 
@@ -171,14 +172,14 @@
             members, held = founders(self.told.seed_ips()), 0
         disk = disk or f"{int.from_bytes(os.urandom(4), 'big'):08x}"
         self.ballots = Ballots(self.me, disk, self.life, stored, members, held)
-        self.facts_due = {"disk": disk, "held": held}
+        self.due.facts = {"disk": disk, "held": held}
         if members is not None:
-            self.facts_due["members"] = members
+            self.due.facts["members"] = members
 
     def know(self, peer: str) -> None:
         if peer != self.me and peer not in self.archives:
             self.archives.add(peer)
-            self.facts_due["archives"] = sorted(self.archives)
+            self.due.facts["archives"] = sorted(self.archives)
             self.links.keep(peer, self.told.inner)
 
     def peers(self, now: float) -> dict[str, Peer]:
@@ -258,7 +259,7 @@
         if now >= self.pulse_at:
             self.pulse_at = now + PULSE
             self.pulse(now)
-        if now >= self.desk_pulse_at or self.whole(now) and not self.was_whole:
+        if now >= self.desk_pulse_at or self.whole(now) != self.was_whole:
             self.desk_pulse_at = now + DESK_PULSE
             self.pulse_desks(now)
         self.learned()
@@ -269,18 +270,25 @@
         self.steer(now)
 
     def whole(self, now: float) -> bool:
-        """Whether this archive may act for the core: a word of the majority, a disk that answers, and
-        nobody has told it to end.
+        """Whether this archive may act for the core and be believed by desks: a word of the majority on all
+        registers, a disk that answers, and nobody has told it to end.
         """
         if self.leaving.is_set():
             return False
         stalled = self.writing_since is not None and now - self.writing_since > STALL
         return not stalled and self.word(now) > now
 
-    def word(self, now: float) -> float:
+    def word(self, now: float, registers: tuple[str, ...] = REGISTERS) -> float:
+        """Until when a majority's word holds that nothing newer is chosen in these registers; 0 for none."""
         ballots = self.ballots
-        known = ballots.learned[TABLE][0]
-        return self.sessions.word_until(now, ballots.voters, ballots.epoch, TABLE, known, ballots.voting)
+        known = {name: ballots.learned[name][0] for name in registers}
+        own = {name: acceptor.accepted for name, acceptor in ballots.acceptors.items()}
+        own = own if ballots.voting else None
+        return self.sessions.word_until(now, ballots.voters, ballots.epoch, known, own)
+
+    def contact(self, now: float) -> bool:
+        """Whether a majority of the voters has answered of late, whatever it has accepted."""
+        return self.word(now, ()) > now
 
     def pulse(self, now: float, only: str | None = None) -> None:
         ballots = self.ballots
@@ -414,8 +422,7 @@
             for lease in leases:
                 asyncio.ensure_future(self.lease(lease, until))
             if over and not self.proposing:
-                self.proposing = True
-                self.propose(TABLE, lambda value: forgotten(value, over), self.proposed, 1.0)
+                self.move(lambda value: forgotten(value, over))
             if out_of(table) and not self.proposing:
                 self.withdraw(now, table)
         if table is not None and now >= self.health_at:
@@ -424,17 +431,15 @@
         if not self.proposing:
             wanted = self.placement.step(now, services, self.aims, self.roll, self.silent(now), table)
             if wanted:
-                self.proposing = True
                 moves = {service: (len(c.lines), len(c.splits)) for service, c in wanted.items()}
                 self.log.info("moves", step="placement", moves=moves, table=self.ballots.version(TABLE))
-                self.propose(TABLE, lambda value: placement.apply(value, wanted, keyed), self.proposed, 1.0)
+                self.move(lambda value: placement.apply(value, wanted, keyed))
 
     def withdraw(self, now: float, table: dict) -> None:
         """The next step of the plans that take workers out of service."""
         change = self.withdrawals.step(now, table, self.roll, self.placement.rooms())
         if change is not None:
-            self.proposing = True
-            self.propose(TABLE, change, self.proposed, 1.0)
+            self.move(change)
 
     def judge(self, now: float, table: dict) -> None:
         """Take workers out that look ill to the desks, and back after a while."""
@@ -443,10 +448,16 @@
             if row.phase == READY and life not in leaving:
                 in_service.setdefault(row.service, []).append(life)
         told = self.health.wanted(now, table, self.health.cycle(in_service), in_service)
-        if judged(table, told)[0] is not None and not self.proposing:
-            self.proposing = True
+        seen = out_of_health(table)
+        if judged(table, told, seen)[0] is not None and not self.proposing:
             self.log.info("health", step="placement", told=told)
-            self.propose(TABLE, lambda value: judged(value, told), self.proposed, 1.0)
+            self.move(lambda value: judged(value, told, seen))
+
+    def move(self, change: Any) -> None:
+        """A change of the table by the scribe; void if this archive is whole no more when its turn comes."""
+        self.proposing = True
+        fenced = lambda value: change(value) if self.whole(self.loop.time()) else (None, None)  # noqa: E731
+        self.propose(TABLE, fenced, self.proposed, 1.0)
 
     def proposed(self, outcome: Any) -> None:
         self.proposing = False
@@ -484,7 +495,7 @@
         self.learned()
 
     async def call(self, call: Call, until: float) -> None:
-        """One grant or release at a worker. A grant leaves at once and on a fresh word, or not at all."""
+        """One grant or release at a worker. A grant leaves on a fresh word, or not at all."""
         sent, status, handover = self.loop.time(), 0, ""
         body = {"Source": call.first, "TargetVersion": call.last, "fence": call.fence}
         if call.kind == "grant":
@@ -492,16 +503,10 @@
             if call.handover:
                 body["Handover"] = call.handover
         within = ASK if call.kind == "grant" else self.holds.expiry
+        until = until if call.kind == "grant" else sent + within
         try:
             async with asyncio.timeout(within):
-                if call.kind == "release" or sent < until:
-                    async with self.calls.post(
-                        f"http://{call.address}/bramblewood/{call.kind}",
-                        json=body,
-                        headers={"X-Target-Instance": call.life},
-                    ) as answer:
-                        status, handover = answer.status, answer.headers.get("X-Handover", "")
-                        await answer.read()
+                status, handover = await self.ask(call.kind, call.address, call.life, body, until)
         except aiohttp.ClientConnectorError as problem:
             status = -1 if isinstance(problem.os_error, ConnectionRefusedError) else 0
         except (OSError, TimeoutError, aiohttp.ClientError):
@@ -541,8 +546,35 @@
         elif status == -1 and ended and row is not None and row.phase != GONE:
             self.note(call.life, row._replace(phase=GONE))
 
+    async def ask(
+        self, kind: str, address: str, life: str, body: dict, until: float, fresh: bool = False
+    ) -> tuple[int, str]:
+        """A call about a worker's keys, not sent after `until` however long its connection takes to come up;
+        its status and handover.
+
+        The status is 0 where the answer is of another call: a surplus one of an older call may come in its
+        place and names that one's id. One without an id proves no release, but on a connection that carried
+        nothing before.
+        """
+        url, name = f"http://{address}/bramblewood/{kind}", f"{self.told.name}-{os.urandom(8).hex()}"
+        headers = {"X-Target-Instance": life, "X-Attempt-Id": name}
+        left = until - self.loop.time()
+        if left <= 0:
+            return 0, ""
+        within = aiohttp.ClientTimeout(connect=left)
+        session = self.fresh if fresh else self.calls
+        async with session.post(url, json=body, headers=headers, timeout=within) as answer:
+            told = answer.headers.getall("X-Attempt-Id", [])
+            if told not in ([], [name]):
+                answer.protocol.close()  # the call's own may still come there
+                return 0, ""
+            await answer.read()
+        if not told and kind == "release" and not fresh:
+            return await self.ask(kind, address, life, body, until, True)
+        return answer.status, answer.headers.get("X-Handover", "")
+
     async def lease(self, lease: Lease, until: float) -> None:
-        """One lease of a read copy; at once and on a fresh word, or not at all."""
+        """One lease of a read copy; on a fresh word, or not at all."""
         status, (_, key, life, _) = 0, lease.one
         body = {
             "Source": key,
@@ -551,13 +583,9 @@
             "HoldS": LEASE,
             "Copy": lease.holder,
         }
-        url, headers = f"http://{lease.address}/bramblewood/grant", {"X-Target-Instance": life}
         try:
             async with asyncio.timeout(LEASE * RENEW_PART):
-                if self.loop.time() < until:
-                    async with self.calls.post(url, json=body, headers=headers) as answer:
-                        status = answer.status
-                        await answer.read()
+                status, _ = await self.ask("grant", lease.address, life, body, until)
         except (OSError, TimeoutError, aiohttp.ClientError):
             pass
         self.counts["archive_leases"] += 1
@@ -570,27 +598,25 @@
 
     def carry(self, out: Out) -> None:
         """Writes first; sends and answers once they are safe."""
-        self.facts_due.update(out.facts)
-        if not out.writes and not out.facts and not self.facts_due:
+        rows, facts = self.due.take(out)
+        if not rows and not facts:
             if out.sends or out.answers:
                 self.dispatch(out)
             return
         if self.writing_since is None:
             self.writing_since = self.loop.time()
         self.writes += 1
-        facts = dict(self.facts_due)  # a vote that lies on disk without its epoch would be one of another
-        self.shelf.write(out.writes, facts, lambda problem: self.written(out, facts, problem))
+        self.shelf.write(rows, facts, lambda problem: self.written(out, rows, facts, problem))
 
-    def written(self, out: Out, facts: dict[str, Any], problem: str | None) -> None:
+    def written(self, out: Out, rows: list, facts: dict[str, Any], problem: str | None) -> None:
         self.writes -= 1
         self.writing_since = self.loop.time() if self.writes else None
         if problem:
             self.log.error("not written", step="write", problem=problem)
+            self.dispatch(nothing()._replace(answers=[(tag, None) for tag, _ in out.answers]))  # unclear
             return
-        for name, value in facts.items():
-            if self.facts_due.get(name) == value:
-                del self.facts_due[name]
-        for register, _, accepted, _ in out.writes:
+        self.due.safe(rows, facts)
+        for register, _, accepted, _ in rows:
             self.ballots.stored(register, accepted)
         self.dispatch(out)
 
@@ -652,11 +678,12 @@
         link.peer, link.role = str(message["from"]), message["role"]
         if link.role == "archive":
             self.know(link.peer)
-            self.take_rows(message.get("rows", {}))
+            self.take_rows(message.get("rows", {}), link.peer)
             return
         self.desks[link.peer] = link
-        leaving = {life: [*row] for life, row in self.roll.rows.items() if row.phase != READY}
-        link.send({"k": "roll", "rows": leaving})
+        self.withdrawals.anew(link.peer)
+        self.take_rows(message.get("rows", {}))  # what all archives forgot in a restart, desks have kept
+        link.send({"k": "roll", "rows": self.roll.leaving()})
         self.pulse_desks(self.loop.time())
 
     def left(self, link: Link) -> None:
@@ -689,17 +716,21 @@
                     self.ballots.voted(now, link.peer, message["disk"], register, tuple(ballot), out)
             self.carry(out)
             self.learned()
+            self.look_leaves()
             if not self.was_whole and self.whole(now):
                 self.pulse_desks(now)
             for peer in message.get("archives", ()):
                 self.know(peer)
         elif kind == "roll":
-            self.take_rows(message["rows"])
-            self.links.send(link.peer, {"k": "rolled", "id": message["id"]})
+            newer = self.take_rows(message["rows"], link.peer)
+            if "id" in message:
+                self.links.send(link.peer, {"k": "rolled", "id": message["id"], "rows": newer})
+            elif newer:
+                self.links.send(link.peer, {"k": "roll", "rows": newer})
         elif kind == "rolled":
-            waiting = self.confirms.get(message["id"])
-            if waiting is not None and not waiting.done():
-                waiting.set_result(True)
+            self.take_rows(message["rows"], link.peer)
+            self.leaves.held(message["id"], link.peer)
+            self.look_leaves()
         elif kind == "home":
             self.home(link, message)
         elif kind == "want":
@@ -708,7 +739,8 @@
             self.reported(now, link, message)
         elif kind == "confirm":
             if self.whole(now):
-                link.send({"k": "confirmed", "t": message["t"], "n": self.ballots.version(TABLE)})
+                newest = {register: self.ballots.version(register) for register in REGISTERS}
+                link.send({"k": "confirmed", "t": message["t"], "n": newest})
         elif kind == "off":
             self.take_off(link, message)
         elif kind in VOTES:
@@ -749,11 +781,17 @@
                 heat, keys = message["heat"].get(service, {}), by_key.get(service, {})
                 self.placement.report(now, service, link.peer, heat, keys, over, some)
 
-    def take_rows(self, rows: dict) -> None:
-        now = self.loop.time()
-        fresh = {life: row for life, row in rows.items() if self.roll.merge(now, life, Row(*row))}
-        if fresh:
-            self.tell_desks(fresh)
+    def take_rows(self, rows: dict, sender: str = "") -> dict[str, list]:
+        """Take rows that another manager sent; those of its workers that leave of which we have a newer word.
+
+        News of a leave goes on to the other archives, as its sender may reach but some of them.
+        """
+        news, newer = self.roll.take(self.loop.time(), rows)
+        if news:
+            self.tell_desks(news)
+        if leaving := {life: row for life, row in news.items() if Row(*row).phase != READY}:
+            self.share(leaving, but=sender)
+        return newer
 
     def tell_desks(self, rows: dict) -> None:
         """News of workers: to the desks whose home this is; of those that leave to all, as one archive may be
@@ -769,24 +807,25 @@
                 if name not in self.homes:
                     link.send(message)
 
-    def note(self, life: str, row: Row) -> int | None:
-        """Take a row; where it is news, tell all desks and archives. The number that the archives confirm."""
-        if not self.roll.merge(self.loop.time(), life, row):
-            return None
-        rows = {life: [*row]}
+    def note(self, life: str, row: Row, number: int | None = None) -> None:
+        """Take a row; where it is news, tell all desks and archives. With a number all archives answer."""
+        news = self.roll.merge(self.loop.time(), life, row)
+        rows = {life: [*self.roll.rows[life]]}
+        if news or number is not None:
+            self.share(rows, number)
+        if not news:
+            return
         self.tell_desks(rows)
-        number = self.share(rows)
-        if row.phase != "ready":
+        if row.phase != READY:
             self.log.info("worker leaves", step="roll", peer=life, phase=row.phase)
             self.loop.call_soon(self.steer, self.loop.time())
-        return number
 
-    def share(self, rows: dict) -> int:
-        """Send rows to the other archives; the number by which they confirm them."""
-        number = next(self.ids)
+    def share(self, rows: dict, number: int | None = None, but: str = "") -> None:
+        """Send rows to the other archives; with a number they answer that they hold them."""
+        message = {"k": "roll", "rows": rows} | ({} if number is None else {"id": number})
         for peer in list(self.links.up):
-            self.links.send(peer, {"k": "roll", "id": number, "rows": rows})
-        return number
+            if peer != but:
+                self.links.send(peer, message)
 
     def rows(self) -> dict[str, list]:
         """The whole roll as it travels."""
@@ -818,13 +857,15 @@
                 self.log.info("configuration refused", step="check", reason=refusal.reason)
             headers = {"Allow": refusal.allow} if refusal.allow else {}
             return answer(refusal.status, refusal.reason, headers)
-        match command.ok_value:
+        return await self.obey(command.ok_value)
+
+    async def obey(self, command: Command) -> web.Response:
+        """A worker's or the operator's call: taken, served or refused for good by a majority only."""
+        match command:
             case Register(life, row) as call:
                 return await self.registered(life, row, call.leaving)
             case TakeLeave(life):
-                row = self.roll.rows.get(life)
-                if row is None:
-                    return answer(200)
+                row = self.roll.rows.get(life) or Row("", "", "", 1, GONE, 0)  # others may know it
                 return await self.registered(life, row._replace(phase=GONE, seq=row.seq + 1), True)
             case PutConfig(edition):
                 told = final_answer(edition, self.ballots.value(CONFIG))
@@ -846,27 +887,35 @@
         if isinstance(command, Err):
             return answer(command.err_value.status, command.err_value.reason)
         command = command.ok_value
+
+        def start(value: dict | None) -> tuple[dict | None, tuple[int, str]]:
+            lives = self.chosen(command, value)
+            staying = len(set(in_use(self.roll, command.service, out_of(value))) - set(lives))
+            return started(value, command.name, command.service, lives, command.wave, staying)
+
         if isinstance(command, EndPlan):
             told = await self.agreed(TABLE, lambda value: ended(value, command.name, command.state))
-        else:
-            table = self.ballots.value(TABLE)
-            able = in_use(self.roll, command.service, out_of(table))
-            lives = [life for life in able if not command.lives or life in command.lives]
-            lives = [life for life in lives if command.zone in ("", self.roll.rows[life].zone)]
-            lives = [life for life in lives if command.revision in ("", self.roll.rows[life].revision)]
-            lives = lives[: command.count or len(lives)]
-            if command.name in plans_of(table):
-                lives = plans_of(table)[command.name]["lives"]  # asked again
-            staying, wave = len(set(able) - set(lives)), command.wave
-            change = lambda value: started(value, command.name, command.service, lives, wave, staying)  # noqa: E731
-            if command.only_tell:
-                status, reason = change(table)[1]
-                waves = [lives[i : i + wave] for i in range(0, len(lives), wave)]
+        elif command.only_tell:
+            read = lambda value: (None, (self.chosen(command, value), start(value)[1]))  # noqa: E731
+            if (told := await self.agreed(TABLE, read)) is not None:
+                lives, (status, reason) = told
+                waves = [lives[i : i + command.wave] for i in range(0, len(lives), command.wave)]
                 return web.json_response({"Waves": waves, "Failure": "" if status == 200 else reason})
-            told = await self.agreed(TABLE, change)
+        else:
+            told = await self.agreed(TABLE, start)
         self.log.info("plan", step="withdraw", name=command.name, told=told)
         return answer(*told) if told else answer(503, "no majority heard in time")
 
+    def chosen(self, command: StartPlan, value: dict | None) -> list[str]:
+        """The workers that a plan names, by the table that stands."""
+        if command.name in plans_of(value):
+            return plans_of(value)[command.name]["lives"]  # asked again
+        able = in_use(self.roll, command.service, out_of(value))
+        lives = [life for life in able if not command.lives or life in command.lives]
+        lives = [life for life in lives if command.zone in ("", self.roll.rows[life].zone)]
+        lives = [life for life in lives if command.revision in ("", self.roll.rows[life].revision)]
+        return lives[: command.count or len(lives)]
+
     async def seated(self, command: Any) -> web.Response:
         """An operator's call about who votes: agreed by a majority of those who do."""
         if isinstance(command, Err):
@@ -979,33 +1028,61 @@
         return answer(404, "no such view")
 
     async def agreed(self, register: str, change: Any) -> Any:
-        waiting = self.loop.create_future()
+        """The outcome of a round among a majority; None where there was none in time, also after a thaw."""
+        waiting, asked = self.loop.create_future(), self.loop.time()
         self.propose(
             register, change, lambda outcome: waiting.done() or waiting.set_result(outcome), CALL_WITHIN
         )
         try:
             async with asyncio.timeout(CALL_WITHIN + TICK):
-                return await waiting
+                outcome = await waiting
         except TimeoutError:
             return None
+        return outcome if self.loop.time() <= asked + CALL_WITHIN + TICK else None
 
     async def registered(self, life: str, row: Row, leaving: bool) -> web.Response:
-        """A worker's call. A leave is acknowledged once another archive knows it too, or not at all."""
-        number = self.note(life, row)
-        if not leaving or (life, row.phase) in self.confirmed:
-            return web.json_response({})
-        if number is None:  # known already, perhaps from another archive, but never confirmed here
-            number = self.share({life: [*self.roll.rows[life]]})
-        self.confirms[number] = self.loop.create_future()
+        """A worker's call: noted and told on at once, but answered 200 in touch with a majority only, so that
+        its worker goes to an archive that the others hear. A leave is confirmed once a majority holds it.
+        """
+        if not leaving:
+            self.note(life, row)
+            heard = self.contact(self.loop.time())
+            return web.json_response({}) if heard else answer(503, "no majority heard")
+        number = self.leaves.ask(self.loop.time())
+        waiting = self.confirms[number] = self.loop.create_future()
+        self.note(life, row, number)
+        self.look_leaves()
         try:
-            async with asyncio.timeout(SEEN_BY_ANOTHER):
-                await self.confirms[number]
+            async with asyncio.timeout(HELD_WITHIN):
+                await waiting
         except TimeoutError:
-            return answer(503, "no other archive has heard it in time")
-        finally:
-            del self.confirms[number]
-        self.confirmed.add((life, row.phase))
-        return web.json_response({})
+            pass
+        held = self.held(number)  # by the clock of now: a freeze may lie before
+        del self.confirms[number]
+        self.leaves.end(number)
+        return web.json_response({}) if held else answer(503, "no majority holds it in time")
+
+    def held(self, number: int) -> bool:
+        now = self.loop.time()
+        return self.leaves.confirmed(now, number, self.ballots.voters, self.contact(now))
+
+    def look_leaves(self) -> None:
+        for number, waiting in self.confirms.items():
+            if not waiting.done() and self.held(number):
+                waiting.set_result(True)
+
+
+class Heard(aiohttp.ClientResponse):
+    """An answer that knows its connection even when that is kept already."""
+
+    async def start(self, connection: Any) -> "Heard":
+        self.protocol = connection.protocol
+        return await super().start(connection)
+
+
+def caller(**connections: Any) -> aiohttp.ClientSession:
+    connector = aiohttp.TCPConnector(socket_factory=careful_socket, limit=0, **connections)
+    return aiohttp.ClientSession(connector=connector, auto_decompress=False, response_class=Heard)
 
 
 def answer(status: int, reason: str = "", headers: dict | None = None) -> web.Response:
--- a/bramblewood/desk/program.py
+++ b/bramblewood/desk/program.py
@@ -5,10 +5,10 @@
 import os
 import signal
 import socket
-import zlib
 from typing import Any
 
-from aiohttp import web
+from aiohttp import ClientPayloadError, web
+from aiohttp.http_exceptions import HttpProcessingError
 from multidict import CIMultiDict
 
 from ..archive.roll import GONE, Row
@@ -17,10 +17,13 @@
 from ..catalogue.doors import BACKLOG, door
 from ..catalogue.edition import Edition, edition_of
 from ..catalogue.links import QUIET, Link, Links
+from ..catalogue.table import KEYS
+from .connection import How
+from .contact import Contact, Sends
 from .errand import Budget, Errand, Reply, Send, Wait
 from .recall import CLEAR, Confirm, Drop, Recall, TakeOff
 from .room import keeps
-from .stacks import PROOF, How, Stacks
+from .stacks import PROOF, Stacks
 from .steering import Steering
 
 # without a configuration: bytes of headers and body, s for a first request and between requests
@@ -29,8 +32,7 @@
 REPORT = 0.5  # s between reports to the scribe: the design's cycle, whose length is free
 START_WAIT = 0.25  # s that a request waits for the first configuration: a restart of all is over soon
 TIDY = 1.0  # s between looks at kept connections
-WANT_AFTER = 0.2  # s in which the home may bring what another archive tells of
-WANT_AGAIN = 0.4  # s after which what was asked for and did not come is asked elsewhere
+LEFT_OF_LATE = 10.0  # s for which a leave is told to archives again: many times what a late call of it takes
 CONFIRM_AGAIN = 0.1  # s until an archive is asked again whether a table is the newest
 DROP_WITHIN = 0.2  # s for a reader to drop a copy: many times the way between zones
 OFF_WITHIN = 1.0  # s for a change of the table to be agreed and told
@@ -50,6 +52,9 @@
     b"proxy-authorization",
     b"expect",
 }
+# whose value decides who gets a request and whose an answer is: twice, it would be read in two ways
+ONCE = ("Host", "X-Attempt-Id", "X-Shard-Key", "X-Deadline-Ms")
+FOR_WORKERS = {name.lower().encode() for name in ONCE}  # no `Connection` field may take these away
 OURS = {b"x-deadline-ms", b"x-target-instance", b"content-length"}
 NOTHING = {b"content-length", b"date", b"server"}
 BACK_MOST = 60.0  # s, a deadline where a client names none
@@ -66,20 +71,14 @@
         self.stacks = Stacks()
         self.edition: Edition | None = None
         self.links = Links(self.hello, self.hear, self.link_told, QUIET, told.bind)
-        self.claims: dict[str, dict] = {}  # by archive: its newest pulse
-        self.wanted: dict[str, tuple[int, float]] = {}
-        self.scribe: str | None = None
-        self.home: str | None = None
-        self.zones: dict[str, str] = {}  # by archive
-        self.rolled = False  # whether a whole roll came
-        self.ready = self.ending = False
+        self.contact = Contact(told.name, told.zone)
+        self.ending = False
         self.front: asyncio.Server | None = None
         self.clients: tuple[Edition | None, web.Server] | None = None  # by whose limits, and what serves them
         self.young: set[int] = set()  # connections that have brought no request yet
         self.flight, self.held = 0, 0
         self.tries: dict[How, int] = dict.fromkeys(How, 0)
         self.answers: dict[int, int] = {}
-        self.sure_at = -1e9  # when the last confirmation that our table is the newest was asked for
         self.ids, self.offs = 0, {}
         self.changed: asyncio.Event | None = None
         self.reported_at = 0.0
@@ -182,35 +181,16 @@
             self.links.keep(peer, self.told.inner)
 
     def hello(self, peer: str) -> dict:
-        return {"k": "hello", "role": "desk", "from": self.told.name}
+        """The first words to an archive: also who leaves, as a restart of all archives forgets it."""
+        leaving = self.steering.roll.leaving(self.loop.time() - LEFT_OF_LATE)
+        return {"k": "hello", "role": "desk", "from": self.told.name, "rows": leaving}
 
     def link_told(self, peer: str, up: bool) -> None:
-        if not up:
-            self.claims.pop(peer, None)
-            self.zones.pop(peer, None)
-            if self.scribe == peer:
-                self.scribe = None
-            self.choose_home()
-
-    def choose_home(self) -> None:
-        """One archive pushes all news here: of those with a word of the majority one of this zone, if there
-        is one.
-        """
-        able = [peer for peer, told in self.claims.items() if told["whole"] and peer in self.links.up]
-        best = min(
-            able,
-            key=lambda peer: (
-                self.zones.get(peer) != self.told.zone,
-                zlib.crc32(f"{self.told.name}{peer}".encode()),
-            ),
-            default=None,
-        )
-        if best is None or best == self.home:
-            return
-        if self.home is not None:
-            self.links.send(self.home, {"k": "home", "on": False})
-        self.home = best
-        self.links.send(best, {"k": "home", "on": True, "have": self.have()})
+        self.say(self.contact.link(peer, up, self.have()))
+
+    def say(self, sends: Sends) -> None:
+        for peer, message in sends:
+            self.links.send(peer, message)
 
     def have(self) -> dict[str, int]:
         return {"config": self.edition.number if self.edition else 0, "table": self.steering.table_n}
@@ -220,16 +200,19 @@
         if kind == "pulse":
             self.pulse(now, link.peer, message)
         elif kind == "roll":
-            self.rolled = self.rolled or "all" in message
             for life, row in message["rows"].items():
                 if self.steering.roll.merge(now, life, Row(*row)) and row[4] == GONE:
                     self.stacks.drop(life)
+            if "all" in message:
+                self.say(self.contact.roll(now, link.peer, self.have()))
             self.stir()
         elif kind == "config":
             self.take_config(message)
         elif kind == "confirmed":
-            if message["n"] <= self.steering.table_n:
-                self.sure_at = max(self.sure_at, message["t"])
+            was_ready = self.contact.ready
+            self.contact.confirmed(now, link.peer, message, self.have())
+            if self.contact.ready and not was_ready:
+                self.log.info("ready", step="start", number=self.edition.number)
             self.stir()
         elif kind == "offed":
             if (waiting := self.offs.get(message["id"])) is not None and not waiting.done():
@@ -238,37 +221,20 @@
             if not self.steering.take_table(message):
                 link.send({"k": "want", "r": "table", "have": 0})
             self.stir()
-        self.look_ready()
+        if kind in ("config", "table"):
+            self.say(self.contact.ask(now, self.have()))
 
     def pulse(self, now: float, peer: str, message: dict) -> None:
-        self.claims[peer] = message
-        if message["scribe"]:
-            self.scribe = peer
-            if "near" in message:
-                self.steering.take_crowds(message.get("crowds", {}))
-                near = message["near"].items()
-                self.steering.near = {service: parts.get(self.told.zone, 0.0) for service, parts in near}
+        if message["scribe"] and "near" in message:
+            self.steering.take_crowds(message.get("crowds", {}))
+            near = message["near"].items()
+            self.steering.near = {service: parts.get(self.told.zone, 0.0) for service, parts in near}
         if message["whole"]:
             self.steering.silent = set(message.get("silent", ()))
             self.budget.desks = max(message["desks"], 1)
-        if "zone" in message:
-            self.zones[peer] = message["zone"]
-            for other in message["archives"]:
-                self.links.keep(other, self.told.inner)
-        if peer == self.home and not message["whole"]:
-            self.home = None
-        self.choose_home()
-        for register, have in self.have().items():
-            number = message["n"][register]
-            if number <= have:
-                continue
-            # the home pushes: another is asked only if that does not come
-            first, at = self.wanted.get(register, (0, 0.0))
-            if number > first:
-                self.wanted[register] = (number, now + WANT_AFTER)
-            elif now >= at:
-                self.wanted[register] = (number, now + WANT_AGAIN)
-                self.links.send(peer, {"k": "want", "r": register, "have": have})
+        for other in message.get("archives", ()):
+            self.links.keep(other, self.told.inner)
+        self.say(self.contact.pulse(now, peer, message, self.have()))
 
     def take_config(self, message: dict) -> None:
         if self.edition is not None and message["n"] <= self.edition.number:
@@ -279,23 +245,6 @@
             self.log.info("configuration", step="take", number=self.edition.number)
             self.stir()
 
-    def look_ready(self) -> None:
-        """Ready once the newest that an archive with a word of the majority tells of is here; then for this
-        life.
-        """
-        if self.ready or self.edition is None or not self.rolled:
-            return
-        for told in self.claims.values():
-            if (
-                told["whole"]
-                and told["n"]["config"] <= self.edition.number
-                and told["n"]["table"] <= self.steering.table_n
-                and self.steering.table_n
-            ):
-                self.ready = True
-                self.log.info("ready", step="start", number=self.edition.number)
-                return
-
     def stir(self) -> None:
         """Requests that wait look again."""
         self.changed.set()
@@ -310,8 +259,9 @@
             pass
 
     def report(self, now: float) -> None:
-        if self.scribe is not None and self.links.send(
-            self.scribe, self.steering.report(now - self.reported_at, now)
+        scribe = self.contact.scribe
+        if scribe is not None and self.links.send(
+            scribe, self.steering.report(now - self.reported_at, now)
         ):
             self.reported_at = now
 
@@ -320,13 +270,13 @@
     async def readiness(self, request: web.BaseRequest) -> web.Response:
         if request.path == "/metrics":
             return web.Response(text=counters.text(self.counted()))
-        ready = self.ready and not self.ending
+        ready = self.contact.ready and not self.ending
         return web.Response(status=200 if ready else 503)
 
     def counted(self) -> dict[str, float]:
         ended = {f'desk_answers_total{{class="{kind}xx"}}': count for kind, count in self.answers.items()}
         return {
-            "desk_ready": int(self.ready and not self.ending),
+            "desk_ready": int(self.contact.ready and not self.ending),
             "desk_in_flight": self.flight,
             "desk_config_version": self.edition.number if self.edition else 0,
             "desk_table_version": self.steering.table_n,
@@ -354,7 +304,9 @@
         finally:
             self.flight -= 1
         self.answers[response.status // 100] = self.answers.get(response.status // 100, 0) + 1
-        if self.ending:
+        unread = not request.content.at_eof()
+        # who waits to send a body may send it or not; what follows a declined upgrade may be read in part
+        if self.ending or unread and expects(request) or "Upgrade" in request.headers:
             response.force_close()
         return response
 
@@ -372,16 +324,23 @@
             "MaxHeaderBytes", HEADER_BYTES
         ):
             return own(431, "headers too large", close=True)
-        name = request.headers.get("X-Attempt-Id", "") or f"{self.told.name}-{os.urandom(8).hex()}"
+        for field in ONCE:
+            if len(request.headers.getall(field, ())) > 1:
+                return own(400, f"{field}: more than one")
+        name = request.headers.get("X-Attempt-Id")
+        if name == "":
+            return own(400, "X-Attempt-Id: empty")
+        if request.headers.get("Transfer-Encoding", "chunked").lower() != "chunked":
+            return own(400, "Transfer-Encoding: expected chunked", close=True)
+        name = name or f"{self.told.name}-{os.urandom(8).hex()}"
         service = route.service(name)
         key = None
         if edition.services[service].keyed:
-            told = request.headers.get("X-Shard-Key", "")
-            if not told.isdigit() or int(told) > 65535:
-                return own(400, "X-Shard-Key: expected a number from 0 to 65535")
-            key = int(told)
-        told = request.headers.get("X-Deadline-Ms", "")
-        deadline = int(told) / 1000 if told.isdigit() else BACK_MOST
+            key = whole_number(request.headers.get("X-Shard-Key", ""))
+            if key is None or key >= KEYS:
+                return own(400, f"X-Shard-Key: expected a number from 0 to {KEYS - 1}")
+        told = whole_number(request.headers.get("X-Deadline-Ms", ""))
+        deadline = BACK_MOST if told is None else told / 1000
         body = await self.body(request, self.limit("MaxBodyBytes", BODY_BYTES))
         if isinstance(body, web.Response):
             return body
@@ -398,16 +357,19 @@
         """The whole body, within what the configuration and this machine's memory allow."""
         if not request.can_read_body:
             return b""
-        if request.headers.get("Expect", "").lower() == "100-continue" and request.transport is not None:
+        if expects(request) and request.transport is not None:
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         parts, size = [], 0
-        async for part in request.content.iter_chunked(AT_ONCE):
-            size += len(part)
-            if size > most:
-                return own(413, f"at most {most} bytes", close=True)
-            if self.held + size > self.told.memory * MEMORY_PART:
-                return own(503, "too many bodies at once", 0.5, close=True)
-            parts.append(part)
+        try:
+            async for part in request.content.iter_chunked(AT_ONCE):
+                size += len(part)
+                if size > most:
+                    return own(413, f"at most {most} bytes", close=True)
+                if self.held + size > self.told.memory * MEMORY_PART:
+                    return own(503, "too many bodies at once", 0.5, close=True)
+                parts.append(part)
+        except (ClientPayloadError, HttpProcessingError, web.RequestPayloadError, ConnectionError):
+            return own(400, "the body can't be read", close=True)
         self.held += size
         return b"".join(parts)
 
@@ -425,7 +387,7 @@
                 continue
             reply = step if isinstance(step, Reply) else await self.attempt(request, body, errand, step)
             if reply is not None:
-                return finish(reply)
+                return finish(reply, request.method)
 
     async def attempt(
         self, request: web.BaseRequest, body: bytes, errand: Errand, step: Send
@@ -441,13 +403,17 @@
         began, answer = loop.time(), None
         try:
             address = steering.roll.rows[life].address
-            line, how = await self.stacks.lend(life, address, began, not errand.route.pure)
+            line, how = await self.stacks.lend(life, address, began, effect, errand.carried)
             if line is not None:
                 now = loop.time()
+                if now >= errand.until:  # its connection took that long to come up
+                    line.close()
+                    return errand.give_up(now, "no answer in time")
+                errand.carried.add(line.number)
                 rest = now - line.rests_from if line.rests_from else 0.0
-                how, answer = await line.exchange(
-                    head(request, body, errand, life, now) + body, errand.request, errand.until
-                )
+                asked = head(request, body, errand, life, now) + body
+                bare = request.method == "HEAD"
+                how, answer = await line.exchange(asked, errand.request, errand.until, bare)
                 at_once = how is How.BROKEN and rest and loop.time() - now < PROOF[1]
                 if at_once and steering.pressure(now, life) < 1.0:  # a full one resets what finds no room
                     self.stacks.found_dead(now, rest)
@@ -497,7 +463,7 @@
         """
         recall, steering, key = Recall(), self.steering, errand.key
         while (now := self.loop.time()) < errand.until:
-            step = recall.next(now, self.sure_at, steering.readers(errand.service, key))
+            step = recall.next(now, self.contact.sure_at, steering.readers(errand.service, key))
             if step == CLEAR:
                 return True
             if isinstance(step, Confirm):
@@ -517,8 +483,8 @@
 
     def confirm(self, now: float) -> None:
         """Ask the home archive whether our table is the newest; the answer counts from now."""
-        if self.home is not None:
-            self.links.send(self.home, {"k": "confirm", "t": now})
+        if self.contact.home is not None:
+            self.links.send(self.contact.home, {"k": "confirm", "t": now})
 
     async def drop(self, life: str, key: int, fence: int) -> bool:
         """Have a reader drop its copy of a record."""
@@ -547,7 +513,7 @@
         waiting = self.offs[number] = self.loop.create_future()
         try:
             asked = {"k": "off", "id": number, "service": service, "key": key, "lives": lives}
-            if self.home is None or not self.links.send(self.home, asked):
+            if self.contact.home is None or not self.links.send(self.contact.home, asked):
                 await self.stirred(min(self.loop.time() + CONFIRM_AGAIN, until))
                 return False
             async with asyncio.timeout_at(min(self.loop.time() + OFF_WITHIN, until)):
@@ -562,15 +528,13 @@
     """The request as a worker gets it: unchanged but for what concerns one connection, the time left and its
     target.
     """
-    named = {name.strip().lower().encode() for name in request.headers.get("Connection", "").split(",")}
+    named = options(request.headers) - FOR_WORKERS
     lines = [f"{request.method} {request.raw_path} HTTP/1.1".encode("utf-8", "surrogateescape")]
-    has_id = False
     for name, value in request.raw_headers:
         low = name.lower()
         if low not in HOPS and low not in OURS and low not in named:
-            has_id = has_id or low == b"x-attempt-id"
             lines.append(name + b": " + value)
-    if not has_id:
+    if "X-Attempt-Id" not in request.headers:
         lines.append(f"X-Attempt-Id: {errand.request}".encode())
     lines.append(f"X-Deadline-Ms: {max(int((errand.until - now) * 1000), 1)}".encode())
     lines.append(f"X-Target-Instance: {life}".encode())
@@ -588,13 +552,31 @@
     return response
 
 
-def finish(reply: Reply) -> web.Response:
+def finish(reply: Reply, method: str) -> web.Response:
     if reply.answer is None:
         return own(reply.status, reply.reason, reply.later)
+    answer = reply.answer
     headers: CIMultiDict[Any] = CIMultiDict()
-    for name, value in reply.answer.headers:
-        if name.lower() not in HOPS and name.lower() not in NOTHING:
+    left_out = HOPS | options(answer.named) | NOTHING
+    for name, value in answer.headers:
+        if name.lower() not in left_out:
             headers.add(name.decode("utf-8", "surrogateescape"), value.decode("utf-8", "surrogateescape"))
-    return web.Response(
-        status=reply.answer.status, reason=reply.answer.reason, body=reply.answer.body, headers=headers
-    )
+    if method == "HEAD" and "Content-Length" in answer.named:
+        headers["Content-Length"] = answer.named["Content-Length"]  # of what a GET would bring
+    return web.Response(status=answer.status, reason=answer.reason, body=answer.body, headers=headers)
+
+
+def options(headers: Any) -> set[bytes]:
+    """The fields that concern one connection by the word of its `Connection` fields."""
+    told = ",".join(headers.getall("Connection", ()))
+    return {name.strip().lower().encode("utf-8", "surrogateescape") for name in told.split(",")}
+
+
+def expects(request: web.BaseRequest) -> bool:
+    """Whether the client waits for a word before it sends a body."""
+    return request.headers.get("Expect", "").lower() == "100-continue"
+
+
+def whole_number(text: str) -> int | None:
+    """A whole number as a field brings it, of 18 digits at most; None if it is none."""
+    return int(text) if text.isascii() and text.isdigit() and len(text) <= 18 else None
--- a/features/steps/sessions.py
+++ b/features/steps/sessions.py
@@ -1,6 +1,6 @@
 from behave import given, then, when
 
-from bramblewood.archive.ballots import TABLE
+from bramblewood.archive.ballots import NONE, TABLE
 from bramblewood.archive.sessions import Sessions
 
 ABOUT = {"voters": ["a", "b", "c"], "archives": ["a", "b", "c"], "desks": ["d1"]}
@@ -40,6 +40,6 @@
 
 @then("at {now:g} its word on ballot {ballot:d} holds until {until:g}")
 def word(context, now, ballot, until):
-    voters = {name: name for name in "abc"}
-    found = context.sessions.word_until(now, voters, 1, TABLE, (1, ballot, "b", 1), True)
+    voters, known = {name: name for name in "abc"}, {TABLE: (1, ballot, "b", 1)}
+    found = context.sessions.word_until(now, voters, 1, known, {TABLE: NONE})
     assert abs(found - until) < 1e-9, found
