--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -868,7 +868,8 @@
                 row = self.roll.rows.get(life) or Row("", "", "", 1, GONE, 0)  # others may know it
                 return await self.registered(life, row._replace(phase=GONE, seq=row.seq + 1), True)
             case PutConfig(edition):
-                told = final_answer(edition, self.ballots.value(CONFIG))
+                heard = self.contact(self.loop.time())
+                told = final_answer(edition, self.ballots.value(CONFIG)) if heard else None
                 told = told or await self.agreed(CONFIG, lambda stands: succeed(edition, stands))
                 self.log.info(
                     "configuration", step="put", number=edition.number, parent=edition.parent, told=told
--- a/tests/snapshot_play.py
+++ b/tests/snapshot_play.py
@@ -37,6 +37,7 @@
         for register in REGISTERS:  # what the first pulses amount to
             for name in ("a", "b"):
                 told = {"k": "accepted", "r": register, "b": self.machines[name].durable[register]}
+                told["disk"] = self.machines[name].disk
                 self.wire.append((name, "c", told))
         self.settle()
         self.change(CONFIG, self.next_config)
