--- a/features/orders.feature
+++ b/features/orders.feature
@@ -48,7 +48,7 @@
     Then a day of 400 changes acknowledges all, and each repeat
     And where 50 digests are kept, repeats of what is older have no clear answer and none is refused
 
-  Scenario: An archive that hears nobody answers what is settled for good, and nothing else
+  Scenario: What a known version settles is right even at an archive that hears nobody, and nothing else is
     Given archives that know that r2 followed r1
     When all links of one are cut
     Then it acknowledges r1 and r2 again
