--- a/bramblewood/cli/enquiries.py
+++ b/bramblewood/cli/enquiries.py
@@ -373,8 +373,8 @@
         told = told_of(base) if not faults else {"facts": {}, "registers": {}}
         faults += (
             []
-            if faults or "born" in told["facts"]
-            else ["no mark of a first boot: it has forgotten, or never voted"]
+            if faults or {"disk", "born"} & told["facts"].keys()  # form 1 said born
+            else ["the disk has no name: no archive has written to it"]
         )
         config = told["registers"].get("config", {}).get("value")
         if config and (number := number_of(config["config"].get("Revision"))) != config["n"]:
--- a/features/steps/shelf.py
+++ b/features/steps/shelf.py
@@ -138,6 +138,10 @@
         assert shelf.open().ok_value == told.states[0]
         assert shelf.base.execute("pragma auto_vacuum").fetchone() == (1,)
         after = [ask(word) for word in ("check", "show", "export")]
+        facts = {"born": None, "voters": None, "disk": "0a0b0c0d"}  # as an archive goes on to write
+        assert shelf.commit([([], facts, None)]) is None
+        assert json.loads(ask("export").output)["facts"] == {"disk": "0a0b0c0d"}
+        assert ask("check").output == "sound\n"
     assert [one.output for one in before] == [one.output for one in after]
     assert [one.exit_code for one in after] == [0, 0, 0] and after[0].output == "sound\n"
     config = json.loads(after[2].output)["registers"]["config"]
