--- a/bramblewood/archive/ballots.py
+++ b/bramblewood/archive/ballots.py
@@ -138,6 +138,9 @@
         self.accepts: set[str] = set()
         self.outcome: Any = None
         self.carried: list[Round] = []  # whose changes are in this ballot, each made on the one before
+        self.base: Ballot = NONE  # what the value asked for was made from
+        self.difference: dict = {}  # what asks whoever holds that to accept
+        self.whole: dict = {}  # what asks whoever turns out to hold something else
 
 
 class Joining:
@@ -264,10 +267,14 @@
         round.next_at = now + BACKOFF * (0.5 + self.chance()) * min(round.tries, 6)
 
     def promised(self, now: float, peer: str, message: dict, out: Out) -> None:
-        round = self.current(message)
+        round, accepted = self.current(message), tuple(message["a"])
+        if round is not None and round.step == "accept" and peer not in round.promises:
+            round.promises[peer] = (accepted, None)  # later than a majority
+            if accepted != round.base:
+                out.sends.append((peer, round.whole))
+            return
         if round is None or round.step != "prepare":
             return
-        accepted = tuple(message["a"])
         acceptor = self.acceptors[round.register]
         value = message["v"] if "v" in message else acceptor.value
         if "v" not in message and accepted != acceptor.accepted:
@@ -290,10 +297,11 @@
             return self.finish(now, round, out)  # what stands is chosen already: nothing to write
         round.step, round.step_until = "accept", now + PATIENCE
         message = {"k": "accept", "r": round.register, "b": round.ballot}
-        change = {**message, "base": best, "d": difference(stands, value)}
-        for peer in self.voters:  # who holds what stands needs the difference only
-            same = best != NONE and round.promises.get(peer, (NONE, None))[0] == best
-            out.sends.append((peer, change if same else {**message, "v": value}))
+        round.base, round.whole = best, {**message, "v": value}
+        round.difference = {**message, "base": best, "d": difference(stands, value)}
+        for peer in self.voters:
+            behind = round.promises.get(peer, (best, None))[0] != best
+            out.sends.append((peer, round.whole if behind else round.difference))
 
     def is_chosen(self, best: Ballot, round: Round) -> bool:
         """Whether a majority has accepted this very ballot; one that was only carried into the epoch proves
@@ -381,6 +389,10 @@
             self.advance(now, register, out)
         elif kind == "chosen":
             self.learn(now, register, ballot, message["v"], out)
+            # a voter that was asked too late, or by a difference to what it doesn't hold, holds it from now on
+            if self.voting and self.epoch == ballot[0] and acceptor.accepted < ballot:
+                if acceptor.accept(ballot, message["v"]):
+                    out.writes.append((register, acceptor.promised, acceptor.accepted, acceptor.value))
         return out
 
     def refuse(self, peer: str, register: str, ballot: Ballot, out: Out) -> None:
