--- a/bramblewood/archive/ballots.py
+++ b/bramblewood/archive/ballots.py
@@ -389,7 +389,7 @@
             self.advance(now, register, out)
         elif kind == "chosen":
             self.learn(now, register, ballot, message["v"], out)
-            # a voter that was asked too late, or by a difference to what it doesn't hold, holds it from now on
+            # a voter that was asked too late, or by what it doesn't hold, holds it from now on
             if self.voting and self.epoch == ballot[0] and acceptor.accepted < ballot:
                 if acceptor.accept(ballot, message["v"]):
                     out.writes.append((register, acceptor.promised, acceptor.accepted, acceptor.value))
