--- a/bramblewood/desk/program.py
+++ b/bramblewood/desk/program.py
@@ -8,8 +8,7 @@
 import zlib
 from typing import Any
 
-from aiohttp import ClientPayloadError, web
-from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp import web
 from multidict import CIMultiDict
 
 from ..archive.roll import GONE, Row
@@ -384,7 +383,7 @@
                 return own(400, f"X-Shard-Key: expected a number from 0 to {KEYS - 1}")
         told = whole_number(request.headers.get("X-Deadline-Ms", ""))
         deadline = BACK_MOST if told is None else told / 1000
-        body = await self.body(request, self.limit("MaxBodyBytes", BODY_BYTES))
+        body = await self.body(request, self.limit("MaxBodyBytes", BODY_BYTES), now + deadline)
         if isinstance(body, web.Response):
             return body
         errand = Errand(now, route, service, key, name, deadline)
@@ -396,23 +395,26 @@
             errand.done()
             self.held -= len(body)
 
-    async def body(self, request: web.BaseRequest, most: int) -> bytes | web.Response:
-        """The whole body, within what the configuration and this machine's memory allow."""
+    async def body(self, request: web.BaseRequest, most: int, until: float) -> bytes | web.Response:
+        """The whole body, within what the configuration, the machine's memory and the client's time allow."""
         if not request.can_read_body:
             return b""
         if expects(request) and request.transport is not None:
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         parts, size = [], 0
         try:
-            async for part in request.content.iter_chunked(AT_ONCE):
-                size += len(part)
-                if size > most:
-                    return own(413, f"at most {most} bytes", close=True)
-                if self.held + size > self.told.memory * MEMORY_PART:
-                    return own(503, "too many bodies at once", 0.5, close=True)
-                parts.append(part)
-        except (ClientPayloadError, HttpProcessingError, web.RequestPayloadError, ConnectionError):
-            return own(400, "the body can't be read", close=True)
+            async with asyncio.timeout_at(until):
+                async for part in request.content.iter_chunked(AT_ONCE):
+                    size += len(part)
+                    if size > most:
+                        return own(413, f"at most {most} bytes", close=True)
+                    if self.held + size > self.told.memory * MEMORY_PART:
+                        return own(503, "too many bodies at once", 0.5, close=True)
+                    parts.append(part)
+        except TimeoutError:  # also where bytes came that form no chunk: aiohttp does not tell its handler
+            return own(408, "the body did not come in time", close=True)
+        except ConnectionError:
+            return own(400, "the client went away", close=True)
         self.held += size
         return b"".join(parts)
 
--- a/features/lines.feature
+++ b/features/lines.feature
@@ -31,6 +31,14 @@
       | HTTP/1.1 304 No\nX-Attempt-Id: r\nContent-Length: 5\n\n                            |       | GET    |
       | HTTP/1.1 100 Continue\n\nHTTP/1.1 103 Early\nLink: a\n\nHTTP/1.1 200 OK\nX-Attempt-Id: r\nContent-Length: 1\n\nx | x | GET |
 
+  Scenario: Answers after which a connection is not kept
+    Then these are whole, and their connection is not kept
+      | answer                                                                                     |
+      | HTTP/1.1 200 OK\nX-Attempt-Id: r\nConnection: x, Close\nContent-Length: 0\n\n             |
+      | HTTP/1.0 200 OK\nX-Attempt-Id: r\nContent-Length: 0\n\n                                   |
+      | HTTP/1.1 200 OK\nX-Attempt-Id: r\nContent-Length: 0\n\n\n                                 |
+      | HTTP/1.1 200 OK\nX-Attempt-Id: q\nContent-Length: 0\n\nHTTP/1.1 200 OK\nX-Attempt-Id: r\nContent-Length: 0\n\n |
+
   Scenario: Bytes that form no answer end the connection as they come
     Then these are no answers
       | answer                                                                                              |
@@ -48,6 +56,7 @@
       | HTTP/1.1 200 OK\nX-Attempt-Id: r\n\n                                                               |
       | HTTP/1.1 200 OHTTP/1.1 503 No\nX-Attempt-Id: r\nContent-Length: 0\n\n                              |
       | HTTP/1.1 200 OK\nX-A: HTTP/1.1 503 No\nX-Attempt-Id: r\nContent-Length: 0\n\n                      |
+      | HTTP/1.1 200 OK\nX-Attempt-Id: r\nTransfer-Encoding: chunked\n\n0\nX-T: HTTP/1.1 200 OK\n\n        |
       | HTTP/1.1 101 Switch\nX-Attempt-Id: r\n\n                                                           |
       | HTTP/1.1 20\n                                                                                       |
       | HTTP/2                                                                                              |
@@ -61,7 +70,6 @@
       | path     | fields                                               | body              |
       | /pay/1   | x-attempt-ID: r2                                     | x                 |
       | /pay/1   | X-Deadline-Ms: 900; x-deadline-ms: 900               | x                 |
-      | /pay/1   | X-Attempt-Id:                                        | x                 |
       | /pay/1   | X-Shard-Key: 9; x-shard-key: 9                       | x                 |
       | /pay/1   | hOST: h.example                                      | x                 |
       | /pay/1   | Content-Length: 2                                    | x                 |
@@ -77,6 +85,14 @@
       | /none/1  | Expect: 100-continue                                 |                   |
     Then the answers on those connections are "two-ways"
 
+  Scenario: A request without an id of its own, and bodies that don't come whole
+    Given a desk before
+      | worker | script |
+      | w1     |        |
+    Then an empty X-Attempt-Id is answered 400, and nothing is sent on
+    And a body with a bad chunk, or one that ends half way, is answered 408 when its client's time is over
+    And a client that goes away in its body leaves nothing behind
+
   Scenario: The answer to a HEAD is whole without a body, and names the length of what a GET would bring
     Given a desk before
       | worker | script |
@@ -102,3 +118,13 @@
       | worker | script |
       | w1     |        |
     Then an effect whose connection takes longer than its client waits is answered 503, and never arrives
+
+  Scenario: What was answered "not run" twice is not sent again on that connection
+    Given a desk before
+      | worker | script             |
+      | w1     | full twice, answer |
+    Then a keyed lookup is answered 200 over 2 connections
+
+  Scenario: Connections that can't be trusted are closed
+    Then one is closed after each of "silent, noise, extra", and as bytes come that nobody asked for
+    And one that is closing carries nothing
--- a/features/steps/lines.py
+++ b/features/steps/lines.py
@@ -1,9 +1,12 @@
 import asyncio
 import re
+from functools import partial
+from types import SimpleNamespace
 
 from behave import then, when
 
 from bramblewood.desk.connection import How, State
+from bramblewood.desk.stacks import Line
 from tests.approved import approve
 from tests.desk_play import Play
 from tests.lines_play import Broken, dice, exhaust, heard
@@ -57,6 +60,13 @@
             assert connection.state is State.SPOILT, more
 
 
+@then("these are whole, and their connection is not kept")
+def not_kept(context):
+    for row in context.table:
+        connection, ended = heard(bytes_of(row["answer"]))
+        assert ended.how is How.WHOLE and connection.state is State.SPOILT, row["answer"]
+
+
 @then("these are no answers")
 def noise(context):
     for row in context.table:
@@ -81,11 +91,23 @@
     return got
 
 
-@when("a client sends each of these and then a lookup on the same connection")
-def two_ways(context):
+def played(context, ask):
+    """What a play of these scripts gave: ask(play) is awaited."""
+
     async def play():
         made = Play()
         await made.start(context.scripts)
+        try:
+            return await ask(made)
+        finally:
+            await made.end()
+
+    return asyncio.run(play())
+
+
+@when("a client sends each of these and then a lookup on the same connection")
+def two_ways(context):
+    async def ask(made):
         for row in context.table:
             fields, body = [f for f in row["fields"].split("; ") if f], bytes_of(row["body"])
             fields += [f"Content-Length: {len(body) or 9}"] * ("Transfer" not in row["fields"])
@@ -99,10 +121,9 @@
             statuses = re.findall(r"HTTP/1\.[01] (\d+)", got.decode())
             closed = " and a close" * (not got.endswith(b"w1 after"))
             made.lines.append(f"  client gets {' '.join(statuses)}{closed}")
-        await made.end()
         return made.lines
 
-    context.lines = asyncio.run(play())
+    context.lines = played(context, ask)
 
 
 @then('the answers on those connections are "{name}"')
@@ -112,24 +133,18 @@
 
 @then('a HEAD is answered 200 with "{length}" and no body, and its connection is kept')
 def head(context, length):
-    async def play():
-        made = Play()
-        await made.start(context.scripts)
+    async def ask(made):
         got = await sent(made.port, (LOOKUP.replace("GET", "HEAD").replace("after", "r") + LOOKUP).encode())
-        opened = made.desk.stacks.opened
-        await made.end()
-        return got.decode().partition("\r\n\r\n"), opened
+        return got.decode().partition("\r\n\r\n"), made.desk.stacks.opened
 
-    (told, _, rest), opened = asyncio.run(play())
+    (told, _, rest), opened = played(context, ask)
     assert told.startswith("HTTP/1.1 200") and length in told.split("\r\n"), told
     assert rest.startswith("HTTP/1.1 200") and opened == 1, (rest, opened)
 
 
 @when("a client leaves while its effect is at the worker")
 def leaves(context):
-    async def play(half: bool):
-        made = Play()
-        await made.start(context.scripts)
+    async def ask(made, half: bool):
         worker = made.workers["w1"]
         reader, writer = await asyncio.open_connection("127.0.0.1", made.port)
         writer.write(LOOKUP.replace("GET /look/9", "POST /pay/1").replace("after", "gone").encode())
@@ -141,11 +156,9 @@
             await asyncio.sleep(0)
         await made.ask("POST", "/pay/2", "next", "x")
         writer.close()
-        told = made.lines, answered, made.desk.stacks.opened
-        await made.end()
-        return told
+        return made.lines, answered, made.desk.stacks.opened
 
-    context.told = [asyncio.run(play(half)) for half in (False, True)]
+    context.told = [played(context, partial(ask, half=half)) for half in (False, True)]
 
 
 @then("its effect ran once, and the next client gets its own answer on that connection")
@@ -157,16 +170,12 @@
 
 @when("a client sends a body that the worker does not read")
 def early(context):
-    async def play():
-        made = Play()
-        await made.start(context.scripts)
+    async def ask(made):
         await made.ask("POST", "/pay/1", "large", "x" * 2**24)
         await made.ask("POST", "/pay/2", "next", "x")
-        told = made.lines, made.desk.stacks.opened
-        await made.end()
-        return told
+        return made.lines, made.desk.stacks.opened
 
-    context.told = asyncio.run(play())
+    context.told = played(context, ask)
 
 
 @then("the client gets the worker's 503, and the next request goes out on another connection")
@@ -178,9 +187,7 @@
 
 @then("an effect whose connection takes longer than its client waits is answered 503, and never arrives")
 def too_late(context):
-    async def play():
-        made = Play()
-        await made.start(context.scripts)
+    async def ask(made):
         lend, until = made.desk.stacks.lend, made.desk.loop.time() + 0.1
 
         async def late(*told):
@@ -191,8 +198,97 @@
 
         made.desk.stacks.lend = late
         await made.ask("POST", "/pay/1", "late", "x", "X-Deadline-Ms: 90")
-        await made.end()
         return made.lines
 
-    lines = asyncio.run(play())
+    lines = played(context, ask)
     assert len(lines) == 2 and "client gets 503" in lines[1], lines
+
+
+@then("an empty X-Attempt-Id is answered 400, and nothing is sent on")
+def empty_id(context):
+    async def ask(made):
+        empty = LOOKUP.replace("X-Attempt-Id: after", "X-Attempt-Id:")
+        got = await sent(made.port, (empty + LOOKUP).encode())
+        return got, made.workers["w1"].arrivals
+
+    got, arrivals = played(context, ask)
+    assert got.startswith(b"HTTP/1.1 400") and len(arrivals) == 1, (got, arrivals)
+
+
+BODY = "POST /pay/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: r1\r\nX-Deadline-Ms: 100\r\n"
+CHUNKED = BODY + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n"
+HALF = BODY + "Content-Length: 2\r\n\r\nx"
+
+
+async def under_way(made, data: str):
+    """A request whose body has begun to come."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", made.port)
+    writer.write(data.encode())
+    while not made.desk.flight:
+        await asyncio.sleep(0)
+    return reader, writer
+
+
+@then("a body with a bad chunk, or one that ends half way, is answered 408 when its client's time is over")
+def bad_chunk(context):
+    async def ask(made):
+        found = []
+        for first, then_ in ((CHUNKED, b"ZZ\r\n"), (HALF, b"")):
+            reader, writer = await under_way(made, first)
+            writer.write(then_)
+            async with asyncio.timeout(1):
+                found.append((await reader.readuntil(b"}"))[:12])
+            writer.close()
+        return found, made.workers["w1"].arrivals, made.desk.flight
+
+    assert played(context, ask) == ([b"HTTP/1.1 408"] * 2, [], 0)
+
+
+@then("a client that goes away in its body leaves nothing behind")
+def body_gone(context):
+    async def ask(made):
+        _, writer = await under_way(made, HALF)
+        writer.transport.abort()
+        while made.desk.flight:
+            await asyncio.sleep(0)
+        return made.workers["w1"].arrivals, made.desk.held, made.desk.answers
+
+    assert played(context, ask) == ([], 0, {4: 1})
+
+
+@then("a keyed lookup is answered 200 over {count:d} connections")
+def twice_full(context, count):
+    async def ask(made):
+        await made.ask("GET", "/keyed/1", "k", "", "X-Shard-Key: 7")
+        return made.lines[-1], made.desk.stacks.opened
+
+    told, opened = played(context, ask)
+    assert "client gets 200" in told and opened == count, (told, opened)
+
+
+@then('one is closed after each of "{steps}", and as bytes come that nobody asked for')
+def untrusted(context, steps):
+    async def ask(made):
+        await made.ask("POST", "/pay/1", "u", "x", "X-Deadline-Ms: 100")
+        stood = made.workers["w1"].open
+        made.workers["w1"].go.set()
+        async with asyncio.timeout(1):
+            while made.workers["w1"].open:
+                await asyncio.sleep(0)
+        return stood
+
+    for step in steps.split(", "):
+        context.scripts = {"w1": [step]}
+        played(context, ask)
+    context.scripts = {"w1": ["unasked"]}
+    assert played(context, ask) == 1  # it was kept until those bytes came
+
+
+@then("one that is closing carries nothing")
+def closing(context):
+    async def ask():
+        line = Line(asyncio.get_running_loop())
+        line.connection_made(SimpleNamespace(is_closing=lambda: True, abort=lambda: None))
+        return await line.exchange(b"x", "r", line.loop.time() + 0.1)
+
+    assert asyncio.run(ask()) == (How.UNSENT, None)
--- a/tests/desk_play.py
+++ b/tests/desk_play.py
@@ -23,7 +23,8 @@
 
     def __init__(self, name: str, script: list[str]) -> None:
         self.name, self.script, self.arrivals, self.address = name, list(script), [], ""
-        self.fields: dict[str, str] = {}  # of the newest request
+        self.fields: dict[str, str] = {}  # of its requests so far
+        self.open = 0  # connections that callers have not closed
         self.reached, self.go = asyncio.Event(), asyncio.Event()
 
     async def start(self) -> None:
@@ -32,6 +33,7 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         late = b""
+        self.open += 1
         if self.script[:1] == ["no room"]:
             self.arrivals.append(f"{self.name} resets a connection: {self.script.pop(0)}")
             writer.transport.abort()
@@ -48,7 +50,8 @@
                 method, path, _ = head.split("\r\n")[0].split(" ")
                 name, step = fields.get("x-attempt-id", ""), self.script.pop(0) if self.script else "answer"
                 self.arrivals.append(f"{self.name} gets {method} {path} {name} {body.decode()!r}: {step}")
-                self.fields, whole = fields, answer(200, name, f"{self.name} {name}")
+                self.fields |= fields
+                whole = answer(200, name, f"{self.name} {name}")
                 if method == "HEAD":
                     whole = whole[: whole.index(b"\r\n\r\n") + 4]
                 writer.write(late)
@@ -66,6 +69,13 @@
                     case "late extra":
                         writer.write(whole)
                         late = answer(200, name, "a late second answer")
+                    case "full twice":
+                        whole = late = answer(503, name, "", "X-Not-Run: 1")
+                        writer.write(whole)
+                    case "unasked":
+                        writer.write(whole)
+                        await self.go.wait()
+                        writer.write(answer(200, name, "bytes that nobody asked for"))
                     case "noise":
                         writer.write(b"\x00\x01 no answer at all\r\n\r\n")
                     case "unsealed":
@@ -87,6 +97,7 @@
                         await self.go.wait()
                         writer.write(whole)
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            self.open -= 1
             writer.close()
 
 
