--- a/bramblewood/archive/holds.py
+++ b/bramblewood/archive/holds.py
@@ -2,10 +2,12 @@
 answers.
 
 A keyed slice whose entry has no old holder is granted to its worker and renewed. One with an old holder is
-first released there; it is free once the release is answered, once the old life is known to have ended, or
-once the longest grant that anyone may have sent has run out: WORD s after the change was chosen for the last
-renewal that rests on an older word, plus the hold itself on a clock that is 2% slow, plus what a call may
-take on its way (`ARRIVES`).
+first released there; it is free once the release is answered, once nobody listens any more where the old
+life was, or another life does, or once the longest grant that anyone may have sent has run out: WORD s after
+the change was chosen for the last renewal that rests on an older word, plus the hold itself on a clock that
+is 2% slow, plus what a call may take on its way (`ARRIVES`).
+
+The roll alone proves no end: a late word of an older life at an address makes the younger one look gone.
 
 A call's answer, however late, says something of that call alone. A release that was answered frees just the
 slices that still stand under its fence with the same old holder: fences rise with each move, and a worker
@@ -104,9 +106,7 @@
         key = (service, run[0], entry[FENCE], entry[OLD])
         waiting.add(key)
         since = self.wait_from.setdefault(key, now)
-        row = roll.rows.get(entry[OLD])
-        ended = row is not None and row.phase == GONE and roll.homes.get(row.address) != entry[OLD]
-        if ended or now >= since + self.expiry:
+        if now >= since + self.expiry:
             free.append(Freed(service, tuple(run), entry[FENCE], entry[OLD], ""))
         else:
             self.call(now, "release", service, entry[OLD], entry, run, last, roll, calls)
--- a/features/holds.feature
+++ b/features/holds.feature
@@ -16,6 +16,10 @@
       | another call's answer taken for a release's    | 20      |
       | a late release that frees what it did not name | 20      |
 
+  Scenario: A late word of an older life makes the younger one at its address look gone
+    Given a roll that hears of a life, and then of the one before it at the same address
+    Then the younger one's keys are freed only as another life answers there
+
   Scenario: What a kept connection brings first is not taken for a release's answer
     Given a worker that is busy with a key, and answers the grant before twice
     When its grant and then its release are called
--- a/features/steps/holds.py
+++ b/features/steps/holds.py
@@ -5,8 +5,9 @@
 
 from behave import given, then, when
 
-from bramblewood.archive.holds import ARRIVES
+from bramblewood.archive.holds import ARRIVES, Holds
 from bramblewood.archive.program import Archive, caller
+from bramblewood.archive.roll import GONE, Roll, Row
 from tests.holds_play import STEP, Play, Twice, margin
 
 
@@ -42,6 +43,24 @@
     assert margin(ARRIVES + more) < 0
 
 
+@given("a roll that hears of a life, and then of the one before it at the same address")
+def late_word(context):
+    context.roll = Roll()
+    for life in ("young", "old"):
+        context.roll.merge(0.0, life, Row("s", "w:1", "z", 2, "ready", 1))
+    context.roll.merge(0.0, "next", Row("s", "w:2", "z", 2, "ready", 1))
+    assert context.roll.rows["young"].phase == GONE
+
+
+@then("the younger one's keys are freed only as another life answers there")
+def asked_there(context):
+    holds, table = Holds(10.0), {"n": 2, "s": {"s": {"0": ["next", "", 0.0, 2, "", "young"]}}}
+    (call,), free = holds.step(0.0, table, {"s"}, context.roll)
+    assert (call.kind, call.life, free) == ("release", "young", [])
+    assert holds.answered(0.0, call, 0.0, 0, "", False) is None
+    assert holds.answered(0.0, call, 0.0, 421, "", False).old == "young"
+
+
 def asking() -> SimpleNamespace:
     """As much of an archive as its calls need."""
     shell = SimpleNamespace(loop=asyncio.get_running_loop(), told=SimpleNamespace(name="a"))
