--- a/bramblewood/desk/response.py
+++ b/bramblewood/desk/response.py
@@ -119,7 +119,9 @@
         elif coding is not None:
             self.need, self.parts = None, []
         elif length is None:
-            raise Malformed("only the close would tell its end")
+            if "X-Not-Run" not in head.named:  # which its head alone says, whatever its body
+                raise Malformed("only the close would tell its end")
+            head = head._replace(closes=True)
         self.head = head
         return True
 
