--- a/bramblewood/archive/ballots.py
+++ b/bramblewood/archive/ballots.py
@@ -123,10 +123,13 @@
     def accept(self, ballot: Ballot, value: Any) -> bool:
         if ballot < self.promised:
             return False
-        self.promised = self.accepted = ballot
-        self.value = value
+        self.keep(ballot, value)
         return True
 
+    def keep(self, ballot: Ballot, value: Any) -> None:
+        """What is chosen may be kept under any promise: whoever got that has met it at a majority."""
+        self.promised, self.accepted, self.value = max(self.promised, ballot), ballot, value
+
 
 class Round:
     """One change on its way: the ballot it is at, who promised, who accepted."""
@@ -194,8 +197,10 @@
 
     @property
     def named(self) -> bool:
-        """Whether this very disk is a member: one that came back empty to a seat of any disk may not join."""
-        return self.voters.get(self.me) == self.disk
+        """Whether this very disk is a member. To a seat of any disk only one may go on that was active in the
+        epoch before: one that came back empty may not.
+        """
+        return self.voters.get(self.me) == self.disk or self.member and 0 <= self.held == self.epoch - 1
 
     @property
     def voting(self) -> bool:
@@ -419,10 +424,16 @@
                     out.sends.append((peer, {"k": "fetch", "r": register, "b": ballot}))
 
     def learn(self, now: float, register: str, ballot: Ballot, value: Any, out: Out) -> None:
-        """This value is chosen. A set of voters that is chosen is followed at once."""
+        """This value is chosen. A voter that was away as it was keeps it like the others from now on: nobody
+        would send it again. A set of voters that is chosen is followed at once.
+        """
         if ballot > self.learned[register][0]:
             self.learned[register] = (ballot, value)
             self.contention.chosen(register, ballot)
+            acceptor = self.acceptors[register]
+            if self.voting and ballot[0] == self.epoch and acceptor.accepted < ballot:
+                acceptor.keep(ballot, value)
+                out.writes.append((register, acceptor.promised, acceptor.accepted, acceptor.value))
             if register == MEMBERS:
                 self.adopt(now, value, out)
 
@@ -447,9 +458,7 @@
         elif now >= self.ahead_since.setdefault(register, now) + UNSETTLED * (1 + self.chance()):
             self.ahead_since[register] = now
             if not self.rounds[register] and self.voting:
-                self.rounds[register].append(
-                    Round(register, lambda value: (None, True), "settle", now + 1.0)
-                )
+                self.rounds[register].append(Round(register, lambda value: (None, True), "settle", now + 1.0))
                 self.advance(now, register, out)
 
     # --- epochs
--- a/features/ballots.feature
+++ b/features/ballots.feature
@@ -41,7 +41,13 @@
     And all is delivered
     Then "first" is in force as r1
 
+  Scenario: A voter that was away keeps what was chosen meanwhile
+    Then a voter that was away holds on its disk what was chosen meanwhile; one that only learns it does not
+
   Scenario: Storms
     Given three archives from seed 5
     Then 300 storms of stops, losses and lost disks keep what was acknowledged
-    And going by the name of a disk that was lost is found out within 300 storms
+    And 50 storms from disks that knew no epochs do so too
+    And "the name of a disk that was lost" is found out within 100 storms
+    And "a seat of any disk, where no disk may go on" is found out within 5 storms
+    And "a seat of any disk, where an empty disk may go on" is found out within 60 storms
--- a/features/steps/core.py
+++ b/features/steps/core.py
@@ -1,6 +1,6 @@
 from behave import given, then, when
 
-from tests.core_play import CONFIG, Broken, Core, edition, storm
+from tests.core_play import CONFIG, Broken, Core, Unkept, Unnamed, Whoever, caught_up, edition, storm
 
 
 @given("three archives from seed {seed:d}")
@@ -94,11 +94,24 @@
     assert taken > count, "hardly anything was acknowledged: the storms prove nothing"
 
 
-@then("going by the name of a disk that was lost is found out within {count:d} storms")
-def careless(context, count):
+@then("{count:d} storms from disks that knew no epochs do so too")
+def old_storms(context, count):
+    for seed in range(count):
+        storm(seed, any_disk=True)
+
+
+FAULTS = {
+    "the name of a disk that was lost": {"careless": True},
+    "a seat of any disk, where no disk may go on": {"kind": Unnamed, "any_disk": True},
+    "a seat of any disk, where an empty disk may go on": {"kind": Whoever, "any_disk": True},
+}
+
+
+@then('"{fault}" is found out within {count:d} storms')
+def found_out(context, fault, count):
     for seed in range(count):
         try:
-            storm(seed, careless=True)
+            storm(seed, **FAULTS[fault])
         except Broken:
             return
     raise AssertionError("no storm found it")
@@ -107,3 +120,8 @@
 @then("no configuration is known at {name}")
 def unknown(context, name):
     assert context.core.machines[name].value(CONFIG) is None
+
+
+@then("a voter that was away holds on its disk what was chosen meanwhile; one that only learns it does not")
+def kept(context):
+    assert caught_up() and not caught_up(Unkept)
--- a/tests/core_play.py
+++ b/tests/core_play.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from bramblewood.archive.accession import succeed
-from bramblewood.archive.ballots import CONFIG, MEMBERS, Ballots, Out, succession
+from bramblewood.archive.ballots import CONFIG, MEMBERS, NONE, Ballots, Out, succession
 from bramblewood.catalogue.edition import Edition
 
 NAMES = ("a", "b", "c")
@@ -20,11 +20,42 @@
     """A judge's word."""
 
 
+class Unkept(Ballots):
+    """A voter that only learns what was chosen while it was away."""
+
+    def learn(self, now, register, ballot, value, out) -> None:
+        if ballot > self.learned[register][0]:
+            self.learned[register] = (ballot, value)
+            if register == MEMBERS:
+                self.adopt(now, value, out)
+
+
+class Unnamed(Ballots):
+    """Goes on in no seat of any disk, so that an old disk waits until its seat has its name."""
+
+    @property
+    def named(self) -> bool:
+        return self.voters.get(self.me) == self.disk
+
+
+class Whoever(Ballots):
+    """Goes on in a seat of any disk even with an empty disk."""
+
+    @property
+    def named(self) -> bool:
+        return self.member
+
+
 class Core:
-    def __init__(self, seed: int, careless: bool = False) -> None:
-        """careless: a machine whose disk was lost goes by the name of its old disk, as it must not."""
+    def __init__(
+        self, seed: int, careless: bool = False, kind: type = Ballots, any_disk: bool = False
+    ) -> None:
+        """careless: a machine whose disk was lost goes by the name of its old disk, as it must not. any_disk:
+        the disks knew no epochs, so the seats are of any disk at first.
+        """
         self.dice, self.careless, self.now, self.lives = random.Random(seed), careless, 0.0, 0
-        members = {"n": 1, "voters": {name: f"{name}0" for name in NAMES}, "before": {}}
+        self.kind = kind
+        members = {"n": 1, "voters": {name: "" if any_disk else f"{name}0" for name in NAMES}, "before": {}}
         self.disks: dict[str, dict] = {
             name: {"disk": f"{name}0", "members": members, "held": 1} for name in NAMES
         }
@@ -42,7 +73,7 @@
     def start(self, name: str) -> None:
         disk, self.lives = self.disks[name], self.lives + 1
         disk.setdefault("disk", f"{name}{self.lives}")
-        self.machines[name] = Ballots(
+        self.machines[name] = self.kind(
             name, disk["disk"], self.lives, disk.get("registers"), disk.get("members"), disk.get("held", -1)
         )
 
@@ -98,8 +129,12 @@
             self.mend(name)
 
     def tell_epochs(self, name: str) -> None:
-        """As pulses do: others hear which set of voters is known here."""
-        mine = self.machines[name].members
+        """As pulses do: others hear which set of voters is known here, and what is safe on this disk."""
+        machine = self.machines[name]
+        mine, durable = machine.members, machine.durable[CONFIG]
+        if machine.voting and durable != NONE and self.dice.random() < 0.2:
+            told = {"k": "accepted", "r": CONFIG, "b": durable, "disk": machine.disk}
+            self.wire += [(name, peer, told) for peer in self.machines if peer != name]
         behind = [peer for peer, machine in self.machines.items() if machine.epoch < mine["n"]]
         self.wire += [(name, peer, {"k": "epoch", "m": mine}) for peer in behind]
 
@@ -130,12 +165,8 @@
             else:
                 self.tick(0.01 + 0.1 * self.dice.random())
 
-    def calm(self) -> Any:
-        """All machines up, nothing lost: the value that a reader gets."""
-        for name in NAMES:
-            if name not in self.machines:
-                self.start(name)
-        found: list = []
+    def quiet(self) -> None:
+        """Six seconds in which nothing is lost."""
         for _ in range(60):
             for name in NAMES:
                 while self.writes[name]:
@@ -143,6 +174,14 @@
             while self.wire:
                 self.deliver(0)
             self.tick(0.1)
+
+    def calm(self) -> Any:
+        """All machines up, nothing lost: the value that a reader gets."""
+        for name in NAMES:
+            if name not in self.machines:
+                self.start(name)
+        found: list = []
+        self.quiet()
         read = lambda stands: (None, found.append(stands))  # noqa: E731
         self.carry("b", self.machines["b"].propose(self.now, CONFIG, read, "read", 5.0))
         for _ in range(200):
@@ -182,9 +221,20 @@
                 raise Broken(f"{mark} was refused, and is in force")
 
 
-def storm(seed: int, careless: bool = False) -> Core:
+def caught_up(kind: type = Ballots) -> bool:
+    """Whether a voter that was away as a version was chosen holds it on disk soon after."""
+    core = Core(1, kind=kind)
+    core.stop("c")
+    core.put("a", edition(1, 0, "first"))
+    core.quiet()
+    core.start("c")
+    core.quiet()
+    return "first" in core.taken and CONFIG in core.disks["c"].get("registers", {})
+
+
+def storm(seed: int, **how: Any) -> Core:
     """Changes from two operators on the same version, at any machine, amid losses, stops and a lost disk."""
-    core = Core(seed, careless)
+    core = Core(seed, **how)
     dice, parent, number = core.dice, 0, 0
 
     def changes() -> None:
