--- a/bramblewood/archive/membership.py
+++ b/bramblewood/archive/membership.py
@@ -113,9 +113,7 @@
         new = min(spares, key=rank)
         return replaced(voters, old, new, peers[new].disk)
 
-    def wanted(
-        self, members: Members, peers: dict[str, Peer], versions: dict[str, int]
-    ) -> Change | None:
+    def wanted(self, members: Members, peers: dict[str, Peer], versions: dict[str, int]) -> Change | None:
         """The change that is due. peers: all archives known, this one too; versions: what is chosen."""
         voters, n = members["voters"], members["n"]
         for name, disk in voters.items():
@@ -154,8 +152,14 @@
     def ordered(
         self, members: Members, peers: dict[str, Peer], versions: dict[str, int], old: str, new: str
     ) -> Result[Change, str]:
-        """An operator's change; old or new may be empty, for an addition or a removal."""
+        """An operator's change; old or new may be empty, for an addition or a removal. The voters as they are
+        where that is how they stand already: an order may be repeated.
+        """
         voters = members["voters"]
+        if old and old not in peers:
+            return Err(f"{old} is not known")
+        if (not old or old not in voters) and (not new or new in voters):
+            return Ok(Change(voters, "stands"))
         if old and old not in voters:
             return Err(f"{old} is no voter of epoch {members['n']}")
         if new and (new in voters or not self.there(peers.get(new))):
--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -926,6 +926,9 @@
         change = self.membership.ordered(members, self.peers(self.loop.time()), self.versions(), old, new)
         if isinstance(change, Err):
             return answer(409, change.err_value)
+        if change.ok_value.voters == members["voters"]:
+            heard = self.contact(self.loop.time())
+            return web.json_response({"Epoch": members["n"]}) if heard else answer(503, "no majority heard")
         told = await self.agreed(MEMBERS, succession(members, change.ok_value.voters))
         self.log.info("member change", step="epoch", why="by hand", old=old, new=new, told=told)
         if told is None:
