--- a/bramblewood/lab/boot.py
+++ b/bramblewood/lab/boot.py
@@ -19,15 +19,16 @@
     bind: str = "",
     bounds: tuple[str, ...] = (),
     notice: bool = True,
+    first: bool = True,
 ) -> str:
-    """Write a settings file; zones: the machine's own and all. Its path."""
+    """Write a settings file; zones: the machine's own and all; first: `FirstBoot`. Its path."""
     folder, name = os.path.split(path)
     lines = [
         f'NodeName = "{name.removesuffix(".toml")}"',
         f'Ip = "{ip}"',
         f'Zone = "{zones[0]}"',
         f"SeedNodes = {json.dumps(seeds)}",
-        "FirstBoot = true",
+        f"FirstBoot = {json.dumps(first)}",
         f"PortRange = [{inner},{inner + 10}]",
         f'DataDir = "{folder}/{name}.d"',
         f"Bounds = {json.dumps(list(bounds))}",
--- a/features/members.feature
+++ b/features/members.feature
@@ -30,3 +30,47 @@
       | members add 10.0.0.7         | answer=[408, {}]                                        |
       | members add 10.0.0.7         | answer=[429, {}]                                        |
     Then the members are told "members"
+
+  Scenario: Real archives: seats follow losses, a second loss right after is borne, and orders by hand
+    Given three archives that vote, with a configuration, and a spare
+    When archive 3 is killed and stays away
+    Then archive 4 has its seat, no sooner than its time is up
+    When archive 2 is killed
+    Then the configuration is read back and a new one is taken
+    When archives 2 and 3 return
+    Then archive 3 is a spare
+    When archive 2 is told to end
+    Then it has ended in order within GraceS and archive 3 has its seat
+    When archive 4 is killed
+    Then the configuration is read back and a new one is taken
+    When archives 2 and 4 return
+    Then archive 2 is a spare
+    When archive 3 is killed and returns with an empty disk
+    Then its new disk has the seat
+    When archive 4 is killed
+    Then the configuration is read back and a new one is taken
+    When archive 4 returns
+    Then archive 2 is a spare
+    When an operator orders
+      | words                               |
+      | members                             |
+      | members --json                      |
+      | members remove archive-3            |
+      | members replace archive-3 archive-2 |
+      | members replace archive-3 archive-2 |
+      | members add archive-3               |
+      | members show                        |
+      | members add archive-3 --json        |
+      | members remove archive-4 --json     |
+      | members remove archive-4            |
+      | members remove archive-9            |
+      | members replace archive-4 archive-3 |
+      | members add archive-9               |
+    Then the members are told "members-live"
+    And the configuration is read back and a new one is taken
+
+  Scenario: Disks of form 1, which knew no epochs: all is kept, and each seat gets its disk's name
+    Given three archives whose disks the program before epochs has written
+    Then they vote on them, each seat with its disk's name, with the configuration that lay there
+    When archive 2 is killed
+    Then the configuration is read back and a new one is taken
--- a/features/steps/members.py
+++ b/features/steps/members.py
@@ -1,14 +1,18 @@
 import asyncio
 import copy
 import json
+import time
 
 from aiohttp import web
-from behave import then, when
+from behave import given, then, when
 from click.testing import CliRunner
 
 from bramblewood.archive.accession import members_call
+from bramblewood.archive.sessions import PULSE
+from bramblewood.catalogue.bootfile import Bounds
 from bramblewood.cli.rooms import rooms
 from tests.approved import approve
+from tests.members_play import TAKES_SEAT, Members
 
 
 def one(disk: str, state: str, heard: float | None, epoch: int | None, *lag: int) -> dict:
@@ -72,3 +76,110 @@
 @then('the members are told "{name}"')
 def shown(context, name):
     approve(name, context.lines)
+
+
+def play(context) -> Members:
+    context.play = Members()
+    context.add_cleanup(context.play.end)
+    return context.play
+
+
+@given("three archives that vote, with a configuration, and a spare")
+def three_and_a_spare(context):
+    members = play(context)
+    members.settle(3, 4)
+    for n in (1, 2, 3, 4):
+        members.start(n)
+    members.put()
+    members.agree({1: "voter", 2: "voter", 3: "voter", 4: "spare"})
+
+
+@when("archive {n:d} is killed")
+@when("archive {n:d} is killed and stays away")
+def killed(context, n):
+    context.killed_at = time.monotonic()
+    context.play.kill(n)
+
+
+@then("archive {n:d} has its seat, no sooner than its time is up")
+def seat_taken(context, n):
+    context.play.agree({n: "voter"})
+    assert time.monotonic() - context.killed_at > TAKES_SEAT - PULSE  # its last pulse may be so old
+
+
+@then("the configuration is read back and a new one is taken")
+def read_and_put(context):
+    context.play.reads()
+    context.play.put()
+    context.play.reads()
+
+
+@when("archives {n:d} and {m:d} return")
+def both_return(context, n, m):
+    context.play.start(n)
+    context.play.start(m)
+
+
+@when("archive {n:d} returns")
+def returns(context, n):
+    context.play.start(n)
+
+
+@then("archive {n:d} is a spare")
+def stands_by(context, n):
+    others = context.play.paths.keys() - {n}
+    context.play.agree({n: "spare", **dict.fromkeys(others, "voter")})
+
+
+@when("archive {n:d} is told to end")
+def told_to_end(context, n):
+    context.ended = context.play.terminate(n)
+
+
+@then("it has ended in order within GraceS and archive {n:d} has its seat")
+def ended(context, n):
+    code, took = context.ended
+    assert code == 0 and took < Bounds().GraceS, context.ended
+    context.play.agree({n: "voter"})
+
+
+@when("archive {n:d} is killed and returns with an empty disk")
+def emptied(context, n):
+    context.disk = context.play.seen(n)["disks"][n], n
+    context.play.kill(n)
+    context.play.empty(n)
+    context.play.start(n)
+
+
+@then("its new disk has the seat")
+def new_disk(context):
+    before, n = context.disk
+    context.play.agree({n: "voter"})
+    assert context.play.seen(n)["disks"][n] != before
+
+
+@when("an operator orders")
+def orders(context):
+    context.lines = []
+    for row in context.table:
+        context.play.calm()
+        context.lines += context.play.command(row["words"], 1)
+
+
+@given("three archives whose disks the program before epochs has written")
+def old_disks(context):
+    members = play(context)
+    members.settle(3, 3)
+    members.revision = 1
+    for n in (1, 2, 3):
+        members.old_disk(n, 3, members.config(1))
+        members.start(n)
+
+
+@then("they vote on them, each seat with its disk's name, with the configuration that lay there")
+def named(context):
+    members = context.play
+    named = lambda: members.seen(1)["epoch"] == 4 and all(members.seen(1)["disks"].values())  # noqa: E731
+    members.until("three seats named", named)
+    members.agree({1: "voter", 2: "voter", 3: "voter"})
+    members.reads()
--- /dev/null
+++ b/tests/members_play.py
@@ -0,0 +1,206 @@
+"""Who votes, played with real archives on loopback: ended, killed, their disks emptied, by hand. No fixed
+waits: each look at a condition is bounded by WITHIN.
+"""
+
+import asyncio
+import json
+import os
+import re
+import shutil
+import sqlite3
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+from click.testing import CliRunner
+
+from bramblewood.archive.membership import SILENT_PART
+from bramblewood.catalogue.bootfile import Bounds
+from bramblewood.cli.rooms import rooms
+from bramblewood.lab.boot import boot, start
+from bramblewood.lab.operator import configuration
+
+INNER, CONTROL = 17640, 18644
+WITHIN = 20.0  # s for each wait; all of them together take less on a machine that is not busy
+LOOK = 0.05  # s between looks
+ASK = 2.0  # s for an answer
+ROUTE = ["look", "club.example", "/look/", "pure", 2, 0.5, 1, 2, "register"]
+TAKES_SEAT = Bounds().CatchUpS * SILENT_PART  # s that a lost voter's seat is kept for it
+# a disk as the program before epochs left it: a row a register, ballots of counter, archive and its life
+FORM_1 = (
+    "create table facts (name text primary key, value text not null)",
+    "create table registers (name text primary key, promised text not null, accepted text not null,"
+    " value text not null)",
+    "pragma user_version=1",
+)
+
+
+class Members:
+    """Archives by number, one address each, of a net that no other run of the tests has."""
+
+    def __init__(self) -> None:
+        pid = os.getpid()
+        self.net = f"127.{100 + pid // 250 % 100}.{pid % 250}"
+        self.folder, self.loop = tempfile.TemporaryDirectory(), asyncio.new_event_loop()
+        self.running: dict[int, asyncio.subprocess.Process] = {}
+        self.paths: dict[int, str] = {}
+        self.revision = self.epoch = 0
+        self.calls = CliRunner()
+
+    def end(self) -> None:
+        for n in list(self.running):
+            self.kill(n)
+        self.loop.close()
+        self.folder.cleanup()
+
+    # --- machines
+
+    def ip(self, n: int) -> str:
+        return f"{self.net}.{n}"
+
+    def settle(self, voters: int, all_of_them: int) -> None:
+        """Settings of so many archives; the first are seeds that may found the set of voters."""
+        seeds = [f"{self.ip(n)}:{CONTROL}" for n in range(1, voters + 1)]
+        for n in range(1, all_of_them + 1):
+            path, listen = f"{self.folder.name}/archive-{n}.toml", {"Control": f"{self.ip(n)}:{CONTROL}"}
+            self.paths[n] = boot(path, self.ip(n), seeds, INNER, listen, first=n <= voters)
+
+    def start(self, n: int) -> None:
+        begun = start(["archive"], self.paths[n], f"{self.folder.name}/{n}.log")
+        self.running[n] = self.loop.run_until_complete(begun)
+
+    def kill(self, n: int) -> None:
+        process = self.running.pop(n)
+        process.kill()
+        self.loop.run_until_complete(process.wait())
+
+    def terminate(self, n: int) -> tuple[int, float]:
+        """End an archive in order; its exit code, and the s that it took."""
+        process, began = self.running.pop(n), time.monotonic()
+        process.terminate()
+        code = self.loop.run_until_complete(asyncio.wait_for(process.wait(), WITHIN))
+        return code, time.monotonic() - began
+
+    def disk(self, n: int) -> str:
+        return f"{self.paths[n]}.d"
+
+    def empty(self, n: int) -> None:
+        shutil.rmtree(self.disk(n))
+
+    def old_disk(self, n: int, voters: int, config: dict) -> None:
+        """What the program before epochs had on this disk."""
+        os.makedirs(self.disk(n))
+        base = sqlite3.connect(f"{self.disk(n)}/shelf.db")
+        for sql in FORM_1:
+            base.execute(sql)
+        who = [self.ip(one) for one in range(1, voters + 1)]
+        ballot, value = [4, self.ip(1), 7], {"n": 1, "config": config, "past": {"1": "0"}}
+        rows = {"config": (ballot, ballot, value), "table": ([0, "", 0], [0, "", 0], None)}
+        rows["voters"] = (ballot, ballot, who)
+        base.executemany(
+            "insert into registers values (?, ?, ?, ?)",
+            [(name, *map(json.dumps, row)) for name, row in rows.items()],
+        )
+        base.executemany("insert into facts values (?, ?)", [("born", "true"), ("voters", json.dumps(who))])
+        base.commit()
+        base.close()
+
+    # --- what they say
+
+    def call(self, n: int, port: int, path: str, body: dict | None = None) -> tuple[int, dict]:
+        """Status 0: no answer."""
+        data = None if body is None else json.dumps(body).encode()
+        url, method = f"http://{self.ip(n)}:{port}{path}", "PUT" if data else "GET"
+        request = urllib.request.Request(url, data, method=method)
+        try:
+            with urllib.request.urlopen(request, timeout=ASK) as answer:
+                return answer.status, json.loads(answer.read())
+        except urllib.error.HTTPError as problem:
+            return problem.code, {}
+        except OSError:
+            return 0, {}
+
+    def seen(self, n: int) -> dict:
+        """Who votes as this archive sees it: {"epoch", "states", "disks", "behind"}, by number."""
+        _, told = self.call(n, INNER, "/view/members")
+        shown = told.get("members", {}) | told.get("others", {})
+        number = lambda name: int(name.rpartition(".")[2])  # noqa: E731
+        return {
+            "epoch": told.get("epoch", 0),
+            "states": {number(name): one["state"] for name, one in shown.items()},
+            "disks": {number(name): one["disk"] for name, one in shown.items()},
+            "behind": [name for name, one in shown.items() if one["lag"] is None or any(one["lag"].values())],
+        }
+
+    def until(self, what: str, check) -> None:
+        """Wait for a condition."""
+        over = time.monotonic() + WITHIN
+        while not check():
+            assert time.monotonic() < over, f"{what}: not within {WITHIN:g} s; {self.everything()}"
+            time.sleep(LOOK)
+
+    def everything(self) -> str:
+        return json.dumps({n: self.seen(n) for n in self.running}, default=sorted)
+
+    def agree(self, states: dict[int, str]) -> None:
+        """Wait until all that run see these states, of their own too, at one epoch."""
+
+        def check() -> bool:
+            seen = [self.seen(n) for n in self.running]
+            return all(
+                one["epoch"] == seen[0]["epoch"] and states.items() <= one["states"].items() for one in seen
+            )
+
+        self.until(f"states {states}", check)
+
+    def calm(self) -> None:
+        """Wait until all that run are voters or spares of one epoch, and know the newest versions."""
+
+        def check() -> bool:
+            seen = [self.seen(n) for n in self.running]
+            states = {state for one in seen for state in one["states"].values()}
+            return states <= {"voter", "spare"} and not any(one["behind"] for one in seen)
+
+        self.until("all in order", check)
+
+    def config(self, revision: int) -> dict:
+        parent = f"r{revision - 1}" if revision > 1 else 0
+        return configuration(f"r{revision}", [ROUTE], [["register", None]], ParentVersion=parent)
+
+    def put(self) -> None:
+        """The next configuration is taken; told anew, as operators do, until a majority is heard."""
+        self.revision += 1
+        body = self.config(self.revision)
+        sent = lambda n: self.call(n, CONTROL, "/bramblewood/config", body)[0]  # noqa: E731
+        self.until(f"r{self.revision} taken", lambda: any(sent(n) == 200 for n in self.running))
+
+    def reads(self) -> None:
+        """The newest configuration is read back at each archive that runs."""
+        whole = (200, self.config(self.revision))
+        get = lambda n: self.call(n, CONTROL, "/bramblewood/config")  # noqa: E731
+        self.until(f"r{self.revision} read", lambda: all(get(n) == whole for n in self.running))
+
+    def log(self, n: int, event: str) -> list[dict]:
+        with open(f"{self.folder.name}/{n}.log") as file:
+            lines = [json.loads(line) for line in file if line.startswith("{")]
+        return [line for line in lines if line["event"] == event]
+
+    # --- by hand
+
+    def command(self, words: str, at: int) -> list[str]:
+        """A command at one archive, with what differs between runs taken out of its words."""
+        self.epoch = self.epoch or self.seen(at)["epoch"]
+        words = re.sub(r"\barchive-(\d)", lambda found: self.ip(int(found[1])), words)
+        told = self.calls.invoke(rooms, [*words.split(), "--archive", f"{self.ip(at)}:{INNER}"])
+        text = f"$ {words}\n{told.output}exit code {told.exit_code}\n"
+        for pattern, by in (
+            (rf"{re.escape(self.net)}\.(\d)", r"archive-\1"),
+            (r"heard [\d.]+ s ago", "heard S s ago"),
+            (r'"heard":[\d.]+', '"heard":S'),
+            (r"disk [0-9a-f]{8}", "disk D"),
+            (r'"disk":"[0-9a-f]{8}"', '"disk":"D"'),
+        ):
+            text = re.sub(pattern, by, text)
+        of = lambda found: f"{found[1]}E{f'+{int(found[2]) - self.epoch}' * (int(found[2]) > self.epoch)}"  # noqa: E731
+        return re.sub(r'(epoch |"epoch":|"Epoch":)(\d+)', of, text).split("\n")
