--- a/bramblewood/cli/lab.py
+++ b/bramblewood/cli/lab.py
@@ -66,8 +66,14 @@
         for kind, row in rows.items()
     ]
     lines += [f"{one['what']}: order {one['order']}, {one['detail']}" for one in found["findings"][:20]]
+    if found["changes"]["sent"]:
+        lines.append("configurations: " + ", ".join(f"{what} {n}" for what, n in found["changes"].items()))
     lines.append(f"{found['tries']} tries, {found['effects']} lines, {len(found['findings'])} findings")
-    out({**{key: found[key] for key in ("findings", "tries", "effects")}, "kinds": rows}, as_json, lines)
+    out(
+        {**{key: found[key] for key in ("findings", "tries", "effects", "changes")}, "kinds": rows},
+        as_json,
+        lines,
+    )
     sys.exit(FOUND if found["findings"] else 0)
 
 
@@ -108,4 +114,4 @@
 
     host, _, port = address.rpartition(":")
     place = (host, int(port))
-    sys.exit(asyncio.run(play(service, place, zone, slots, keyed, work, ledger, controls.split(","), life)))
+    sys.exit(asyncio.run(play(service, place, zone, slots, keyed, work, ledger, controls, life)))
--- a/bramblewood/lab/report.py
+++ b/bramblewood/lab/report.py
@@ -32,10 +32,8 @@
     for order in told["orders"]:
         by_kind[order["kind"]].append(order)
     for kind, orders in sorted(by_kind.items()):
-        histogram, classes = (
-            HdrHistogram(LOWEST, HIGHEST, DIGITS),
-            Counter(o["status"] // 100 for o in orders),
-        )
+        histogram = HdrHistogram(LOWEST, HIGHEST, DIGITS)
+        faulty = sum(o["status"] // 100 == 4 and o["status"] != 429 for o in orders)
         good = [order for order in orders if order["status"] // 100 == 2]
         for order in good:
             histogram.record_value(min(max(int(order["took"] * 1000), LOWEST), HIGHEST))
@@ -45,7 +43,7 @@
             "served": len(good),
             "in aim": sum(order["took"] <= aims.get(kind, 1e9) for order in good),
             "refused": refused,
-            "unclear": len(orders) - len(good) - refused - classes[4],
+            "unclear": len(orders) - len(good) - refused - faulty,
             **{f"p{q:g}": histogram.get_value_at_percentile(q) / 1000 for q in QUANTILES},
         }
     return found
--- a/bramblewood/lab/run.py
+++ b/bramblewood/lab/run.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import time
 from collections.abc import Callable
@@ -17,7 +18,7 @@
 
 import aiohttp
 
-from .audit import audit
+from .audit import Finding, audit
 from .boot import boot, start
 from .clients import Clients
 from .ledger import Ledger
@@ -30,6 +31,12 @@
 AFTER = 3.0  # s after the last arrival until the ledgers are read: longer than the last deadline's rest
 SERVICE_FIELDS = ["Label", "Sharded", "MaxConns", "HealthPath", "ReadCopies"]
 ASK = 1.0  # s for an archive's answer
+FOUNDERS = 3  # archives that found the set of voters; one may be lost, the settings' default `Tolerance`
+AGAIN = 0.2  # s until an order without a clear answer is sent again, to the next archive
+CLEAR_WITHIN = 20.0  # s after which an order without a clear answer is given up
+ACK = 5.0  # s within which a majority acknowledges an order; the rules' AckS
+RESETS = 1.0  # s between two times that a machine's connections are broken off
+SIGNALS = {"freeze": (signal.SIGSTOP, signal.SIGCONT), "spoil": (signal.SIGUSR1, signal.SIGUSR1)}
 DOWN = 1.0  # s that a killed program stays away, where a fault does not say
 
 
@@ -47,8 +54,10 @@
         self.lives: dict[str, str] = {}  # by worker's name, its life
         self.events: list[dict[str, Any]] = []
         self.ends: dict[str, float] = {}
-        self.archives = [f"archive-{n + 1}" for n in range(scenario.get("archives", 3))]
-        self.seeds = [f"{self.relayed}.{n + 1}:{CONTROL}" for n in range(len(self.archives))]
+        self.controls: dict[str, str] = {}  # by archive that is there, its Control address
+        self.placed = 0  # archives that were given an address
+        self.revision, self.turn = 1, 0  # of orders, and which archive is asked next
+        self.changed: list[dict[str, Any]] = []  # configurations sent amid the traffic
         self.dice = random.Random(seed)
 
     def note(self, what: str, **more: Any) -> None:
@@ -59,21 +68,16 @@
 
     async def machines(self) -> None:
         self.wire = Wire()
-        bounds = tuple(self.scenario.get("bounds", ()))
         fronts: dict[str, tuple[str, str]] = {}
-        for n, name in enumerate(self.archives):
-            outer, inner = f"{self.relayed}.{n + 1}", f"{self.behind}.{n + 1}"
-            self.outer[name] = outer
-            for port in (INNER, CONTROL):
-                await self.wire.relay(outer, inner, port)
-            listen = {"Control": f"{inner}:{CONTROL}"}
-            self.settle(name, ["archive"], outer, listen, self.zones[n % len(self.zones)], inner, bounds)
+        self.seeds = [f"{self.relayed}.{n + 1}:{CONTROL}" for n in range(FOUNDERS)]
+        for n in range(self.scenario.get("archives", FOUNDERS)):
+            await self.archive(n < FOUNDERS)
         for n in range(self.scenario.get("desks", 2)):
             name, ip, inner = f"desk-{n + 1}", f"{self.fronts}.{n + 1}", f"{self.behind}.{101 + n}"
             self.outer[name], self.wire.outer[inner] = ip, ip
             listen = {"Front": f"{ip}:{FRONT}", "ReadyProbe": f"{ip}:{READY}"}
             fronts[name] = (listen["Front"], listen["ReadyProbe"])
-            self.settle(name, ["desk"], ip, listen, self.zones[n % len(self.zones)], inner, bounds)
+            self.settle(name, ["desk"], ip, listen, self.zones[n % len(self.zones)], inner)
         for service in self.scenario["services"]:
             for n in range(service["workers"]):
                 self.worker(service, n)
@@ -81,17 +85,38 @@
         for name in self.programs:
             await self.begin(name)
 
-    def settle(self, name, words, ip, listen, zone, bind, bounds) -> None:
+    async def archive(self, first: bool) -> str:
+        """Settings and an address for one more archive; its name. first: `FirstBoot`."""
+        n, self.placed = self.placed, self.placed + 1
+        name, outer, inner = f"archive-{n + 1}", f"{self.relayed}.{n + 1}", f"{self.behind}.{n + 1}"
+        self.outer[name] = outer
+        for port in (INNER, CONTROL):
+            await self.wire.relay(outer, inner, port)
+        listen = {"Control": f"{inner}:{CONTROL}"}
+        self.settle(name, ["archive"], outer, listen, self.zones[n % len(self.zones)], inner, first)
+        self.list_controls({**self.controls, name: f"{outer}:{CONTROL}"})
+        return name
+
+    def list_controls(self, controls: dict[str, str]) -> None:
+        """What the platform tells callers of `control`."""
+        self.controls = controls
+        path = f"{self.folder}/controls"
+        with open(f"{path}.new", "w") as file:
+            file.write("\n".join(controls.values()))
+        os.replace(f"{path}.new", path)
+
+    def settle(self, name, words, ip, listen, zone, bind, first=False) -> None:
         path = boot(
             f"{self.folder}/{name}.toml",
             ip,
-            self.seeds[:3],
+            self.seeds,
             INNER,
             listen,
             (zone, self.zones),
             bind,
-            bounds,
+            tuple(self.scenario.get("bounds", ())),
             self.scenario.get("notice", True),
+            first,
         )
         self.programs[name] = (words, path)
 
@@ -107,7 +132,7 @@
             f"{self.workers}.{place}:{WORKER}",
         ]
         words += ["--zone", zone, "--slots", str(service["slots"]), "--work", str(service["work_s"])]
-        words += ["--ledger", f"{self.folder}/{service['name']}.db", "--controls", ",".join(self.seeds)]
+        words += ["--ledger", f"{self.folder}/{service['name']}.db", "--controls", f"{self.folder}/controls"]
         words += ["--keyed"] if service.get("keyed") else []
         self.programs[name] = (words, "")
         self.lives[name] = ""
@@ -121,7 +146,7 @@
 
     async def ready(self) -> None:
         """Put the configuration and wait until every desk is ready."""
-        config = self.config()
+        config = self.config(self.revision)
         async with asyncio.timeout(UP_WITHIN), aiohttp.ClientSession() as session:
             while True:
                 try:
@@ -139,7 +164,7 @@
                     return
                 await asyncio.sleep(0.2)
 
-    def config(self) -> dict:
+    def config(self, revision: int) -> dict:
         routes = [
             [
                 one["name"],
@@ -158,7 +183,8 @@
             [one["name"], one.get("keyed"), 200, "/health", one.get("copies")]
             for one in self.scenario["services"]
         ]
-        made = configuration("r1", routes, services, SERVICE_FIELDS)
+        made = configuration(f"r{revision}", routes, services, SERVICE_FIELDS)
+        made["ParentVersion"] = f"r{revision - 1}" if revision > 1 else 0
         pinned = [one.get("stays") for one in self.scenario["requests"]]
         made["RouteList"] = {
             "ColumnNames": [*ROUTE_FIELDS, "Pinned"],
@@ -177,16 +203,27 @@
             self.wire.cut(self.outer[name])
             await asyncio.sleep(lasts)
             self.wire.heal(self.outer[name])
-        elif kind == "freeze":
-            process.send_signal(signal.SIGSTOP)
+        elif kind == "reset":
+            over = time.monotonic() + lasts
+            while time.monotonic() < over:
+                self.wire.reset(self.outer[name])
+                await asyncio.sleep(RESETS)
+        elif kind in SIGNALS:
+            begins, ends = SIGNALS[kind]
+            process.send_signal(begins)
             await asyncio.sleep(lasts)
-            process.send_signal(signal.SIGCONT)
+            process.send_signal(ends)
         else:
             if process.returncode is None:
                 process.kill()
                 await process.wait()
+            if kind == "replace":
+                self.list_controls({one: at for one, at in self.controls.items() if one != name})
+                self.seeds = list(self.controls.values())
+            if kind == "lose disk":
+                shutil.rmtree(f"{self.programs[name][1]}.d")
             await asyncio.sleep(lasts)
-            await self.begin(name)
+            await self.begin(await self.archive(False) if kind == "replace" else name)
         self.note(f"{kind} over", who=name)
 
     # --- the run
@@ -220,11 +257,52 @@
         ]
         tasks += [asyncio.ensure_future(self.fault(one)) for one in self.scenario.get("faults", [])]
         tasks += [asyncio.ensure_future(self.more(one)) for one in self.scenario.get("withdrawals", [])]
+        tasks += [asyncio.ensure_future(self.changes(one)) for one in self.scenario.get("changes", [])]
         await asyncio.gather(*tasks)
         await asyncio.sleep(AFTER)
         looking.cancel()
         await self.clients.end()
-        return self.judge()
+        return self.judge(await self.standing())
+
+    async def changes(self, plan: dict) -> None:
+        """Configurations one after another, each on the one before."""
+        await asyncio.sleep(plan["at"])
+        self.note("changes", count=plan["count"])
+        for _ in range(plan["count"]):
+            self.revision += 1
+            began, status = time.monotonic(), 0
+            body = self.config(self.revision)
+            while time.monotonic() < began + CLEAR_WITHIN and status // 100 not in (2, 4):
+                status = await self.put(body)
+                if status // 100 not in (2, 4):
+                    await asyncio.sleep(AGAIN)
+            took = time.monotonic() - began
+            self.changed.append({"number": self.revision, "at": began, "took": took, "status": status})
+            await asyncio.sleep(max(plan["every_s"] - took, 0.0))
+        self.note("changes over")
+
+    async def put(self, body: dict) -> int:
+        """An order, to the next archive in turn; the status, 0 for no answer."""
+        self.turn += 1
+        place = list(self.controls.values())[self.turn % len(self.controls)]
+        try:
+            async with asyncio.timeout(ASK), aiohttp.ClientSession() as session:
+                async with session.put(f"http://{place}/bramblewood/config", json=body) as answer:
+                    return answer.status
+        except (OSError, TimeoutError, aiohttp.ClientError):
+            return 0
+
+    async def standing(self) -> int:
+        """The number of the configuration that a reader gets at the end; 0 where nobody answers one."""
+        for place in self.controls.values():
+            try:
+                async with asyncio.timeout(ASK), aiohttp.ClientSession() as session:
+                    async with session.get(f"http://{place}/bramblewood/config") as answer:
+                        if answer.status == 200:
+                            return int((await answer.json())["Revision"][1:])
+            except (OSError, TimeoutError, aiohttp.ClientError):
+                continue
+        return 0
 
     async def crush(self, what: dict, crush: dict) -> None:
         await asyncio.sleep(crush["at"])
@@ -259,10 +337,10 @@
 
     async def asked(self, method: str, path: str, body: dict | None) -> dict | None:
         """A call at the inner address of the first archive that answers it."""
-        for n in range(len(self.archives)):
+        for name in list(self.controls):
             try:
                 async with asyncio.timeout(ASK), aiohttp.ClientSession() as session:
-                    url = f"http://{self.relayed}.{n + 1}:{INNER}{path}"
+                    url = f"http://{self.outer[name]}:{INNER}{path}"
                     async with session.request(method, url, json=body) as answer:
                         if answer.status < 500:
                             return await answer.json()
@@ -277,13 +355,17 @@
         await self.processes[name].wait()
         self.ends[self.lives[name]] = time.monotonic()
 
-    def judge(self) -> dict[str, Any]:
+    def judge(self, standing: int) -> dict[str, Any]:
+        """standing: the number of the configuration that a reader gets at the end."""
         ledgers = {}
         for service in self.scenario["services"]:
             book = Ledger(f"{self.folder}/{service['name']}.db")
             ledgers[service["name"]] = book.lines()
             book.close()
         found = audit(self.clients.tries, ledgers, self.ends)
+        newest = max((one["number"] for one in self.changed if one["status"] == 200), default=1)
+        if standing < newest:
+            found.append(Finding("configuration lost", f"r{newest}", f"at the end r{standing} is read"))
         origin = self.began
         told = {
             "scenario": self.scenario["name"],
@@ -292,6 +374,7 @@
             "tries": len(self.clients.tries),
             "effects": sum(map(len, ledgers.values())),
             "events": [{**event, "at": round(event["at"] - origin, 2)} for event in self.events],
+            "changes": changes_of(self.changed),
             "orders": [{**one, "at": round(one["at"] - origin, 3)} for one in self.clients.orders],
         }
         with open(f"{self.folder}/run.json", "w") as file:
@@ -306,3 +389,18 @@
         await asyncio.gather(*(process.wait() for process in self.processes.values()))
         if hasattr(self, "wire"):
             self.wire.end()
+
+
+def changes_of(changed: list[dict[str, Any]]) -> dict[str, Any]:
+    """How the configurations sent amid the traffic fared; late: clear, but after more than ACK s."""
+    took = sorted(one["took"] for one in changed)
+    clear = [one for one in changed if one["status"]]
+    return {
+        "sent": len(changed),
+        "taken": sum(one["status"] == 200 for one in clear),
+        "refused": sum(one["status"] // 100 == 4 for one in clear),
+        "unclear": sum(one["status"] // 100 not in (2, 4) for one in changed),
+        "late": sum(one["took"] > ACK for one in clear),
+        "median_s": round(took[len(took) // 2], 3) if took else 0.0,
+        "longest_s": round(took[-1], 3) if took else 0.0,
+    }
--- a/bramblewood/lab/scenario.py
+++ b/bramblewood/lab/scenario.py
@@ -44,12 +44,26 @@
 
 
 class FaultOf(TypedDict):
+    """kill, lose disk: back after for_s, the latter an archive with an empty disk. replace: killed for good,
+    and after for_s a new archive starts at another address, the next by number. cut: from all other managers;
+    reset: its connections to them are broken off each second. spoil: a worker's answers are lost or sent
+    twice.
+    """
+
     at: float
-    kind: Literal["kill", "freeze", "cut"]
+    kind: Literal["kill", "freeze", "cut", "reset", "spoil", "lose disk", "replace"]
     who: str  # archive-1, desk-2, padron-3 (a worker)
     for_s: NotRequired[float]
 
 
+class ChangesOf(TypedDict):
+    """So many configurations, each sent so long after the one before was, or once that has its answer."""
+
+    at: float
+    count: int
+    every_s: float
+
+
 class WithdrawOf(TypedDict):
     """An operator's plan, sent as `bramblewood withdraw start` sends it."""
 
@@ -63,7 +77,7 @@
 class Scenario(TypedDict):
     name: str
     seconds: float
-    archives: NotRequired[int]
+    archives: NotRequired[int]  # three found the set of voters, further ones stand by
     desks: NotRequired[int]
     zones: NotRequired[list[str]]
     bounds: NotRequired[list[str]]
@@ -73,6 +87,10 @@
     crushes: NotRequired[list[CrushOf]]
     faults: NotRequired[list[FaultOf]]
     withdrawals: NotRequired[list[WithdrawOf]]
+    changes: NotRequired[list[ChangesOf]]
+
+
+OF_ARCHIVES = ("lose disk", "replace")
 
 
 def scenario_of(data: bytes) -> Result[Scenario, str]:
@@ -86,16 +104,21 @@
     scenario = told.ok_value
     services = {one["name"]: one for one in scenario["services"]}
     requests = {one["name"] for one in scenario["requests"]}
-    machines = {f"archive-{n + 1}" for n in range(scenario.get("archives", 3))}
-    machines |= {f"desk-{n + 1}" for n in range(scenario.get("desks", 2))}
-    machines |= {f"{name}-{n + 1}" for name, one in services.items() for n in range(one["workers"])}
+    befalls = scenario.get("faults", [])
+    new = sum(one["kind"] == "replace" for one in befalls)
+    archives = {f"archive-{n + 1}" for n in range(scenario.get("archives", 3) + new)}
+    desks = {f"desk-{n + 1}" for n in range(scenario.get("desks", 2))}
+    workers = {f"{name}-{n + 1}" for name, one in services.items() for n in range(one["workers"])}
+    able = {"spoil": workers, "cut": archives | desks, "reset": archives | desks}
+    able |= dict.fromkeys(OF_ARCHIVES, archives)
     faults = [
         (f"requests.{i}.service", one["service"], services) for i, one in enumerate(scenario["requests"])
     ]
     faults += [
         (f"crushes.{i}.request", c["request"], requests) for i, c in enumerate(scenario.get("crushes", []))
     ]
-    faults += [(f"faults.{i}.who", f["who"], machines) for i, f in enumerate(scenario.get("faults", []))]
+    everybody = archives | desks | workers
+    faults += [(f"faults.{i}.who", f["who"], able.get(f["kind"], everybody)) for i, f in enumerate(befalls)]
     plans = enumerate(scenario.get("withdrawals", []))
     faults += [(f"withdrawals.{i}.service", one["service"], services) for i, one in plans]
     for where, name, known in faults:
--- a/bramblewood/lab/standin.py
+++ b/bramblewood/lab/standin.py
@@ -55,8 +55,8 @@
 
 
 class StandIn:
-    """One life of a worker. `work(request)` gives the s that a request takes; `spoil` may take over an
-    answer.
+    """One life of a worker. `work(request)` gives the s that a request takes; `spoil(request, answer)`
+    may spoil an answer that is about to go out.
     """
 
     def __init__(
@@ -184,13 +184,14 @@
                 self.under_way.remove(key)
             self.running -= 1
             self.free.release()
-        if self.spoil is not None and (spoilt := await self.spoil(self, request)) is not None:
-            return spoilt
         told = {"worker": self.life, "path": request.raw_path, "bytes": len(body)}
         text = json.dumps(told if value is None else {**told, "lines": value[0], "value": value[1]})
         if self.phase != "ready":
             headers["Connection"] = "close"
-        return web.Response(text=text, headers={**headers, "X-Response-Seal": f"seal.{self.life}"})
+        answer = web.Response(text=text, headers={**headers, "X-Response-Seal": f"seal.{self.life}"})
+        if self.spoil is not None:
+            self.spoil(request, answer)
+        return answer
 
     def entered(self, request: web.BaseRequest, key: int | None, copied: tuple | None) -> tuple | None:
         """The record's value after this request; `X-Order` and `X-Adds` make it an effect."""
--- a/bramblewood/lab/wire.py
+++ b/bramblewood/lab/wire.py
@@ -16,6 +16,7 @@
         self.healed = asyncio.Event()
         self.outer: dict[str, str] = {}  # by inner address
         self.servers: list[asyncio.Server] = []
+        self.joints: dict[tuple[str, str], set[asyncio.StreamWriter]] = {}  # by both ends, what stands
 
     async def relay(self, outer: str, inner: str, port: int) -> None:
         self.outer[inner] = outer
@@ -27,7 +28,8 @@
         self.servers.append(await asyncio.start_server(take, outer, port))
 
     async def joined(self, reader, writer, ends: tuple[str, str], inner: str, port: int) -> None:
-        other = None
+        other, joint = None, self.joints.setdefault(ends, set())
+        joint.add(writer)
         try:
             await self.open(ends)
             back, other = await asyncio.open_connection(inner, port)
@@ -38,6 +40,7 @@
         except OSError:
             pass
         finally:
+            joint.discard(writer)
             for one in (writer, other):
                 if one is not None:
                     one.transport.abort()
@@ -65,6 +68,13 @@
         self.healed.set()
         self.healed = asyncio.Event()
 
+    def reset(self, outer: str) -> None:
+        """Break off all connections of a machine; what is on its way there is lost."""
+        for ends, joint in self.joints.items():
+            if outer in ends:
+                for writer in joint:
+                    writer.transport.abort()
+
     def end(self) -> None:
         for server in self.servers:
             server.close()
--- a/features/lab.feature
+++ b/features/lab.feature
@@ -27,3 +27,4 @@
   Scenario: A faulty scenario is one line
     Then "seconds = 'x'" is refused with "seconds: expected a number, found 'x'"
     And a fault at a machine that is not there is refused with its place
+    And so is a lost disk of a desk, and an archive that only a replacement brings is known
--- a/features/steps/lab.py
+++ b/features/steps/lab.py
@@ -62,3 +62,14 @@
     assert scenario_of(text.encode()).is_ok()
     why = scenario_of(text.replace('who = "desk-2"', 'who = "desk-9"').encode()).err_value
     assert why.startswith("faults.1.who: expected one of archive-1, "), why
+
+
+@then("so is a lost disk of a desk, and an archive that only a replacement brings is known")
+def no_disk(context):
+    text = CRUSH.read_text()
+    lost = text.replace('"kill", who = "desk-2"', '"lose disk", who = "desk-2"')
+    why = scenario_of(lost.encode()).err_value
+    assert why.endswith("archive-1, archive-2, archive-3, found 'desk-2'"), why
+    later = text.replace('who = "archive-1"', 'who = "archive-4"')
+    brought = later.replace('"kill", who = "desk-2"', '"replace", who = "archive-2"')
+    assert scenario_of(later.encode()).is_err() and scenario_of(brought.encode()).is_ok()
