--- a/features/ballots.feature
+++ b/features/ballots.feature
@@ -50,4 +50,4 @@
     And 50 storms from disks that knew no epochs do so too
     And "the name of a disk that was lost" is found out within 100 storms
     And "a seat of any disk, where no disk may go on" is found out within 5 storms
-    And "a seat of any disk, where an empty disk may go on" is found out within 60 storms
+    And "a seat of any disk, where an empty disk may go on" is found out within 150 storms
