--- a/features/lines.feature
+++ b/features/lines.feature
@@ -36,6 +36,7 @@
       | answer                                                                                     |
       | HTTP/1.1 200 OK\nX-Attempt-Id: r\nConnection: x, Close\nContent-Length: 0\n\n             |
       | HTTP/1.1 503 Full\nX-Attempt-Id: r\nX-Not-Run: 1\n\nfull                                   |
+      | HTTP/1.1 503 Full\nX-Attempt-Id: r\nX-Not-Run: 1\n\n                                       |
       | HTTP/1.0 200 OK\nX-Attempt-Id: r\nContent-Length: 0\n\n                                   |
       | HTTP/1.1 200 OK\nX-Attempt-Id: r\nContent-Length: 0\n\n\n                                 |
       | HTTP/1.1 200 OK\nX-Attempt-Id: q\nContent-Length: 0\n\nHTTP/1.1 200 OK\nX-Attempt-Id: r\nContent-Length: 0\n\n |
