--- a/bramblewood/archive/ballots.py
+++ b/bramblewood/archive/ballots.py
@@ -432,8 +432,9 @@
                     out.sends.append((peer, {"k": "fetch", "r": register, "b": ballot}))
 
     def learn(self, now: float, register: str, ballot: Ballot, value: Any, out: Out) -> None:
-        """This value is chosen. A voter that was away, or was asked by what it did not hold, keeps it
-        like the others from now on: nobody would send it again. A set of voters that is chosen is followed.
+        """This value is chosen. A voter that was away as it was, asked too late, or by what it doesn't hold,
+        keeps it like the others from now on: nobody would send it again. A set of voters that is chosen is
+        followed at once.
         """
         if ballot > self.learned[register][0]:
             self.learned[register] = (ballot, value)
@@ -559,7 +560,9 @@
         if not registers:
             return False  # those who chose this epoch were active in the one before: one is missing
         for name, acceptor in self.acceptors.items():
-            best, value = max((held[name] for held in registers), key=lambda one: one[0])
+            best, value = max(
+                (*(held[name] for held in registers), self.learned[name]), key=lambda one: one[0]
+            )
             acceptor.promised, acceptor.accepted, acceptor.value = best, best, value
             out.writes.append((name, best, best, value))
         self.held, self.joining = self.epoch, None
