--- /dev/null
+++ b/features/epochs.feature
@@ -0,0 +1,28 @@
+Feature: Sets of voters change one at a time, and nothing acknowledged is lost on the way
+
+  Scenario Outline: Every order of what may happen, up to a depth
+    Then all <states> states or more of "<shape>" up to depth <depth> are sound
+
+    Examples:
+      | shape         | depth | states |
+      | lost disk     | 9     | 18000  |
+      | spare         | 7     | 13000  |
+      | power         | 7     | 29000  |
+      | amid a change | 10    | 16000  |
+      | chosen before | 8     | 23000  |
+      | two left over | 6     | 13000  |
+      | two changes   | 6     | 7000   |
+      | slow disks    | 9     | 22000  |
+      | late answers  | 9     | 43000  |
+
+  Scenario Outline: A guard that is taken out is found out by the search
+    Then without "<guard>" something breaks within <states> states of "<shape>"
+
+    Examples:
+      | guard                          | shape         | states |
+      | epochs of ballots              | amid a change | 14000  |
+      | disks of members               | lost disk     | 6000   |
+      | a majority of seals            | chosen before | 14000  |
+      | what was carried is not chosen | two left over | 1500   |
+      | seals on disk                  | amid a change | 19000  |
+      | voting once active             | chosen before | 14000  |
--- a/tests/epochs_play.py
+++ b/tests/epochs_play.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import functools
 import heapq
 import random
 from types import SimpleNamespace
@@ -13,9 +14,8 @@
 from bramblewood.archive import ballots as core
 from bramblewood.archive import membership, program
 from bramblewood.archive.accession import succeed
-from bramblewood.archive.ballots import ALL, CONFIG, MEMBERS, TABLE, Ballots
+from bramblewood.archive.ballots import CONFIG, Ballots
 from bramblewood.catalogue.bootfile import Bounds, Settings
-from bramblewood.catalogue.links import QUIET
 from tests.core_play import Broken, edition
 
 BOUNDS = Bounds()
@@ -48,10 +48,10 @@
 
 def no_disk(play: Any) -> Any:
     """A member is known by its address alone, whatever disk came back there."""
-    return mock.patch.multiple(
-        core,
-        belongs=lambda voters, name, disk: name in voters,
-    )
+    stack = contextlib.ExitStack()
+    stack.enter_context(mock.patch.object(core, "belongs", lambda voters, name, disk: name in voters))
+    stack.enter_context(mock.patch.object(Ballots, "named", property(lambda self: self.me in self.voters)))
+    return stack
 
 
 def few_seals(play: Any) -> Any:
@@ -434,7 +434,8 @@
                 if self.dice.random() < 0.5:
                     world.put(second, parent=parent)
                 if self.dice.random() < 0.3:
-                    world.after(self.dice.uniform(0.0, 2.0), lambda: world.repeat(second, wanted))
+                    again = functools.partial(world.repeat, second, wanted)
+                    world.after(self.dice.uniform(0.0, 2.0), again)
             world.run(min(until, world.now + self.dice.uniform(0.05, 0.6)))
 
     def fault(self, name: str) -> Any:
--- /dev/null
+++ b/tests/epochs_search.py
@@ -0,0 +1,585 @@
+"""Every order of what may happen to a few voters, breadth first, up to a depth: no dice.
+
+A state is each machine (its ballots, its disk, its writes on their way), all messages ever sent, what is left
+of each kind of fault, and what judges have to remember. A message stays once it is sent and may be delivered at
+any time and any number of times, so lost, late and doubled ones are all there without moves of their own. Time
+stands still; one move, of which there are few, stands for a wait after which rounds begin anew. Two ways to cut
+down:
+
+prompt: what a machine says to itself, and an answer to the machine that asked, arrive with the question; that
+    others than its proposer hear an acceptance is left out. Without it each message is a move.
+instant: a write is safe as soon as it is asked for. Without it each write is a move, and power losses come
+    amid.
+
+    python -m tests.epochs_search [--depth N] [--seconds S] [--shape NAME]
+"""
+
+import argparse
+import time
+from typing import Any, NamedTuple
+
+from bramblewood.archive.ballots import (
+    ALL,
+    CONFIG,
+    MEMBERS,
+    Acceptor,
+    Ballots,
+    Due,
+    Joining,
+    Out,
+    Round,
+    succession,
+)
+from tests.core_play import Broken
+
+LATER = 100.0  # s, beyond every wait
+REPLIES = {"promise", "refuse", "state", "fetch", "chosen"}
+
+
+class Shape(NamedTuple):
+    """A small case. orders: (proposer, mark); changes: (proposer, seat, successor), an empty successor being
+    the seat's own machine with its new disk; wipes, powers: which machines may lose a disk or power; most: how
+    many of each, of waits and of changes, at most.
+    """
+
+    voters: str
+    spares: str
+    orders: tuple
+    changes: tuple = ()
+    wipes: str = ""
+    powers: str = ""
+    waits: str = ""
+    most: tuple[int, int, int, int] = (1, 1, 1, 1)
+    prompt: bool = True
+    instant: bool = True
+    begin: tuple = ()  # moves that have happened already
+
+
+def key(thing: Any) -> str:
+    return repr(thing)
+
+
+# --- machines as values
+
+
+def frozen(b: Ballots, proposes: bool) -> tuple:
+    """All that decides what it does next. The counters of one that never proposes decide nothing."""
+    return (
+        b.disk,
+        b.life,
+        b.members,
+        b.held,
+        None if b.joining is None else tuple(sorted(b.joining.told.items(), key=lambda one: one[0])),
+        tuple((a.promised, a.accepted, a.value) for a in b.acceptors.values()),
+        tuple(b.durable.values()),
+        tuple(b.seen.values()) if proposes else (0,) * len(ALL),
+        tuple(tuple(sorted(kept.items())) for kept in b.votes.values()),
+        tuple(b.learned.values()),
+        tuple(
+            (r.register, r.tag, r.ballot, r.step, tuple(sorted(r.promises.items())), tuple(sorted(r.accepts)))
+            for rounds in b.rounds.values()
+            for r in rounds
+        ),
+    )
+
+
+def thawed(me: str, state: tuple) -> Ballots:
+    disk, life, members, held, told, acceptors, durable, seen, votes, learned, rounds = state
+    b = Ballots(me, disk, life, {}, members, held)
+    if told is not None:
+        b.joining = Joining()
+        b.joining.told = dict(told)
+    for number, name in enumerate(ALL):
+        b.acceptors[name] = Acceptor(*acceptors[number])
+        b.durable[name], b.seen[name] = durable[number], seen[number]
+        b.votes[name], b.learned[name] = dict(votes[number]), learned[number]
+    for register, tag, ballot, step, promises, accepts in rounds:
+        r = Round(register, change_of(tag), tag, 1e9)
+        r.ballot, r.step, r.promises, r.accepts = ballot, step, dict(promises), set(accepts)
+        b.rounds[register].append(r)
+    return b
+
+
+def order(mark: str) -> Any:
+    """An order on an empty register: taken, or refused as another stands."""
+    return lambda stands: (mark, (200, mark)) if stands in (None, mark) else (None, (412, mark))
+
+
+def change_of(tag: tuple) -> Any:
+    if tag == "settle":
+        return lambda stands: (None, True)
+    kind, what = tag
+    return order(what) if kind == "order" else succession(*what)
+
+
+class Machine(NamedTuple):
+    name: str
+    ballots: tuple  # frozen
+    disk: tuple[dict, dict]  # facts, rows
+    due: tuple[dict, dict]  # facts, rows
+    writes: tuple  # on their way: (rows, facts, what goes out after)
+
+
+class Search:
+    """The states of one shape, as numbers: machines, messages and facts are named once."""
+
+    def __init__(self, shape: Shape) -> None:
+        self.shape, self.names = shape, sorted({*shape.voters, *shape.spares})
+        self.machines: list[Machine] = []
+        self.messages: list[tuple[str, str, dict]] = []
+        self.facts: list[tuple] = []
+        self.numbers: dict[str, int] = {}
+        self.steps: dict[tuple, tuple] = {}  # what a machine does on a message
+        self.against: dict[tuple[int, int], str] = {}
+        self.proposers = {who for who, *_ in (*shape.orders, *shape.changes)} | {*shape.waits}
+        self.transitions = 0
+
+    def number(self, kept: list, thing: Any) -> int:
+        name = f"{id(kept)}{key(thing)}"
+        found = self.numbers.get(name)
+        if found is None:
+            found = self.numbers[name] = len(kept)
+            kept.append(thing)
+        return found
+
+    # --- one machine
+
+    def seated(self, machine: Machine, b: Ballots, outs: list[Out]) -> tuple:
+        """The machine after these Outs: its number, and the messages, facts that come of it."""
+        due, disk, writes = Due(dict(machine.due[0])), machine.disk, list(machine.writes)
+        due.rows = dict(machine.due[1])
+        sends, facts = [], []
+        for out in outs:
+            rows, told = due.take(out)
+            if rows or told:
+                writes.append((tuple(rows), told, out))
+            else:
+                self.told(machine.name, b, out, sends, facts)
+        made = Machine(machine.name, (), disk, (due.facts, due.rows), tuple(writes))
+        if self.shape.instant:
+            while made.writes:
+                made = self.synced(made, b, sends, facts)
+        if b.members != machine.ballots[2]:
+            facts.append(("members", b.epoch, key(b.members)))
+            sends += [("", peer, {"k": "epoch", "m": b.members}) for peer in self.names if peer != b.me]
+        for number, name in enumerate(ALL):
+            if b.learned[name] != machine.ballots[9][number]:
+                facts.append(("learned", name, *b.learned[name]))
+        made = made._replace(ballots=frozen(b, b.me in self.proposers))
+        return (
+            self.number(self.machines, made),
+            tuple(self.number(self.messages, one) for one in sends),
+            self.mask(facts),
+        )
+
+    def synced(self, machine: Machine, b: Ballots, sends: list, facts: list) -> Machine:
+        """The oldest write is safe; what rests on it goes out."""
+        rows, told, out = machine.writes[0]
+        stored, kept = dict(machine.disk[1]), {**machine.disk[0], **told}
+        due = Due(machine.due[0])
+        due.rows = machine.due[1]
+        due.safe(list(rows), told)
+        for register, promised, accepted, value in rows:
+            stored[register] = (promised, accepted, value)
+            b.stored(register, accepted)
+        self.told(machine.name, b, out, sends, facts)
+        return machine._replace(disk=(kept, stored), due=(due.facts, due.rows), writes=machine.writes[1:])
+
+    def told(self, name: str, b: Ballots, out: Out, sends: list, facts: list) -> None:
+        for peer, message in out.sends:
+            if message["k"] == "join":  # whole values are told, also those that it has
+                message = {**message, "have": {}}
+            sends.append(("" if message["k"] == "epoch" else name, peer, message))
+            if message["k"] == "accept" and "v" in message:
+                facts.append(("accept", message["r"], message["b"], message["v"]))
+        facts += [("answer", *outcome) for tag, outcome in out.answers if tag[0] == "order" and outcome]
+        if "held" in out.facts:  # its pulses tell what it holds now
+            for register, kept in b.durable.items():
+                if kept[0] == b.epoch:
+                    told = {"k": "accepted", "r": register, "b": kept, "disk": b.disk}
+                    sends += [(name, peer, told) for peer in self.names if peer != name]
+
+    def heard(self, machine: int, message: int) -> tuple:
+        step = self.steps.get((machine, message))
+        if step is None:
+            self.transitions += 1
+            here = self.machines[machine]
+            b, (sender, _, what) = thawed(here.name, here.ballots), self.messages[message]
+            step = self.steps[machine, message] = self.seated(here, b, [b.hear(0.0, sender, what)])
+        return step
+
+    # --- all of them
+
+    def mask(self, facts: list) -> int:
+        bits = 0
+        for fact in facts:
+            bits |= 1 << self.number(self.facts, fact)
+        return bits
+
+    def first(self) -> tuple:
+        voters = {name: f"{name}0" for name in self.shape.voters}
+        members, machines = {"n": 1, "voters": voters, "before": {}}, []
+        for name in self.names:
+            held = 1 if name in voters else -1
+            b = Ballots(name, f"{name}0", 1, {}, members, held)
+            facts = {"disk": b.disk, "members": members, "held": held}
+            made = Machine(name, frozen(b, name in self.proposers), (facts, {}), ({}, {}), ())
+            machines.append(self.number(self.machines, made))
+        epoch = {"k": "epoch", "m": members}
+        wire = 0
+        for name in self.shape.wipes:
+            wire |= 1 << self.number(self.messages, ("", name, epoch))
+        starts = (1 << len(self.shape.orders)) - 1
+        state = (tuple(machines), wire, (*self.shape.most, starts), 0)
+        for move in self.shape.begin:
+            state = self.after(state, self.named(state, *move.split()))
+        return state
+
+    def named(self, state: tuple, kind: str, what: str) -> tuple:
+        """A move as shapes write it: "order x", "change 0", "power a", or "accept a>b": b hears that."""
+        if kind == "order":
+            return kind, [mark for _, mark in self.shape.orders].index(what)
+        if kind == "change":
+            return kind, int(what)
+        if kind in ("wipe", "power", "wait", "sync"):
+            return kind, self.names.index(what)
+        sender, peer = what.split(">")
+        for move, number in reversed(self.moves(state)):
+            if move == "hear" and self.messages[number][:2] == (sender, peer):
+                if self.messages[number][2]["k"] == kind:
+                    return move, number
+        raise KeyError(f"{kind} {what}")
+
+    def ready(self, message: tuple) -> bool:
+        """Whether it arrives with the question that it answers."""
+        sender, peer, what = message
+        if sender == peer:
+            return True
+        asked = what["k"] in REPLIES or what["k"] == "accepted" and peer == what["b"][2]
+        return self.shape.prompt and asked
+
+    def settled(self, state: tuple, number: int, step: tuple) -> tuple:
+        """The state after one machine's step, with all that arrives at once."""
+        machines, wire, left, facts = state
+        machines, todo = list(machines), [(number, step)]
+        while todo:
+            number, (made, sends, told) = todo.pop(0)
+            machines[number] = made
+            facts |= told
+            for message in sends:
+                peer = self.messages[message][1]
+                if peer not in self.names:
+                    continue
+                if self.ready(self.messages[message]):
+                    place = self.names.index(peer)
+                    after = self.heard(machines[place], message)
+                    if after[0] != machines[place] or after[1] or after[2]:
+                        machines[place] = after[0]
+                        todo.append((place, after))
+                elif not self.idle(self.messages[message]):
+                    wire |= 1 << message
+        return tuple(machines), wire, left, facts
+
+    def idle(self, message: tuple) -> bool:
+        """Nobody but its proposer hears an acceptance, unless each message is a move; sets spread by word."""
+        what = message[2]
+        return self.shape.prompt and what["k"] == "accepted" and message[1] != what["b"][2]
+
+    def moves(self, state: tuple) -> list:
+        machines, wire, (wipes, powers, waits, changes, starts), _ = state
+        shape, found = self.shape, []
+        while wire:
+            low = wire & -wire
+            wire ^= low
+            found.append(("hear", low.bit_length() - 1))
+        for place, here in enumerate(machines):
+            if self.machines[here].writes:
+                found.append(("sync", place))
+        found += [("order", place) for place in range(len(shape.orders)) if starts >> place & 1]
+        if changes:
+            found += [("change", place) for place in range(len(shape.changes))]
+        if wipes:
+            found += [("wipe", self.names.index(name)) for name in shape.wipes]
+        if powers:
+            found += [("power", self.names.index(name)) for name in shape.powers]
+        if waits:
+            found += [("wait", self.names.index(name)) for name in shape.waits]
+        return found
+
+    def after(self, state: tuple, move: tuple) -> tuple | None:
+        """The state after this move; None where it changes nothing or can't be."""
+        kind, number = move
+        machines, wire, (wipes, powers, waits, changes, starts), facts = state
+        if kind == "hear":
+            place = self.names.index(self.messages[number][1])
+            step = self.heard(machines[place], number)
+            if step[0] == machines[place] and not step[1] and not step[2]:
+                return None
+            return self.settled(state, place, step)
+        if kind == "order":
+            who, mark = self.shape.orders[number]
+            place, left = self.names.index(who), (wipes, powers, waits, changes, starts & ~(1 << number))
+            step = self.begun(machines[place], CONFIG, ("order", mark))
+        elif kind == "change":
+            who, seat, successor = self.shape.changes[number]
+            place, left = self.names.index(who), (wipes, powers, waits, changes - 1, starts)
+            here = self.machines[machines[place]]
+            members = here.ballots[2]
+            new = successor or seat
+            disk = self.machines[machines[self.names.index(new)]].ballots[0]
+            voters = {name: kept for name, kept in members["voters"].items() if name != seat}
+            if (
+                seat not in members["voters"]
+                or {**voters, new: disk} == members["voters"]
+                or not here.ballots[3] > 0
+            ):
+                return None
+            step = self.begun(machines[place], MEMBERS, ("members", (members, {**voters, new: disk})))
+        elif kind == "wait":
+            place, left = number, (wipes, powers, waits - 1, changes, starts)
+            step = self.waited(machines[place])
+        elif kind == "sync":
+            place, left = number, state[2]
+            here = self.machines[machines[place]]
+            b, sends, told = thawed(here.name, here.ballots), [], []
+            made = self.synced(here, b, sends, told)
+            made = made._replace(ballots=frozen(b, here.name in self.proposers))
+            step = (
+                self.number(self.machines, made),
+                tuple(self.number(self.messages, one) for one in sends),
+                self.mask(told),
+            )
+        else:
+            place, lost = number, kind == "wipe"
+            left = (wipes - lost, powers - (not lost), waits, changes, starts)
+            step = (self.back(machines[place], lost), (), 0)
+        return self.settled((machines, wire, left, facts), place, step)
+
+    def begun(self, machine: int, register: str, tag: tuple) -> tuple:
+        here = self.machines[machine]
+        b = thawed(here.name, here.ballots)
+        return self.seated(here, b, [b.propose(0.0, register, change_of(tag), tag, 1e9)])
+
+    def waited(self, machine: int) -> tuple:
+        """All its waits are over: a round that stands begins anew, or else what is unsettled is settled."""
+        here = self.machines[machine]
+        b = thawed(here.name, here.ballots)
+        outs = [b.tick(1.0)]
+        busy = any(b.rounds.values())
+        for rounds in b.rounds.values():
+            for one in rounds:
+                one.next_at = 0.0
+        outs.append(b.tick(1.0 if busy else LATER))
+        return self.seated(here, b, outs)
+
+    def back(self, machine: int, lost: bool) -> int:
+        """Power lost, and the disk too or not; it has started again."""
+        here = self.machines[machine]
+        life = here.ballots[1] + 1
+        facts, rows = ({"disk": f"{here.name}{life}"}, {}) if lost else here.disk
+        if lost:
+            facts = self.reborn(here, facts)
+        b = Ballots(here.name, facts["disk"], life, rows, facts.get("members"), facts.get("held", -1))
+        made = Machine(here.name, frozen(b, here.name in self.proposers), (facts, rows), ({}, {}), ())
+        return self.number(self.machines, made)
+
+    def reborn(self, here: Machine, facts: dict) -> dict:
+        return facts
+
+    # --- judges
+
+    def mended(self, state: tuple) -> bool:
+        """Whether a majority answers once all are up and hear each other; of disks, none is lost any more."""
+        machines, now = {}, 0.0
+        for number in state[0]:
+            here = self.machines[number]
+            while here.writes:
+                here = self.synced(here, thawed(here.name, here.ballots), [], [])
+            machines[here.name] = b = thawed(here.name, here.ballots)
+            for kept in b.rounds.values():
+                kept.clear()
+        answers, wire = [], []
+
+        def carry(name: str, out: Out) -> None:
+            wire.extend((name, peer, message) for peer, message in out.sends)
+            answers.extend(out.answers)
+            for register, _, accepted, _ in out.writes:
+                machines[name].stored(register, accepted)
+
+        for turn in range(40):
+            now += 0.3
+            for name, b in machines.items():
+                newest = max((other.members for other in machines.values()), key=lambda one: one["n"])
+                carry(name, b.hear(now, "", {"k": "epoch", "m": newest}))
+                carry(name, b.tick(now))
+                if turn % 5 == 4 and b.voting and not any(b.rounds.values()):
+                    carry(name, b.propose(now, CONFIG, lambda stands: (None, True), "read", 1.0))
+            while wire:
+                sender, peer, message = wire.pop(0)
+                if peer in machines:
+                    carry(peer, machines[peer].hear(now, sender, message))
+            if ("read", True) in answers:
+                return True
+        return False
+
+    def judge(self, before: int, facts: int) -> None:
+        new = facts & ~before
+        while new:
+            low = new & -new
+            new ^= low
+            one, others = low.bit_length() - 1, facts
+            while others:
+                bit = others & -others
+                others ^= bit
+                other = bit.bit_length() - 1
+                why = self.against.get((one, other))
+                if why is None:
+                    why = clash(self.facts[one], self.facts[other]) or clash(
+                        self.facts[other], self.facts[one]
+                    )
+                    self.against[one, other] = why
+                if why:
+                    raise Broken(f"{why}: {self.facts[one]}, {self.facts[other]}")
+
+    def run(self, depth: int, until: float = 1e18, most: int = 10**9, tried: int = 0) -> "Found":
+        """All states up to this depth, or as many as time and `most` allow; tried: of how many of the last,
+        evenly spread, it is tried whether a majority answers in the end.
+        """
+        first = self.first()
+        seen, layer = {first: None}, [first]
+        for level in range(1, depth + 1):
+            following = []
+            for state in layer:
+                for move in self.moves(state):
+                    after = self.after(state, move)
+                    if after is None or after in seen:
+                        continue
+                    seen[after] = (state, move)
+                    try:
+                        if after[3] != state[3]:
+                            self.judge(state[3], after[3])
+                    except Broken as problem:
+                        return Found(len(seen), level, str(problem), self.path(seen, after))
+                    following.append(after)
+                if len(seen) > most or time.monotonic() > until:
+                    return Found(len(seen), level - 1, "", [])
+            if not following:
+                break
+            layer = following
+        for state in layer[:: max(1, len(layer) // tried)] if tried else ():
+            if not self.mended(state):
+                return Found(len(seen), level, "no majority answers", self.path(seen, state))
+        return Found(len(seen), level, "", [], not following)
+
+    def path(self, seen: dict, state: tuple) -> list:
+        moves = []
+        while seen[state] is not None:
+            state, (kind, number) = seen[state]
+            where = (
+                self.messages[number] if kind == "hear" else self.names[number] if kind != "order" else number
+            )
+            moves.append((kind, where))
+        return moves[::-1]
+
+
+class Found(NamedTuple):
+    """states: how many; depth: up to which all were seen; broken: what a judge said, and the moves to it."""
+
+    states: int
+    depth: int
+    broken: str
+    moves: list
+    whole: bool = False  # there are no more
+
+
+def clash(one: tuple, other: tuple) -> str:
+    """What is wrong with these two facts, if anything."""
+    if one[0] == other[0] == "answer" and one[1] == other[1] == 200 and one[2] != other[2]:
+        return "two on one parent acknowledged"
+    if one[0] == "answer" and one[1] == 412 and other[0] == "learned" and other[3] == one[2]:
+        return "refused and in force"
+    if one[0] == other[0] == "members" and one[1] == other[1] and one[2] != other[2]:
+        return "two sets of one epoch"
+    if one[0] == other[0] == "learned" and one[1] == other[1] == CONFIG and one[3] != other[3]:
+        return "two chosen"
+    if one[0] == "learned" and other[0] == "accept" and one[1] == other[1] and other[2] > one[2]:
+        old, new = one[3], other[3]
+        if one[1] == CONFIG and old != new:
+            return "proposed over what is chosen"
+        if one[1] == MEMBERS and new["n"] <= old["n"] and new != old:
+            return "a set proposed over the chosen one"
+    return ""
+
+
+ORDERS = (("c", "x"), ("a", "y"))
+SHAPES = {
+    # the forgotten promise: a spare's order, a lost disk, its seat anew
+    "lost disk": Shape("abc", "d", (("d", "x"), ("b", "y")), (("b", "a", ""),), wipes="a"),
+    # a spare takes the seat of one that goes on in the old epoch
+    "spare": Shape("abc", "d", ORDERS, (("a", "c", "d"),), most=(0, 0, 0, 1)),
+    # the same, and a voter or the proposer of the change loses power
+    "power": Shape("abc", "d", ORDERS, (("a", "c", "d"),), powers="ab", most=(0, 1, 0, 1)),
+    # from the moment at which the set has been chosen and its proposer is active in it
+    "amid a change": Shape(
+        "abc",
+        "d",
+        ORDERS,
+        (("a", "c", "d"),),
+        powers="b",
+        most=(0, 1, 0, 1),
+        begin=("change 0", "prepare a>b", "accept a>b", "join a>b"),
+    ),
+    # two orders that one voter each accepted, and a change of the set on top of them
+    "two left over": Shape(
+        "abc",
+        "d",
+        (("a", "x"), ("c", "z"), ("b", "y")),
+        (("b", "c", "d"),),
+        waits="a",
+        most=(0, 0, 1, 1),
+        begin=("order x", "prepare a>b", "order z", "prepare c>b", "change 0", "prepare b>a", "accept b>a"),
+    ),
+    # an order that is chosen, and a set of voters after it
+    "chosen before": Shape(
+        "abc",
+        "d",
+        ORDERS,
+        (("a", "c", "d"),),
+        wipes="b",
+        most=(1, 0, 0, 1),
+        begin=("order x", "prepare c>b", "accept c>b"),
+    ),
+    # two changes at once, by two voters, and an order and a lost disk
+    "two changes": Shape(
+        "abc", "d", (("a", "x"),), (("a", "c", "d"), ("b", "a", "d")), wipes="a", most=(1, 0, 0, 2)
+    ),
+    # writes apart from what rests on them
+    "slow disks": Shape(
+        "abc", "d", (("b", "x"),), (("a", "c", "d"),), powers="ab", most=(0, 1, 0, 1), instant=False
+    ),
+    # each message by itself
+    "late answers": Shape("abc", "d", (("d", "x"), ("b", "y")), (("b", "a", ""),), wipes="a", prompt=False),
+}
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--depth", type=int, default=12)
+    parser.add_argument("--seconds", type=float, default=60.0, help="for each shape")
+    parser.add_argument("--shape", choices=SHAPES, action="append")
+    told = parser.parse_args()
+    for name in told.shape or SHAPES:
+        search, began = Search(SHAPES[name]), time.monotonic()
+        found = search.run(told.depth, until=began + told.seconds)
+        whole = "all there are" if found.whole else f"all up to depth {found.depth}"
+        print(
+            f"{name}: {found.states} states, {whole}, {len(search.machines)} states of machines,"
+            f" {len(search.messages)} messages, {time.monotonic() - began:.1f} s: {found.broken or 'sound'}",
+            flush=True,
+        )
+        for move in found.moves:
+            print("   ", *move)
+
+
+if __name__ == "__main__":
+    main()
