--- a/tests/epochs_search.py
+++ b/tests/epochs_search.py
@@ -1,10 +1,10 @@
 """Every order of what may happen to a few voters, breadth first, up to a depth: no dice.
 
-A state is each machine (its ballots, its disk, its writes on their way), all messages ever sent, what is left
-of each kind of fault, and what judges have to remember. A message stays once it is sent and may be delivered at
-any time and any number of times, so lost, late and doubled ones are all there without moves of their own. Time
-stands still; one move, of which there are few, stands for a wait after which rounds begin anew. Two ways to cut
-down:
+A state is each machine (its ballots, its disk, its writes on their way), all messages ever sent, what is
+left of each kind of fault, and what judges have to remember. A message stays once it is sent and may be
+delivered at any time and any number of times, so lost, late and doubled ones are all there without moves of
+their own. Time stands still; one move, of which there are few, stands for a wait after which rounds begin
+anew. Two ways to cut down:
 
 prompt: what a machine says to itself, and an answer to the machine that asked, arrive with the question; that
     others than its proposer hear an acceptance is left out. Without it each message is a move.
@@ -37,9 +37,9 @@
 
 
 class Shape(NamedTuple):
-    """A small case. orders: (proposer, mark); changes: (proposer, seat, successor), an empty successor being
-    the seat's own machine with its new disk; wipes, powers: which machines may lose a disk or power; most: how
-    many of each, of waits and of changes, at most.
+    """A small case. orders: (proposer, mark); changes: (proposer, seat, successor), an empty successor
+    being the seat's own machine with its new disk; wipes, powers: which machines may lose a disk or power;
+    most: how many of each, of waits and of changes, at most.
     """
 
     voters: str
