--- a/bramblewood/archive/membership.py
+++ b/bramblewood/archive/membership.py
@@ -70,10 +70,8 @@
 
 
 def current(peer: Peer, versions: dict[str, int]) -> bool:
-    """Whether it holds the configuration in force, and a table: what joining then moves is small."""
-    return peer.versions.get(CONFIG, 0) >= versions.get(CONFIG, 0) and (
-        peer.versions.get(TABLE, 0) > 0 or not versions.get(TABLE, 0)
-    )
+    """Whether it follows what is chosen; not whether it is at the newest, as its pulses lag behind changes."""
+    return all(peer.versions.get(name, 0) > 0 or not versions.get(name, 0) for name in (CONFIG, TABLE))
 
 
 class Membership:
@@ -104,6 +102,11 @@
         ]
         return sorted(able, key=lambda name: (zones.count(peers[name].zone), name))
 
+    def heirs(self, members: Members, peers: dict[str, Peer]) -> list[str]:
+        """Archives that may take a seat now or soon: who leaves waits for them."""
+        voters = members["voters"]
+        return [n for n, peer in peers.items() if n not in voters and self.there(peer) and not peer.leaving]
+
     def wanted(
         self, members: Members, peers: dict[str, Peer], versions: dict[str, int]
     ) -> Change | None:
@@ -172,18 +175,18 @@
     peers: dict[str, Peer],
     accepted: dict[str, tuple],
     durable: dict[str, dict[str, tuple]],
-    spare: bool,
+    heirs: bool,
 ) -> bool:
     """Whether an archive that was told to end may go: its seat is another's and a majority of that set is
     active, or (there being nobody to take it) a majority of the others holds on disk what it holds itself.
 
-    accepted: its ballots by register; durable: those of the others, by archive; spare: whether somebody may
-    take the seat.
+    accepted: its ballots by register; durable: those of the others, by archive; heirs: whether there is
+    somebody to take the seat, now or soon.
     """
     voters = members["voters"]
     if not belongs(voters, me, disk):
         return sum(votes_in(peers.get(name), members, name) for name in voters) >= majority(voters)
-    if spare:
+    if heirs:
         return False
     others = [name for name in voters if name != me]
     hold = [
--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -241,7 +241,7 @@
             peers,
             {name: acceptor.accepted for name, acceptor in self.ballots.acceptors.items()},
             {name: heard.durable for name, heard in self.sessions.heard.items()},
-            bool(self.membership.spares(self.ballots.members, peers, self.versions())),
+            bool(self.membership.heirs(self.ballots.members, peers)),
         )
 
     # --- turns
--- a/tests/epochs_play.py
+++ b/tests/epochs_play.py
@@ -479,9 +479,51 @@
         world.seeds = tuple(f"{peer}:1" for peer in list(world.machines)[:3])
         world.start(name)
 
+    def swap(self) -> None:
+        """An operator gives a seat to a spare, at times two do at once, and something may strike amid it."""
+        world, dice = self.world, self.dice
+        for _ in range(1 + (dice.random() < 0.3)):
+            machine = world.machines[dice.choice(sorted(world.machines))]
+            members, peers = machine.ballots.members, machine.peers(world.now)
+            old, new = dice.choice(sorted(members["voters"])), dice.choice(sorted(peers))
+            made = machine.membership.ordered(members, peers, machine.versions(), old, new)
+            if made.is_ok():
+                self.counts["swap"] = self.counts.get("swap", 0) + 1
+                change = core.succession(members, made.ok_value.voters)
+                machine.propose(core.MEMBERS, change, lambda outcome: None, 1.0)
+        world.rest(dice.uniform(0.0, 0.15))
+
+    def relay(self) -> None:
+        """One leaves by plan while a spare is there; right after its end another is lost."""
+        world, dice = self.world, self.dice
+        voters = next(iter(world.machines.values())).ballots.voters
+        if not [name for name in world.machines if name not in voters]:
+            return
+        leaver, victim = dice.sample(sorted(voters), 2)
+        self.counts["relay"] = self.counts.get("relay", 0) + 1
+        world.machines[leaver].told_to_leave = True
+        until = world.now + BOUNDS.GraceS
+        while leaver in world.machines and world.now < until:
+            world.put(dice.choice(sorted(world.machines)))
+            world.rest(dice.uniform(0.01, 0.1))
+        world.wipe(leaver)
+        world.wipe(victim)
+        world.away.update(dict.fromkeys((leaver, victim)))
+        self.orders(BOUNDS.ContactS)
+        world.answers("one left by plan, and another was lost right after")
+        world.start(victim)
+        self.newcomer()
+        self.orders(BOUNDS.CatchUpS)
+        world.away.clear()
+        world.answers("once it had CatchUpS")
+
     def round(self) -> None:
         world, dice = self.world, self.dice
+        if dice.random() < 0.3:
+            self.relay()
         some = dice.sample(sorted(world.machines), 1 + dice.randrange(world.losses))
+        if dice.random() < 0.5:
+            self.swap()
         world.away.update(dict.fromkeys(some))
         if dice.random() < 0.2:
             world.refusing.update(some)  # counted with the lost: what a refused disk may do is theirs alone
