--- a/bramblewood/archive/ballots.py
+++ b/bramblewood/archive/ballots.py
@@ -458,8 +458,8 @@
         joining.next_at = now + joining.wait
         have = {name: max(a.accepted, self.learned[name][0]) for name, a in self.acceptors.items()}
         message = {"k": "join", "m": self.members, "have": have}
-        others = {*before, *self.voters} - {self.me, *joining.told}
-        out.sends.extend((peer, message) for peer in sorted(others))
+        for peer in sorted({*before, *self.voters} - {self.me}):  # who told as sealed may be active by now
+            out.sends.append((peer, {**message, "again": True} if peer in joining.told else message))
 
     def asked(self, now: float, peer: str, message: dict, out: Out) -> None:
         """Somebody joins an epoch: what this disk holds of it, or of the one before, which that seals."""
@@ -472,7 +472,7 @@
         sealed = self.held == epoch - 1 and belongs(before, self.me, self.disk)
         # never active in the epoch before, and never to be: it holds nothing of it, and its seal counts
         unused = self.held < epoch - 1 and before.get(self.me) == self.disk
-        if not (active or sealed or unused) or self.epoch < epoch:
+        if not (active or sealed or unused) or self.epoch < epoch or "again" in message and not active:
             return
         registers = {}
         for name, acceptor in self.acceptors.items() if not unused else ():
