--- a/bramblewood/archive/ballots.py
+++ b/bramblewood/archive/ballots.py
@@ -167,6 +167,8 @@
         self.durable = {name: a.accepted for name, a in self.acceptors.items()}
         self.seen = {name: a.promised[1] for name, a in self.acceptors.items()}
         self.votes: dict[str, dict[str, Ballot]] = {name: {} for name in ALL}
+        # by register, the highest ballot of this epoch that each voter promised or accepted, as heard here
+        self.bound: dict[str, dict[str, Ballot]] = {name: {} for name in ALL}
         self.learned: dict[str, tuple[Ballot, Any]] = {name: (NONE, None) for name in ALL}
         self.ahead_since: dict[str, float] = {}
         self.rounds: dict[str, list[Round]] = {name: [] for name in ALL}
@@ -253,6 +255,7 @@
         round.next_at = now + BACKOFF * (0.5 + self.chance()) * min(round.tries, 6)
 
     def promised(self, now: float, peer: str, message: dict, out: Out) -> None:
+        self.note(peer, message["r"], tuple(message["b"]))
         round = self.current(message)
         if round is None or round.step != "prepare":
             return
@@ -374,6 +377,7 @@
         if not belongs(self.voters, peer, disk) or ballot < self.votes[register].get(peer, NONE):
             return
         self.votes[register][peer] = ballot
+        self.note(peer, register, ballot)
         if ballot[0] != self.epoch:
             return  # carried over, or of a set that is not known here yet
         round = next(iter(self.rounds[register]), None)
@@ -419,20 +423,39 @@
         elif now >= self.ahead_since.setdefault(register, now) + UNSETTLED * (1 + self.chance()):
             self.ahead_since[register] = now
             if not self.rounds[register] and self.voting:
-                self.rounds[register].append(
-                    Round(register, lambda value: (None, True), "settle", now + 1.0)
-                )
+                self.rounds[register].append(Round(register, lambda value: (None, True), "settle", now + 1.0))
                 self.advance(now, register, out)
 
     # --- epochs
 
+    def note(self, peer: str, register: str, ballot: Ballot) -> None:
+        """This voter has promised or accepted this ballot."""
+        if ballot[0] == self.epoch:
+            self.bound[register][peer] = max(ballot, self.bound[register].get(peer, NONE))
+
+    def reminded(self, epoch: int, bound: dict[str, Ballot], disk: str) -> Out:
+        """Another archive tells what it has heard this voter promise or accept in its epoch.
+
+        Where that is more than is known here, an older state of the disk has come back: what it forgot may
+        bind it, so it goes on as a new member without a seat, by the name of `disk`. Nothing else can look like
+        it, as nothing is told before it is on disk.
+        """
+        out = nothing()
+        if epoch == self.epoch and self.named:
+            if any(tuple(ballot) > self.acceptors[name].promised for name, ballot in bound.items()):
+                self.disk, self.held, self.joining = disk, -1, None
+                self.acceptors = {name: Acceptor() for name in ALL}
+                self.durable = dict.fromkeys(ALL, NONE)
+                out.facts.update(disk=disk, held=-1)
+        return out
+
     def adopt(self, now: float, members: Members, out: Out) -> None:
         """A newer set of voters is known to be chosen: no ballot of an earlier epoch is answered any more."""
         if members["n"] <= self.epoch:
             return
         self.members, self.joining = members, Joining()
         out.facts["members"] = members
-        for kept in self.votes.values():
+        for kept in (*self.votes.values(), *self.bound.values()):
             kept.clear()
         for rounds in self.rounds.values():
             for round in rounds[:1]:
--- a/bramblewood/archive/membership.py
+++ b/bramblewood/archive/membership.py
@@ -70,7 +70,7 @@
 
 
 def current(peer: Peer, versions: dict[str, int]) -> bool:
-    """Whether it follows what is chosen; not whether it is at the newest, as its pulses lag behind changes."""
+    """Whether it follows what is chosen; not whether it has the newest, as its pulses lag behind."""
     return all(peer.versions.get(name, 0) > 0 or not versions.get(name, 0) for name in (CONFIG, TABLE))
 
 
@@ -107,9 +107,7 @@
         voters = members["voters"]
         return [n for n, peer in peers.items() if n not in voters and self.there(peer) and not peer.leaving]
 
-    def wanted(
-        self, members: Members, peers: dict[str, Peer], versions: dict[str, int]
-    ) -> Change | None:
+    def wanted(self, members: Members, peers: dict[str, Peer], versions: dict[str, int]) -> Change | None:
         """The change that is due. peers: all archives known, this one too; versions: what is chosen."""
         voters, n = members["voters"], members["n"]
         for name, disk in voters.items():
--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -166,7 +166,7 @@
             held = 1 if "born" in facts else -1
         elif members is None and self.told.first_boot and self.me in self.told.seed_ips():
             members, held = founders(self.told.seed_ips()), 0
-        disk = disk or f"{int.from_bytes(os.urandom(4), 'big'):08x}"
+        disk = disk or new_name()
         self.ballots = Ballots(self.me, disk, self.life, stored, members, held)
         self.due.facts = {"disk": disk, "held": held}
         if members is not None:
@@ -302,6 +302,7 @@
                 continue
             told = {**message, "e": self.sessions.stamps.get(peer, -1e9)}
             told |= self.sessions.news(peer, about)
+            told["bound"] = {name: kept[peer] for name, kept in ballots.bound.items() if peer in kept}
             if int(now / PULSE) % 4 == 0:
                 told["heard"] = self.roll.ages(now, 2.0)
             self.links.send(peer, told)
@@ -672,6 +673,10 @@
                 if tuple(ballot) != NONE and message["v"]:
                     self.ballots.voted(now, link.peer, message["disk"], register, tuple(ballot), out)
             self.carry(out)
+            reminded = self.ballots.reminded(message["ep"], message.get("bound", {}), new_name())
+            if reminded.facts:
+                self.log.error("older disk", step="epoch", peer=link.peer, disk=self.ballots.disk)
+                self.carry(reminded)
             self.learned()
             if not self.was_whole and self.whole(now):
                 self.pulse_desks(now)
@@ -968,6 +973,11 @@
         return web.json_response({})
 
 
+def new_name() -> str:
+    """A name for a disk, or for one that goes on as another."""
+    return f"{int.from_bytes(os.urandom(4), 'big'):08x}"
+
+
 def answer(status: int, reason: str = "", headers: dict | None = None) -> web.Response:
     body = {"Failure": reason} if reason else {}
     return web.json_response(body, status=status, headers=headers)
--- a/features/steps/epochs.py
+++ b/features/steps/epochs.py
@@ -1,6 +1,8 @@
 from behave import then
 
-from tests.epochs_play import without
+from tests.core_play import Broken
+from tests.epochs_cases import CASES
+from tests.epochs_play import day, without
 from tests.epochs_search import SHAPES, Search
 
 TRIED = 30  # of the last states of a search, for how many it is tried whether a majority answers in the end
@@ -18,3 +20,42 @@
     with without(guard):
         found = Search(SHAPES[shape]).run(depth=12, most=states)
     assert found.broken and found.states <= states, found.states
+
+
+@then("all directed plays keep what was acknowledged")
+def directed(context):
+    for play in CASES.values():
+        play()
+
+
+@then('without "{guard}" the play "{play}" breaks')
+def broken(context, guard, play):
+    with without(guard):
+        try:
+            CASES[play]()
+        except Broken:
+            return
+    raise AssertionError("it does not break")
+
+
+@then("in {count:d} days by dice everything acknowledged stays, and a majority answers")
+def days(context, count):
+    made = [day(seed) for seed in range(count)]
+    assert sum(len(one.world.taken) for one in made) > 40 * count, "hardly anything was acknowledged"
+    assert sum(max(one.world.sets) for one in made) > 2 * count, "hardly any set changed"
+
+
+@then("in {count:d} days in which older disks come back too")
+def older(context, count):
+    made = [day(seed, older=10) for seed in range(count)]
+    assert sum(one.counts.get("older", 0) for one in made) > count
+
+
+@then('without "{guard}" something breaks within {count:d} days')
+def dice(context, guard, count):
+    for seed in range(count):
+        try:
+            day(seed, guard=guard)
+        except Broken:
+            return
+    raise AssertionError("no day found it")
--- a/tests/epochs_cases.py
+++ b/tests/epochs_cases.py
@@ -1,10 +1,8 @@
-"""Orders of events that once broke, or would without a guard, played one by one. Each raises Broken if it does."""
+"""Orders of events that once broke, or would without a guard, played one by one; Broken tells that it does."""
 
 from types import SimpleNamespace
 from typing import Any
-from unittest import mock
 
-from bramblewood.archive import program
 from bramblewood.archive.ballots import (
     CONFIG,
     MEMBERS,
@@ -49,7 +47,9 @@
         """Deliver all between these machines, again and again, of these kinds or all."""
         for _ in range(rounds):
             picked = [
-                one for one in self.wire if {*one[:2]} <= {*among} and (not kinds or one[2]["k"] in kinds.split())
+                one
+                for one in self.wire
+                if {*one[:2]} <= {*among} and (not kinds or one[2]["k"] in kinds.split())
             ]
             self.wire = [one for one in self.wire if not any(one is other for other in picked)]
             for sender, peer, message in picked:
@@ -68,25 +68,32 @@
         self.carry(name, self.machines[name].hear(0.0, "", {"k": "epoch", "m": old.members}))
 
     def judge(self) -> None:
-        taken = {outcome[1] for _, outcome in self.answers if isinstance(outcome, tuple) and outcome[0] == 200}
+        taken = {
+            outcome[1] for _, outcome in self.answers if isinstance(outcome, tuple) and outcome[0] == 200
+        }
         known = {m.learned[CONFIG][1] for m in self.machines.values() if m.learned[CONFIG][0] != NONE}
         if len(taken | known) > 1:
             raise Broken(f"acknowledged {sorted(taken)}, known as chosen {sorted(known)}")
 
 
 def forgotten_promise(voters: str, spares: str, proposer: str, learns: str, second: str, other: str) -> Any:
-    """A promise reaches its proposer, its voter's disk is lost and its seat given anew, another order is chosen
-    with it; then the proposer's old prepare reaches one more voter.
+    """A promise reaches its proposer, its voter's disk is lost and its seat given anew, another order is
+    chosen with it; then the proposer's old prepare reaches one more voter.
     """
 
-    def play() -> None:
+    def play(older: bool = False) -> None:
         few = Few(voters, spares)
         few.machines[proposer].seen[CONFIG] = 100
         few.put(proposer, "late")
         few.hear(proposer)
         few.hear(proposer + "a", rounds=2)
         held, few.wire = list(few.wire), []
-        few.lose_disk("a")
+        if older:  # its disk is as it was before, and its machine hears the proposer's pulse
+            few.machines["a"] = Ballots("a", "a0", 50, {}, few.members, 1)
+            bound = {CONFIG: few.machines[proposer].bound[CONFIG]["a"]}
+            few.carry("a", few.machines["a"].reminded(1, bound, "a50"))
+        else:
+            few.lose_disk("a")
         few.hear(learns + "a")
         if not few.machines["a"].voting:  # it must not, as itself
             few.change("b", learns, {**few.members["voters"], "a": few.machines["a"].disk})
@@ -147,7 +154,7 @@
 
 
 def founding() -> None:
-    """A seed promises the founding of the voters, loses its disk, and another founding is agreed: one stands."""
+    """A seed promises a founding of the voters, its disk is lost, another founding is proposed: one stands."""
     few = Few("abc", "d")
     seeds = founders(("a", "b", "c"))
     for name in "abc":
@@ -207,7 +214,7 @@
 
 
 def asked_again() -> None:
-    """A voter that heard another's seal asks it again: that one may be active by now, and all that is left."""
+    """A voter that heard another's seal asks it again: it may be active by now, and all that is left."""
     few = Few("abc", "d")
     few.change("a", "a", {"a": "a0", "b": "b0", "d": "d0"})
     few.hear("ab", "prepare promise accept accepted")
@@ -281,8 +288,8 @@
 
 
 def hasty_leave() -> None:
-    """One that was replaced stays until a majority of the new set says that it is active in this very epoch, and
-    one without a successor until a majority of the others holds on disk what it holds, on disks that vote.
+    """One that was replaced stays until a majority of the new set says that it is active in this very epoch,
+    and one without a successor until a majority of the others, active ones, holds on disk what it holds.
     """
     members: Members = {"n": 2, "voters": {"a": "a0", "b": "b0", "d": "d0"}, "before": {}}
     peers = {"a": seen("a0", 1), "b": seen("b0", 1), "d": seen("d0", 2, False)}
@@ -298,8 +305,8 @@
 
 
 def refused_write() -> None:
-    """A disk refuses what makes a voter active, and takes the next write: an epoch is held with its rows, or not
-    at all.
+    """A disk refuses what makes a voter active, and takes the next write: an epoch is held with its rows, or
+    not at all.
     """
     due, disk = Due({}), {"facts": {}, "rows": {}}
 
@@ -349,7 +356,16 @@
     """A pulse of a disk that is no voter's any more, or of another epoch, carries no word."""
     accepted = {TABLE: (1, 1, "a", 1)}
     voters = {"a": "a0", "b": "b9", "c": "c0"}
-    pulse = {"acc": accepted, "dur": {}, "v": True, "w": True, "leaving": False, "ver": {}, "e": 9.9, "t": 0.0}
+    pulse = {
+        "acc": accepted,
+        "dur": {},
+        "v": True,
+        "w": True,
+        "leaving": False,
+        "ver": {},
+        "e": 9.9,
+        "t": 0.0,
+    }
     for disk, epoch in (("b0", 2), ("b9", 1)):
         sessions = Sessions("a")
         sessions.pulse(10.0, "b", {**pulse, "ep": epoch, "disk": disk})
@@ -357,9 +373,13 @@
             raise Broken(f"a word on disk {disk} in epoch {epoch}")
 
 
+THREE = forgotten_promise("abc", "d", "d", "bc", "ab", "c")
+FIVE = forgotten_promise("abcde", "", "e", "bcd", "abc", "d")
 CASES = {
-    "forgotten promise, three voters and a spare": forgotten_promise("abc", "d", "d", "bc", "ab", "c"),
-    "forgotten promise, five voters": forgotten_promise("abcde", "", "e", "bcd", "abc", "d"),
+    "forgotten promise, three voters and a spare": THREE,
+    "forgotten promise, five voters": FIVE,
+    "an older disk, three voters": lambda: THREE(older=True),
+    "an older disk, five voters": lambda: FIVE(older=True),
     "late acceptance of an older life": late_acceptance,
     "a round that settles, amid a lost disk": late_settle,
     "a seed's promise forgotten at the founding": founding,
--- a/tests/epochs_play.py
+++ b/tests/epochs_play.py
@@ -91,10 +91,15 @@
 
 
 def hasty_change(play: Any) -> Any:
-    """Sets change while a voter that can be heard is not active yet."""
+    """A voter that is heard counts as active, in whatever epoch: sets change, leavers go, too soon."""
     return mock.patch.object(membership, "votes_in", lambda peer, members, name: peer is not None)
 
 
+def older_unseen(play: Any) -> Any:
+    """Nobody minds an older state of a disk."""
+    return mock.patch.object(Ballots, "reminded", lambda *_: core.nothing())
+
+
 def leave_at_once(play: Any) -> Any:
     """An archive ends on SIGTERM, whoever holds what it holds."""
     return mock.patch.object(program, "may_leave", lambda *_: True)
@@ -114,7 +119,8 @@
     "what was carried is not chosen": chosen_if_carried,
     "seals on disk": seal_in_memory,
     "voting once active": eager,
-    "one change at a time": hasty_change,
+    "who counts as active": hasty_change,
+    "older disks are minded": older_unseen,
     "leaving once others hold it": leave_at_once,
     "rows with their fact": rows_forgotten,
 }
@@ -417,8 +423,9 @@
 class Day:
     """One world over a few rounds of faults, orders sent all the while."""
 
-    def __init__(self, seed: int, voters: int, spares: int, founding: bool) -> None:
-        self.world = World(seed, voters, spares, founding)
+    def __init__(self, seed: int, voters: int, spares: int, founding: bool, older: int = 0) -> None:
+        """older: how often, among the losses, an older state of a disk comes back; beyond the pages."""
+        self.world, self.older = World(seed, voters, spares, founding), older
         self.dice, self.counts = self.world.dice, {}
         self.world.loss, self.world.double, self.world.late = 0.03, 0.03, 0.03
 
@@ -443,8 +450,15 @@
         world, dice = self.world, self.dice
         kind = dice.choice(
             ("power", "power", "disk", "disk", "for good", "plan", "plan", "cut", "in", "out", "freeze")
+            + ("older",) * self.older
         )
         self.counts[kind] = self.counts.get(kind, 0) + 1
+        if kind == "older":
+            copy = world.copied(name)
+            self.orders(dice.uniform(0.05, 1.0))
+            world.power(name)
+            world.disks[name] = copy
+            return lambda: world.start(name)
         if kind in ("power", "disk"):
             (world.power if kind == "power" else world.wipe)(name)
             return lambda: world.start(name)
@@ -583,9 +597,9 @@
 SHAPES = ((3, 1, False), (3, 1, True), (5, 1, False), (3, 0, False), (3, 2, True), (5, 0, True))
 
 
-def day(seed: int, rounds: int = 3, guard: str = "") -> Day:
+def day(seed: int, rounds: int = 3, guard: str = "", older: int = 0) -> Day:
     with without(guard):
-        made = Day(seed, *SHAPES[seed % len(SHAPES)])
+        made = Day(seed, *SHAPES[seed % len(SHAPES)], older)
         made.orders(BOUNDS.CatchUpS)
         made.world.answers("at the start")
         for _ in range(rounds):
