--- a/bramblewood/archive/ballots.py
+++ b/bramblewood/archive/ballots.py
@@ -178,6 +178,8 @@
         self.durable = {name: a.accepted for name, a in self.acceptors.items()}
         self.seen = {name: a.promised[1] for name, a in self.acceptors.items()}
         self.votes: dict[str, dict[str, Ballot]] = {name: {} for name in ALL}
+        # by register, the highest ballot of this epoch that each voter promised or accepted, as heard here
+        self.bound: dict[str, dict[str, Ballot]] = {name: {} for name in ALL}
         self.learned: dict[str, tuple[Ballot, Any]] = {name: (NONE, None) for name in ALL}
         self.ahead_since: dict[str, float] = {}
         self.rounds: dict[str, list[Round]] = {name: [] for name in ALL}
@@ -272,6 +274,7 @@
         round.next_at = now + BACKOFF * (0.5 + self.chance()) * min(round.tries, 6)
 
     def promised(self, now: float, peer: str, message: dict, out: Out) -> None:
+        self.note(peer, message["r"], tuple(message["b"]))
         round, accepted = self.current(message), tuple(message["a"])
         if round is not None and round.step == "accept" and peer not in round.promises:
             round.promises[peer] = (accepted, None)  # later than a majority
@@ -305,7 +308,7 @@
         round.base, round.whole = best, {**message, "v": value}
         round.difference = {**message, "base": best, "d": difference(stands, value)}
         for peer in self.voters:
-            behind = round.promises.get(peer, (best, None))[0] != best
+            behind = best == NONE or round.promises.get(peer, (best, None))[0] != best
             out.sends.append((peer, round.whole if behind else round.difference))
 
     def is_chosen(self, best: Ballot, round: Round) -> bool:
@@ -413,6 +416,7 @@
         if not belongs(self.voters, peer, disk) or ballot < self.votes[register].get(peer, NONE):
             return
         self.votes[register][peer] = ballot
+        self.note(peer, register, ballot)
         if ballot[0] != self.epoch:
             return  # carried over, or of a set that is not known here yet
         round = next(iter(self.rounds[register]), None)
@@ -472,13 +476,34 @@
 
     # --- epochs
 
+    def note(self, peer: str, register: str, ballot: Ballot) -> None:
+        """This voter has promised or accepted this ballot."""
+        if ballot[0] == self.epoch:
+            self.bound[register][peer] = max(ballot, self.bound[register].get(peer, NONE))
+
+    def reminded(self, epoch: int, bound: dict[str, Ballot], disk: str) -> Out:
+        """Another archive tells what it has heard this voter promise or accept in its epoch.
+
+        Where that is more than is known here, an older state of the disk has come back: what it forgot may
+        bind it, so it goes on as a new member without a seat, by the name of `disk`. Nothing else can look
+        like it, as nothing is told before it is on disk.
+        """
+        out = nothing()
+        if epoch == self.epoch and self.named:
+            if any(tuple(ballot) > self.acceptors[name].promised for name, ballot in bound.items()):
+                self.disk, self.held, self.joining = disk, -1, None
+                self.acceptors = {name: Acceptor() for name in ALL}
+                self.durable = dict.fromkeys(ALL, NONE)
+                out.facts.update(disk=disk, held=-1)
+        return out
+
     def adopt(self, now: float, members: Members, out: Out) -> None:
         """A newer set of voters is known to be chosen: no ballot of an earlier epoch is answered any more."""
         if members["n"] <= self.epoch:
             return
         self.members, self.joining = members, Joining()
         out.facts["members"] = members
-        for kept in self.votes.values():
+        for kept in (*self.votes.values(), *self.bound.values()):
             kept.clear()
         for rounds in self.rounds.values():
             for round in rounds[:1]:
@@ -504,8 +529,8 @@
         joining.next_at = now + joining.wait
         have = {name: max(a.accepted, self.learned[name][0]) for name, a in self.acceptors.items()}
         message = {"k": "join", "m": self.members, "have": have}
-        others = {*before, *self.voters} - {self.me, *joining.told}
-        out.sends.extend((peer, message) for peer in sorted(others))
+        for peer in sorted({*before, *self.voters} - {self.me}):  # who told as sealed may be active by now
+            out.sends.append((peer, {**message, "again": True} if peer in joining.told else message))
 
     def asked(self, now: float, peer: str, message: dict, out: Out) -> None:
         """Somebody joins an epoch: what this disk holds of it, or of the one before, which that seals."""
@@ -518,7 +543,7 @@
         sealed = self.held == epoch - 1 and belongs(before, self.me, self.disk)
         # never active in the epoch before, and never to be: it holds nothing of it, and its seal counts
         unused = self.held < epoch - 1 and before.get(self.me) == self.disk
-        if not (active or sealed or unused) or self.epoch < epoch:
+        if not (active or sealed or unused) or self.epoch < epoch or "again" in message and not active:
             return
         registers = {}
         for name, acceptor in self.acceptors.items() if not unused else ():
--- a/bramblewood/archive/membership.py
+++ b/bramblewood/archive/membership.py
@@ -54,10 +54,8 @@
 
 
 def current(peer: Peer, versions: dict[str, int]) -> bool:
-    """Whether it holds the configuration in force, and a table: what joining then moves is small."""
-    return peer.versions.get(CONFIG, 0) >= versions.get(CONFIG, 0) and (
-        peer.versions.get(TABLE, 0) > 0 or not versions.get(TABLE, 0)
-    )
+    """Whether it follows what is chosen; not whether it has the newest, as its pulses lag behind."""
+    return all(peer.versions.get(name, 0) > 0 or not versions.get(name, 0) for name in (CONFIG, TABLE))
 
 
 class Membership:
@@ -113,6 +111,11 @@
         new = min(spares, key=rank)
         return replaced(voters, old, new, peers[new].disk)
 
+    def heirs(self, members: Members, peers: dict[str, Peer]) -> list[str]:
+        """Archives that may take a seat now or soon: who leaves waits for them."""
+        voters = members["voters"]
+        return [n for n, peer in peers.items() if n not in voters and self.there(peer) and not peer.leaving]
+
     def wanted(self, members: Members, peers: dict[str, Peer], versions: dict[str, int]) -> Change | None:
         """The change that is due. peers: all archives known, this one too; versions: what is chosen."""
         voters, n = members["voters"], members["n"]
@@ -222,18 +225,18 @@
     peers: dict[str, Peer],
     accepted: dict[str, tuple],
     durable: dict[str, dict[str, tuple]],
-    spare: bool,
+    heirs: bool,
 ) -> bool:
     """Whether an archive that was told to end may go: its seat is another's and a majority of that set is
     active, or (there being nobody to take it) a majority of the others holds on disk what it holds itself.
 
-    accepted: its ballots by register; durable: those of the others, by archive; spare: whether somebody may
-    take the seat.
+    accepted: its ballots by register; durable: those of the others, by archive; heirs: whether there is
+    somebody to take the seat, now or soon.
     """
     voters = members["voters"]
     if not belongs(voters, me, disk):
         return sum(votes_in(peers.get(name), members, name) for name in voters) >= majority(voters)
-    if spare:
+    if heirs:
         return False
     others = [name for name in voters if name != me]
     hold = [
