--- a/bramblewood/archive/ballots.py
+++ b/bramblewood/archive/ballots.py
@@ -437,8 +437,8 @@
         """Another archive tells what it has heard this voter promise or accept in its epoch.
 
         Where that is more than is known here, an older state of the disk has come back: what it forgot may
-        bind it, so it goes on as a new member without a seat, by the name of `disk`. Nothing else can look like
-        it, as nothing is told before it is on disk.
+        bind it, so it goes on as a new member without a seat, by the name of `disk`. Nothing else can look
+        like it, as nothing is told before it is on disk.
         """
         out = nothing()
         if epoch == self.epoch and self.named:
--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -148,6 +148,7 @@
                     await asyncio.sleep(TICK)
             except TimeoutError:
                 pass
+        self.ballots.held = -1  # no vote is given any more: who holds what has been looked at
         self.log.info("stopped", step="end")
         for server in servers:
             server.close()
--- a/tests/epochs_cases.py
+++ b/tests/epochs_cases.py
@@ -1,4 +1,4 @@
-"""Orders of events that once broke, or would without a guard, played one by one; Broken tells that it does."""
+"""Orders of events that once broke, or would without a guard, played one by one; Broken tells it."""
 
 from types import SimpleNamespace
 from typing import Any
@@ -18,7 +18,7 @@
 from bramblewood.archive.membership import Membership, Peer, may_leave
 from bramblewood.archive.sessions import Sessions
 from tests.core_play import Broken
-from tests.epochs_play import World
+from tests.epochs_play import BOUNDS, World
 from tests.epochs_search import order
 
 
@@ -154,7 +154,7 @@
 
 
 def founding() -> None:
-    """A seed promises a founding of the voters, its disk is lost, another founding is proposed: one stands."""
+    """A seed promises a founding of the voters, its disk is lost, another is proposed: one stands."""
     few = Few("abc", "d")
     seeds = founders(("a", "b", "c"))
     for name in "abc":
@@ -231,6 +231,68 @@
         raise Broken(f"d never hears that a is active: {d.joining and [*d.joining.told]}")
 
 
+def asleep() -> None:
+    """One that slept through three epochs, and one with the disk of a removed member, choose nothing in an
+    old epoch; given a seat again, the sleeper takes it up.
+    """
+    few = Few("abc", "de")
+    few.put("a", "x")
+    few.hear("abc")
+    c = few.machines["c"]
+    for voters in ("abd", "ade", "bde"):
+        by = next(name for name in voters if few.machines[name].voting)
+        few.change(by, "abde", {name: few.machines[name].disk for name in voters})
+        for name in "abde":
+            few.carry(name, few.machines[name].hear(0.0, "", {"k": "epoch", "m": few.machines[by].members}))
+        few.hear("abde")
+    if few.machines["e"].epoch != 4 or not few.machines["e"].voting:
+        raise Broken(f"the third change did not come about: {few.machines['e'].members}")
+    a = few.machines["a"]  # removed by now; it starts again with what lies on its disk
+    rows = {name: (kept.promised, kept.accepted, kept.value) for name, kept in a.acceptors.items()}
+    few.machines["a"] = Ballots("a", "a0", 60, rows, a.members, a.held)
+    few.put("c", "y")
+    few.hear("abcde")
+    few.judge()
+    if c.epoch != 4 or few.machines["a"].voting or c.voting:
+        raise Broken(f"{c.epoch}: it still lives in an older epoch")
+    few.change("e", "abcde", {"c": "c0", "d": "d0", "e": "e0"})
+    few.hear("abcde")
+    if not c.voting or c.acceptors[CONFIG].value != "x":
+        raise Broken("it does not take up its seat")
+
+
+def dying_proposer(way: str) -> Any:
+    """The proposer of a change loses its power or its disk at each of many moments of it."""
+
+    def play() -> None:
+        for step in range(24):
+            world = World(step, 3 if step % 2 else 5, 1)
+            world.rest(1.5)
+            world.put("m1")
+            world.rest(0.3)
+            machine, voters = world.machines["m0"], {**world.machines["m0"].ballots.voters}
+            del voters["m2"]
+            new = f"m{len(voters) + 1}"
+            voters[new] = world.machines[new].ballots.disk
+            change = succession(machine.ballots.members, voters)
+            machine.propose(MEMBERS, change, lambda outcome: None, 1.0)
+            world.rest(0.004 * step)
+            (world.wipe if way == "disk" else world.power)("m0")
+            world.away["m0"] = None
+            world.put("m1")
+            world.rest(2.0)
+            world.answers(f"its proposer died after {4 * step} ms")
+            world.start("m0")
+            world.rest(BOUNDS.CatchUpS)
+            world.away.clear()
+            world.wipe("m1")  # and once it had CatchUpS, the next is lost
+            world.away["m1"] = None
+            world.rest(2.0)
+            world.answers(f"the next loss after a proposer's at {4 * step} ms")
+
+    return play
+
+
 def unused_seat() -> None:
     """A voter that never was active in an epoch helps to leave it, as it will accept nothing there: with the
     only other holder but one lost, the next epoch begins.
@@ -242,12 +304,13 @@
     few.hear("ad")
     few.put("a", "x")
     few.hear("ad")
-    few.change("d", "ad", {"b": "b0", "c": "c0", "d": "d0"})  # b has not been heard: it holds epoch 1
-    few.wire = []
+    third = succession(members, {"b": "b0", "c": "c0", "d": "d0"})  # b has not been heard: it holds epoch 1
+    few.carry("d", few.machines["d"].propose(0.0, MEMBERS, third, "members", 99.0))
+    few.hear("ad", "prepare promise accept accepted")
+    few.wire.clear()
     few.lose_disk("a")
     newest = few.machines["d"].members
     for name in "bcd":
-        few.machines[name].held = min(few.machines[name].held, 2)
         few.carry(name, few.machines[name].hear(0.0, "", {"k": "epoch", "m": newest}))
         few.carry(name, few.machines[name].tick(0.0))
     few.hear("bcd")
@@ -386,6 +449,9 @@
     "late promise of a sealed voter": late_promise_of_sealed,
     "joining from one active voter and from sealed ones": two_ways_to_join,
     "asked again once active": asked_again,
+    "asleep through three epochs": asleep,
+    "a change whose proposer loses power": dying_proposer("power"),
+    "a change whose proposer loses its disk": dying_proposer("disk"),
     "a seat that was never used": unused_seat,
     "a seat of any disk": seat_of_any_disk,
     "a pulse of the epoch before": hasty_view,
--- a/tests/epochs_play.py
+++ b/tests/epochs_play.py
@@ -485,6 +485,14 @@
         for _, _, call in late:
             world.after(0.0, call)
 
+    def early(self) -> None:
+        """One is lost amid the start, and back soon."""
+        self.orders(self.dice.uniform(0.0, 1.5))
+        name = self.dice.choice(sorted(self.world.machines))
+        (self.world.wipe if self.dice.random() < 0.5 else self.world.power)(name)
+        self.orders(self.dice.uniform(0.0, 1.0))
+        self.world.start(name)
+
     def newcomer(self) -> None:
         world = self.world
         name = f"m{world.next_name}"
@@ -499,9 +507,10 @@
         for _ in range(1 + (dice.random() < 0.3)):
             machine = world.machines[dice.choice(sorted(world.machines))]
             members, peers = machine.ballots.members, machine.peers(world.now)
-            old, new = dice.choice(sorted(members["voters"])), dice.choice(sorted(peers))
+            spares = [name for name in peers if name not in members["voters"]]
+            old, new = dice.choice(sorted(members["voters"])), dice.choice(sorted(spares) or [""])
             made = machine.membership.ordered(members, peers, machine.versions(), old, new)
-            if made.is_ok():
+            if new and made.is_ok():
                 self.counts["swap"] = self.counts.get("swap", 0) + 1
                 change = core.succession(members, made.ok_value.voters)
                 machine.propose(core.MEMBERS, change, lambda outcome: None, 1.0)
@@ -600,6 +609,8 @@
 def day(seed: int, rounds: int = 3, guard: str = "", older: int = 0) -> Day:
     with without(guard):
         made = Day(seed, *SHAPES[seed % len(SHAPES)], older)
+        if seed % 4 == 1:
+            made.early()
         made.orders(BOUNDS.CatchUpS)
         made.world.answers("at the start")
         for _ in range(rounds):
