--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -279,7 +279,8 @@
         message = {
             "k": "pulse",
             "t": now,
-            "v": ballots.voting,
+            # active on disk too: others leave and change sets on this word
+            "v": ballots.voting and not self.due.facts.keys() & {"members", "held"},
             "w": self.whole(now),
             "acc": {name: ballots.acceptors[name].accepted for name in ALL},
             "dur": ballots.durable,
--- a/tests/epochs_cases.py
+++ b/tests/epochs_cases.py
@@ -2,6 +2,7 @@
 
 from types import SimpleNamespace
 from typing import Any
+from unittest import mock
 
 from bramblewood.archive.ballots import (
     CONFIG,
@@ -403,6 +404,19 @@
         raise Broken("no change of the set is proposed from here any more")
 
 
+def pulse_before_write() -> None:
+    """A pulse does not call its sender active before the disk does: leavers go on that word."""
+    world = World(1)
+    world.rest(2.0)
+    machine, said = world.machines["m0"], []
+    for due in ({}, {"held": 1}, {"members": machine.ballots.members}):
+        machine.due.facts = due
+        with mock.patch.object(machine.links, "send", lambda peer, message: said.append(message["v"])):
+            machine.pulse(world.now)
+    if not said or said != [True] * (len(said) // 3) + [False] * (2 * len(said) // 3):
+        raise Broken(f"called active: {said}")
+
+
 def word_on_own_acceptance() -> None:
     """An archive that has accepted something newer than it knows to be chosen gives itself no word."""
     world = World(1, 3, 0)
@@ -458,6 +472,7 @@
     "leaving on old pulses": hasty_leave,
     "a refused write and the next": refused_write,
     "an answer on a refused write": refused_answer,
+    "a pulse before its write": pulse_before_write,
     "a word on one's own acceptance": word_on_own_acceptance,
     "a word of an older life": word_of_older_life,
 }
