--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -303,8 +303,9 @@
                 self.links.up[peer].close()  # its own link brings nothing any more: likely a cut
                 continue
             told = {**message, "e": self.sessions.stamps.get(peer, -1e9)}
+            if peer not in self.sessions.told:  # whoever listens there now may have an older disk
+                told["bound"] = {name: kept[peer] for name, kept in ballots.bound.items() if peer in kept}
             told |= self.sessions.news(peer, about)
-            told["bound"] = {name: kept[peer] for name, kept in ballots.bound.items() if peer in kept}
             if int(now / PULSE) % 4 == 0:
                 told["heard"] = self.roll.ages(now, 2.0)
             self.links.send(peer, told)
