--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -151,6 +151,7 @@
                     await asyncio.sleep(TICK)
             except TimeoutError:
                 pass
+        self.ballots.held = -1  # no vote is given any more: who holds what has been looked at
         self.log.info("stopped", step="end")
         for server in servers:
             server.close()
@@ -295,7 +296,8 @@
         message = {
             "k": "pulse",
             "t": now,
-            "v": ballots.voting,
+            # active on disk too: others leave and change sets on this word
+            "v": ballots.voting and not self.due.facts.keys() & {"members", "held"},
             "w": self.whole(now),
             "acc": {name: ballots.acceptors[name].accepted for name in ALL},
             "dur": ballots.durable,
@@ -319,8 +321,9 @@
                 self.links.up[peer].close()  # its own link brings nothing any more: likely a cut
                 continue
             told = {**message, "e": self.sessions.stamps.get(peer, -1e9)}
+            if peer not in self.sessions.told:  # whoever listens there now may have an older disk
+                told["bound"] = {name: kept[peer] for name, kept in ballots.bound.items() if peer in kept}
             told |= self.sessions.news(peer, about)
-            told["bound"] = {name: kept[peer] for name, kept in ballots.bound.items() if peer in kept}
             if int(now / PULSE) % 4 == 0:
                 told["heard"] = self.roll.ages(now, 2.0)
             self.links.send(peer, told)
