--- a/features/steps/members.py
+++ b/features/steps/members.py
@@ -134,19 +134,24 @@
 @when("archive {n:d} is told to end")
 @when("archive {n:d} is told to end, with nobody to take its seat")
 def told_to_end(context, n):
-    context.ended = context.play.terminate(n)
+    context.leaver, context.ended = n, context.play.terminate(n)
 
 
 @then("it has ended in order within GraceS")
 def ended(context):
     code, took = context.ended
     assert code == 0 and took < Bounds().GraceS, context.ended
+    last = [context.play.log(context.leaver, event)[-1]["step"] for event in ("ending", "stopped")]
+    assert last == ["end", "end"], last
 
 
 @then("it has ended in order within GraceS and archive {n:d} has its seat")
 def handed_on(context, n):
     ended(context)
-    context.play.agree({n: "voter"})
+    members = context.play
+    members.agree({n: "voter"})
+    said = [line["why"] for one in members.running for line in members.log(one, "member change")]
+    assert f"{members.ip(context.leaver)} leaves" in said, said
 
 
 @when("archive {n:d} is killed and returns with an empty disk")
