--- a/features/ballots.feature
+++ b/features/ballots.feature
@@ -51,6 +51,6 @@
     Given three archives from seed 5
     Then 300 storms of stops, losses and lost disks keep what was acknowledged
     And 50 storms from disks that knew no epochs do so too
-    And "the name of a disk that was lost" is found out within 100 storms
+    And "the name of a disk that was lost" is found out within 300 storms
     And "a seat of any disk, where no disk may go on" is found out within 5 storms
     And "a seat of any disk, where an empty disk may go on" is found out within 150 storms
