--- a/features/epochs.feature
+++ b/features/epochs.feature
@@ -6,6 +6,7 @@
     Examples:
       | shape         | depth | states |
       | lost disk     | 9     | 18000  |
+      | any disk      | 6     | 9800   |
       | spare         | 7     | 13000  |
       | power         | 7     | 29000  |
       | amid a change | 10    | 16000  |
@@ -15,6 +16,10 @@
       | slow disks    | 9     | 22000  |
       | late answers  | 9     | 43000  |
 
+  Scenario: From each state the core finds its way, also where a second change began too soon
+    Then in 3000 of the last states of "second change" at depth 7 a majority answers in the end
+    And without "seals of unused seats" in one of them it does not
+
   Scenario Outline: A guard that is taken out is found out by the search
     Then without "<guard>" something breaks within <states> states of "<shape>"
 
--- a/features/steps/epochs.py
+++ b/features/steps/epochs.py
@@ -15,6 +15,21 @@
     assert found.states >= states, found.states
 
 
+@then('in {tried:d} of the last states of "{shape}" at depth {depth:d} a majority answers in the end')
+def mended(context, tried, shape, depth):
+    context.search = SHAPES[shape], depth, tried
+    found = Search(SHAPES[shape]).run(depth, tried=tried)
+    assert not found.broken, (found.broken, found.moves)
+
+
+@then('without "{guard}" in one of them it does not')
+def not_mended(context, guard):
+    shape, depth, tried = context.search
+    with without(guard):
+        found = Search(shape).run(depth, tried=tried)
+    assert found.broken == "no majority answers", found.broken
+
+
 @then('without "{guard}" something breaks within {states:d} states of "{shape}"')
 def found_out(context, guard, states, shape):
     with without(guard):
--- a/tests/epochs_play.py
+++ b/tests/epochs_play.py
@@ -85,6 +85,18 @@
     return mock.patch.object(Ballots, "asked", careless)
 
 
+def unused_count_not(play: Any) -> Any:
+    """The seal of a voter that was never active in the epoch before does not count."""
+    enough = Ballots.enough
+
+    def careless(self: Ballots, now: float, out: Any) -> bool:
+        told = self.joining.told
+        self.joining.told = {peer: one for peer, one in told.items() if one[0] >= self.epoch - 1}
+        return enough(self, now, out)
+
+    return mock.patch.object(Ballots, "enough", careless)
+
+
 def eager(play: Any) -> Any:
     """A member votes from the moment it knows that it is one."""
     return mock.patch.object(Ballots, "voting", property(lambda self: self.member))
@@ -118,6 +130,7 @@
     "a majority of seals": few_seals,
     "what was carried is not chosen": chosen_if_carried,
     "seals on disk": seal_in_memory,
+    "seals of unused seats": unused_count_not,
     "voting once active": eager,
     "who counts as active": hasty_change,
     "older disks are minded": older_unseen,
--- a/tests/epochs_search.py
+++ b/tests/epochs_search.py
@@ -515,6 +515,14 @@
 SHAPES = {
     # the forgotten promise: a spare's order, a lost disk, its seat anew
     "lost disk": Shape("abc", "d", (("d", "x"), ("b", "y")), (("b", "a", ""),), wipes="a"),
+    # any one disk, and its seat given to its own machine or to the spare
+    "any disk": Shape(
+        "abc",
+        "d",
+        (("d", "x"), ("b", "y")),
+        (("b", "a", ""), ("c", "b", ""), ("a", "c", ""), ("b", "a", "d")),
+        wipes="abc",
+    ),
     # a spare takes the seat of one that goes on in the old epoch
     "spare": Shape("abc", "d", ORDERS, (("a", "c", "d"),), most=(0, 0, 0, 1)),
     # the same, and a voter or the proposer of the change loses power
@@ -553,6 +561,16 @@
     "two changes": Shape(
         "abc", "d", (("a", "x"),), (("a", "c", "d"), ("b", "a", "d")), wipes="a", most=(1, 0, 0, 2)
     ),
+    # a second change right after the first is chosen, and a lost disk
+    "second change": Shape(
+        "abc",
+        "d",
+        (("a", "x"),),
+        (("a", "c", "d"), ("b", "a", "d")),
+        wipes="a",
+        most=(1, 0, 0, 2),
+        begin=("change 0", "prepare a>b", "accept a>b"),
+    ),
     # writes apart from what rests on them
     "slow disks": Shape(
         "abc", "d", (("b", "x"),), (("a", "c", "d"),), powers="ab", most=(0, 1, 0, 1), instant=False
