--- a/features/epochs.feature
+++ b/features/epochs.feature
@@ -8,16 +8,16 @@
       | lost disk     | 9     | 18000  |
       | any disk      | 6     | 9800   |
       | spare         | 7     | 13000  |
-      | power         | 7     | 29000  |
+      | power         | 6     | 7700   |
       | amid a change | 10    | 16000  |
       | chosen before | 8     | 23000  |
       | two left over | 6     | 13000  |
       | two changes   | 6     | 7000   |
-      | slow disks    | 9     | 22000  |
+      | slow disks    | 8     | 9000   |
       | late answers  | 9     | 43000  |
 
   Scenario: From each state the core finds its way, also where a second change began too soon
-    Then in 3000 of the last states of "second change" at depth 7 a majority answers in the end
+    Then in 2000 of the last states of "second change" at depth 6 a majority answers in the end
     And without "seals of unused seats" in one of them it does not
 
   Scenario Outline: A guard that is taken out is found out by the search
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -18,7 +18,7 @@
       | older disks are minded      | an older disk, five voters                         |
 
   Scenario: Days of faults within Tolerance
-    Then in 24 days by dice everything acknowledged stays, and a majority answers
+    Then in 18 days by dice everything acknowledged stays, and a majority answers
     And in 6 days in which older disks come back too
 
   Scenario Outline: A guard that is taken out is found out by the dice
