--- /dev/null
+++ b/tests/contact_play.py
@@ -0,0 +1,680 @@
+"""Whole archives and desks in one process, from a seed: the real shells, each on a loop of its own whose clock
+is the play's. Between them links that delay, hold up in one direction or both, and break; machines that
+freeze, thaw and start anew; workers that beat, leave and hold keys; an operator. Judges look on at every step.
+"""
+
+import asyncio
+import json
+import random
+import types
+from unittest import mock
+
+from bramblewood.archive import program as archive_program
+from bramblewood.archive.accession import GetConfig, PutConfig, Register, TakeLeave
+from bramblewood.archive.ballots import CONFIG, REGISTERS, TABLE, Ballots
+from bramblewood.archive.placement import Placement
+from bramblewood.archive.program import Archive
+from bramblewood.archive.roll import READY, Row
+from bramblewood.catalogue.bootfile import Bounds, Settings
+from bramblewood.catalogue.edition import edition_of
+from bramblewood.catalogue.spans import SLOW_CLOCK, SURE, TRAVEL, WORD
+from bramblewood.catalogue.table import KEYS, OLD, WORKER
+from bramblewood.desk.program import Desk
+from bramblewood.lab.operator import configuration
+
+STEP = 0.01  # s of the play's clock
+WAYS = (0.002, 0.02)  # s that a message travels
+SYNC = 0.004  # s that a write takes
+BEAT, DRAIN = 1.5, 2.5  # s
+PATIENCE = 1.0  # s that bytes may wait for a cut until their sender gives the link up (TCP_USER_TIMEOUT)
+QUIET = 1.2  # s after which a desk gives a link up
+REDIAL = 0.3  # s
+WITHIN = 1.0  # s that a caller waits; it takes no later answer
+LATE = 0.1  # s that an answer of a machine may be late by its own timers
+# s after which a machine that is cut off must have seen it: the word it had, and a call's time
+SEEN = WORD + archive_program.CALL_WITHIN + LATE
+TOUCH = 3.0  # s; ContactS
+SLOTS = 2
+
+
+class Broken(AssertionError):
+    """A judge's word."""
+
+
+class Loop(asyncio.BaseEventLoop):
+    """An event loop on the play's clock; it runs while its machine does."""
+
+    def __init__(self, play):
+        self.play = play
+        super().__init__()
+        self._selector = types.SimpleNamespace(select=lambda timeout: [], close=lambda: None)
+        self.set_exception_handler(self.fault)
+        self.running = set()
+
+    def time(self):
+        return self.play.now
+
+    def _process_events(self, events):
+        pass
+
+    def _write_to_self(self):
+        pass
+
+    def fault(self, loop, told):
+        if "exception" in told:  # else a task ended with its machine
+            self.play.faults.append(told["exception"])
+
+    def begin(self, work):
+        """A task whose fault ends the play."""
+
+        def ended(task):
+            self.running.discard(task)
+            if not task.cancelled() and task.exception() is not None:
+                self.play.faults.append(task.exception())
+
+        task = self.create_task(work)
+        self.running.add(task)
+        task.add_done_callback(ended)
+
+    def run(self):
+        """All that is due now."""
+        asyncio._set_running_loop(self)
+        try:
+            while self._ready or self._scheduled and self._scheduled[0].when() <= self.time():
+                self._run_once()
+        finally:
+            asyncio._set_running_loop(None)
+
+
+class End:
+    """One end of a link, as the shells know it: what `catalogue.links.Link` is to them."""
+
+    def __init__(self, wire, node, peer):
+        self.wire, self.node, self.peer = wire, node, peer
+        self.role, self.about, self.sent = "", -1, {}
+        self.queue = []  # what waits to arrive at the other end: (when, message, when sent, newest heard)
+
+    def send(self, message):
+        if self.wire.stands:
+            text = message if isinstance(message, str) else json.dumps(message)
+            due = self.node.play.now + self.node.play.dice.uniform(*WAYS)
+            due = max(due, self.queue[-1][0]) if self.queue else due
+            heard = self.node.heard.get(self.peer or self.wire.dialler.name, 0.0)
+            self.queue.append((due, text, self.node.play.now, heard))
+
+    def close(self):
+        self.wire.lost()
+
+
+class Wire:
+    """A link that one node dialled to an archive."""
+
+    def __init__(self, dialler, acceptor):
+        self.stands, self.dialler, self.acceptor = True, dialler, acceptor
+        self.near, self.far = End(self, dialler, acceptor.name), End(self, acceptor, "")
+        self.met, self.heard_at, self.thawed = False, dialler.play.now, False
+
+    def lost(self):
+        if not self.stands:
+            return
+        self.stands = False
+        dialler, acceptor = self.dialler, self.acceptor
+        if dialler.links.up.get(acceptor.name) is self.near:
+            del dialler.links.up[acceptor.name]
+            dialler.tell(acceptor.name, False)
+        if self.met:
+            acceptor.loop.call_soon(acceptor.program.left, self.far)
+        dialler.links.again[acceptor.name] = dialler.play.now + REDIAL
+
+    def carry(self, now):
+        """Hand on what has arrived."""
+        for end, target in ((self.near, self.acceptor), (self.far, self.dialler)):
+            if not end.queue or now < end.queue[0][0]:
+                continue
+            if end.node.play.cut(end.node.name, target.name):
+                if now > end.queue[0][0] + end.node.play.patience:
+                    return self.lost()
+                continue
+            if target.frozen:
+                continue
+            while end.queue and now >= end.queue[0][0]:
+                _, text, sent, heard = end.queue.pop(0)
+                target.heard[end.node.name] = sent
+                target.back[end.node.name] = max(heard, target.back.get(end.node.name, 0.0))
+                self.bring(end, target, json.loads(text))
+
+    def bring(self, end, target, message):
+        if end is self.far:
+            self.heard_at = self.dialler.play.now
+            target.loop.call_soon(target.program.hear, self.near, message)
+        elif self.met:
+            target.loop.call_soon(target.program.hear, self.far, message)
+        else:
+            self.met = True
+            target.loop.call_soon(target.program.met, self.far, message)
+
+
+class Wires:
+    """What `catalogue.links.Links` is to a shell."""
+
+    def __init__(self, node):
+        self.node, self.up, self.again = node, {}, {}
+
+    def keep(self, peer, port):
+        self.again.setdefault(peer, 0.0)
+
+    def send(self, peer, message):
+        if peer in self.up:
+            self.up[peer].send(message)
+        return peer in self.up
+
+    def dial(self, now):
+        play, node = self.node.play, self.node
+        for peer, at in self.again.items():
+            target = play.nodes.get(peer)
+            if peer in self.up or now < at or target is None or target.program is None:
+                continue
+            if play.cut(node.name, peer) or play.cut(peer, node.name):
+                continue
+            wire = Wire(node, target)
+            play.wires.append(wire)
+            self.up[peer] = wire.near
+            wire.near.send(node.program.hello(peer))
+            node.tell(peer, True)
+
+
+class Node:
+    """A machine: its program of the moment, its disk, whether it is frozen."""
+
+    def __init__(self, play, name, kind):
+        self.play, self.name, self.kind, self.lives = play, name, kind, 0
+        self.registers, self.program, self.frozen, self.thawed_at = {}, None, False, -9.0
+        self.began = self.touched_at = 0.0  # what it said until then has come to a majority and back
+        self.heard, self.back = {}, {}  # by machine: when what was last heard, and last answered, was sent
+
+    def start(self, first):
+        play, archives = self.play, self.play.archives
+        self.loop, self.links = Loop(play), Wires(self)
+        self.lives, self.began, self.heard, self.back = self.lives + 1, play.now, {}, {}
+        ports = {"Control": (self.name, 3)} if self.kind is Archive else {"Front": (self.name, 3)}
+        seeds = tuple(f"{name}:3" for name in archives)
+        told = Settings(
+            self.name, self.name, "z", (1, 2), seeds, first, None, BEAT, ports, 2**28, 100, Bounds()
+        )
+        with mock.patch("bramblewood.catalogue.daybook.begin", return_value=mock.Mock()):
+            made = self.kind(told)
+        made.loop, made.links = self.loop, self.links
+        if self.kind is Archive:
+            self.archive(made)
+        else:
+            made.changed = asyncio.Event()
+        for peer in archives:
+            if peer != self.name:
+                made.links.keep(peer, 1)
+        self.program = made
+        self.loop.begin(self.turns(made))
+
+    def tell(self, peer, up):
+        """A link came or went; one that is frozen hears of it when it is thawed."""
+        if self.frozen:
+            self.loop.call_soon(self.program.link_told, peer, up)
+        else:
+            self.program.link_told(peer, up)
+
+    def archive(self, made):
+        """What a start does, with the voters known."""
+        made.archives = set(self.play.archives) - {self.name}
+        made.born, made.started, made.calls, made.shelf = True, self.play.now, Calls(self), self
+        made.ballots = Ballots(self.name, self.play.archives, self.lives, dict(self.registers), True)
+        made.placement = Placement(self.play.now, BEAT, False)
+
+    def write(self, rows, facts, done):
+        """What `archive.shelf.Shelf` is to its shell."""
+
+        def kept():
+            for register, promised, accepted, value in rows:
+                self.registers[register] = (promised, accepted, value)
+            done(None)
+
+        self.loop.call_later(SYNC, kept)
+
+    async def turns(self, made):
+        while True:
+            if self.kind is Archive:
+                made.tick(self.play.now)
+            else:
+                made.report(self.play.now)
+            await asyncio.sleep(archive_program.TICK if self.kind is Archive else 0.5)
+
+    def stop(self):
+        """Killed: its links break, what was not synced is gone."""
+        for wire in self.play.wires:
+            if self in (wire.dialler, wire.acceptor):
+                wire.lost()
+        self.program, self.frozen = None, False
+        self.end()
+
+    def end(self):
+        for task in list(self.loop.running):
+            task.cancel()
+        self.loop.run()
+        self.loop.close()
+
+
+class Calls:
+    """Calls to workers: what `aiohttp.ClientSession` is to an archive."""
+
+    def __init__(self, node):
+        self.node = node
+
+    def post(self, url, json, headers):
+        _, _, address, *path = url.split("/")
+        return Call(self.node, address, path[-1], json, headers["X-Target-Instance"])
+
+
+class Call:
+    def __init__(self, node, address, kind, body, life):
+        self.node, self.address, self.kind, self.body, self.life = node, address, kind, body, life
+        self.status, self.headers = 0, {}
+
+    async def __aenter__(self):
+        play = self.node.play
+        await asyncio.sleep(play.dice.uniform(*WAYS))
+        worker = play.workers.get(self.address.partition(":")[0])
+        if worker is None or worker.ended or play.cut(self.node.name, worker.name):
+            raise OSError
+        self.status = worker.told(self.kind, self.body, self.node)
+        if self.kind == "release":
+            self.headers = {"X-Handover": "h"}
+        await asyncio.sleep(play.dice.uniform(*WAYS))
+        if play.cut(worker.name, self.node.name):
+            raise OSError
+        return self
+
+    async def __aexit__(self, *problem):
+        pass
+
+    async def read(self):
+        pass
+
+
+class Worker:
+    """A worker of the keyed service, on a clock that is 2% slow."""
+
+    def __init__(self, play, name):
+        self.play, self.name, self.phase, self.seq, self.ended = play, name, READY, 0, False
+        self.next_at, self.at, self.calling = play.now + BEAT * play.dice.random(), "", None
+        self.held = {}  # by first key: last key, fence, until
+        self.fences = {}  # by first and last key: the highest seen
+        self.acknowledged = False
+
+    def told(self, kind, body, node):
+        first, last, fence, now = body["Source"], body["TargetVersion"], body["fence"], self.play.now
+        over = max((f for (a, b), f in self.fences.items() if a <= last and first <= b), default=0)
+        if kind == "grant" and over > fence:
+            return 409
+        self.fences[first, last] = fence
+        mine = [start for start, (end, _, _) in self.held.items() if start <= last and first <= end]
+        if kind == "release":
+            for start in mine:
+                del self.held[start]
+            return 200
+        for start in mine:
+            end, old, until = self.held.pop(start)
+            for a, b in ((start, first - 1), (last + 1, end)):
+                if a <= b:
+                    self.held[a] = (b, old, until)
+        self.held[first] = (last, fence, now + body["HoldS"] * SLOW_CLOCK)
+        if now > node.thawed_at + TRAVEL:
+            self.play.granted(self, first, last)
+        return 200
+
+    def turn(self, now):
+        """Beat, and go elsewhere where that is not acknowledged."""
+        play = self.play
+        if self.calling is not None:
+            status, until = self.calling[0], self.calling[1]
+            if status is None and now < until:
+                return
+            self.calling = None
+            if status is None or status >= 500:
+                self.at, self.next_at = "", now + 0.2
+                return
+            self.next_at = now + BEAT
+            if self.phase == "draining" and not self.acknowledged:
+                self.acknowledged, self.ends_at = True, now + DRAIN + 1.0
+            if self.phase == "gone":
+                self.ended = True
+            return
+        if self.phase == "draining" and self.acknowledged and now >= self.ends_at:
+            self.phase, self.next_at = "gone", now
+        if now < self.next_at:
+            return
+        self.seq += 1
+        self.at = self.at or play.dice.choice(play.archives)
+        row = Row("s", f"{self.name}:1", "z", SLOTS, self.phase, self.seq)
+        call = TakeLeave(self.name) if self.phase == "gone" else Register(self.name, row)
+        self.calling = [None, now + WITHIN]
+        play.call(self.at, call, self.calling, self.name)
+
+
+class Play:
+    def __init__(self, seed, count=5, desks=2, start=100.0, workers=4):
+        self.dice, self.now, self.patience = random.Random(seed), start, PATIENCE
+        self.archives = tuple("abcde"[:count])
+        self.wires, self.cuts, self.later, self.answers = [], {}, [], {}
+        self.workers = {}
+        self.acked, self.refused, self.tried = {}, {}, 0  # configurations by number: when, digest
+        self.leaves = []  # (life, when it was acknowledged)
+        self.plenty = {}  # how often what the judges look at has come about
+        self.disturbed = {}  # by desk: when it was last out of touch
+        self.seen, self.faults = {}, []
+        self.nodes = {name: Node(self, name, Archive) for name in self.archives}
+        self.nodes |= {f"d{i}": Node(self, f"d{i}", Desk) for i in range(desks)}
+        for node in self.nodes.values():
+            node.start(True)
+        for i in range(workers):
+            self.workers[f"w{i}"] = Worker(self, f"w{i}")
+
+    def count(self, what):
+        self.plenty[what] = self.plenty.get(what, 0) + 1
+
+    # --- the network
+
+    def cut(self, one, other):
+        return self.now < self.cuts.get((one, other), 0.0)
+
+    def part(self, some, until, way="both"):
+        """Cut these from all others; way: "in", they hear nothing; "out", they are not heard."""
+        for one in some:
+            for other in (*self.nodes, *self.workers):
+                if other not in some:
+                    if way != "out":
+                        self.cuts[other, one] = until
+                    if way != "in":
+                        self.cuts[one, other] = until
+
+    def freeze(self, name, span):
+        node = self.nodes[name]
+        node.frozen = True
+        self.later.append((self.now + span, self.thaw, (node, node.lives)))
+
+    def thaw(self, node, life):
+        if node.program is not None and node.lives == life:
+            node.frozen, node.thawed_at = False, self.now
+
+    def restart(self, name, after=0.3):
+        self.nodes[name].stop()
+        self.later.append((self.now + after, self.nodes[name].start, (False,)))
+
+    # --- callers
+
+    def call(self, name, command, kept, caller=""):
+        """A call to an archive; kept[0] becomes the status, if the answer comes back."""
+        node = self.nodes[name]
+
+        async def serve(made):
+            began = self.now  # a call that waited for a thaw begins then
+            known = max((n for n, (at, _) in self.acked.items() if at <= began), default=0)
+            answer = await made.obey(command)
+            self.judge_answer(node, command, answer, began, known)
+            if not self.cut(node.name, caller):
+                kept[0] = answer.status
+                self.taken(command, answer)
+
+        def arrive():
+            if node.program is not None and not self.cut(caller, name):
+                node.loop.begin(serve(node.program))
+
+        self.later.append((self.now + self.dice.uniform(*WAYS), arrive, ()))
+
+    def taken(self, command, answer):
+        if isinstance(command, PutConfig):
+            number, digest = command.edition.number, command.edition.digest
+            if answer.status == 200:
+                self.acked.setdefault(number, (self.now, digest))
+                self.count("orders taken")
+            elif answer.status == 412:
+                self.refused[digest] = number
+                self.count("orders refused")
+
+    def put(self, name):
+        """An order on what the operator believes to stand, or on an older one."""
+        parent = max(self.acked, default=0)
+        if self.dice.random() < 0.2:
+            parent = self.dice.choice([0, *self.acked])
+        self.tried += 1
+        number = max(parent, max(self.acked, default=0)) + self.tried % 3 + 1
+        routes = [["r", "h.example", f"/p{self.tried}/", "pure", 2, 0.5, 1, 2, "s"]]
+        config = configuration(f"r{number}", routes, [["s", True]])
+        edition = edition_of({**config, "ParentVersion": f"r{parent}" if parent else 0}).ok_value
+        self.call(name, PutConfig(edition), [None], "operator")
+
+    def get(self, name):
+        self.call(name, GetConfig(), [None], "operator")
+
+    def move(self, name):
+        """Somebody has a slice pass to another worker, by agreement."""
+        node, to = self.nodes[name], self.dice.choice(sorted(self.workers))
+        number = self.dice.random()
+
+        def change(value):
+            entries = value["s"].get("s", {}) if value else {}
+            able = [start for start, entry in entries.items() if entry[WORKER] and not entry[OLD]]
+            if not able:
+                return None, True
+            start = sorted(able)[int(number * len(able))]
+            if entries[start][WORKER] == to:
+                return None, True
+            entry = [to, "", 0.0, value["n"] + 1, "", entries[start][WORKER]]
+            entries = {**entries, start: entry}
+            return {**value, "n": value["n"] + 1, "s": {**value["s"], "s": entries}}, True
+
+        if node.program is not None and not node.frozen:
+            node.loop.call_soon(node.program.propose, TABLE, change, lambda outcome: None, 1.0)
+
+    # --- judges
+
+    def reaches(self, name):
+        """The archives that this machine has a way to and from, itself among them where it is one."""
+        node = self.nodes[name]
+        if node.program is None or node.frozen:
+            return set()
+        found = {name} & set(self.archives)
+        for other in self.archives:
+            there = self.nodes[other]
+            up = there.program is not None and not there.frozen
+            if up and not self.cut(name, other) and not self.cut(other, name):
+                found.add(other)
+        return found
+
+    def touch(self, name, node):
+        """What this archive said until `touched_at` has come to a majority, and an answer from there back."""
+        node.back[name] = self.now
+        there = [node.back.get(one, 0.0) for one in self.archives]
+        node.touched_at = sorted(there, reverse=True)[len(there) // 2]
+
+    def judge_answer(self, node, command, answer, asked, known):
+        """An archive answers a caller: not on its own, not late, nothing older than what was acknowledged."""
+        status = answer.status
+        if status >= 500:
+            return
+        what = f"{node.name} answers {type(command).__name__} {status} at {self.now:.2f}"
+        self.touch(node.name, node)
+        if self.now > node.touched_at + SEEN:
+            raise Broken(f"{what}, apart since {node.touched_at:.2f}")
+        if self.now > asked + WITHIN + LATE and not isinstance(command, Register | TakeLeave):
+            raise Broken(f"{what}, asked at {asked:.2f}")
+        if isinstance(command, GetConfig):
+            number = int(json.loads(answer.text)["Revision"][1:]) if status == 200 else 0
+            self.count("configurations read")
+            if number < known:
+                raise Broken(f"{what}: r{number}, r{known} was acknowledged before it was asked")
+        leaving = isinstance(command, TakeLeave) or isinstance(command, Register) and command.leaving
+        if leaving:
+            held = [name for name in self.archives if self.holds(name, command.life)]
+            if len(held) <= len(self.archives) // 2:
+                raise Broken(f"{what}: {command.life}'s leave is held by {held}")
+            self.leaves.append((command.life, self.now))
+            self.later.append((self.now + DRAIN, self.judge_desks, (command.life, self.now)))
+            self.count("leaves confirmed")
+
+    def holds(self, name, life):
+        program = self.nodes[name].program
+        row = program.roll.rows.get(life) if program is not None else None
+        return row is not None and row.phase != READY
+
+    def judge_desks(self, life, acked):
+        """Each desk that was in touch all the time has heard of a leave."""
+        for name, node in self.nodes.items():
+            if node.kind is Desk and self.disturbed.get(name, 0.0) < acked - TOUCH:
+                row = node.program.steering.roll.rows.get(life)
+                self.count("desks looked at")
+                if row is not None and row.phase == READY:
+                    raise Broken(f"{name} still sends to {life}, which left at {acked:.2f}")
+
+    def granted(self, worker, first, last):
+        """Two workers that are up hold the same keys at no moment."""
+        self.count("grants")
+        for other in self.workers.values():
+            if other is worker or other.ended:
+                continue
+            for start, (end, fence, until) in other.held.items():
+                if start <= last and first <= end and until > self.now:
+                    raise Broken(
+                        f"{worker.name} is granted {first}-{last} at {self.now:.2f}, "
+                        f"{other.name} holds {start}-{end} until {until:.2f}"
+                    )
+
+    def judge(self):
+        newest = max((n for n, (at, _) in self.acked.items() if at < self.now - WORD - LATE), default=0)
+        left = {life for life, at in self.leaves if at < self.now - WORD - LATE}
+        for name in self.archives:
+            node = self.nodes[name]
+            self.touch(name, node)
+            if node.program is None or node.frozen or not node.program.whole(self.now):
+                continue
+            self.count("looks at whole archives")
+            if self.now > node.touched_at + WORD + LATE:
+                raise Broken(f"{name} is whole at {self.now:.2f}, apart since {node.touched_at:.2f}")
+            if node.program.ballots.version(CONFIG) < newest:
+                raise Broken(f"{name} is whole at {self.now:.2f}, and behind r{newest}")
+            for life in left:
+                row = node.program.roll.rows.get(life)
+                if row is not None and row.phase == READY:
+                    raise Broken(f"{name} is whole at {self.now:.2f}, and knows not that {life} left")
+        for name, node in self.nodes.items():
+            if node.kind is Desk:
+                self.judge_desk(name, node)
+
+    def judge_desk(self, name, node):
+        made = node.program
+        if made is None or node.frozen or len(self.reaches(name)) < len(self.archives):
+            self.disturbed[name] = self.now
+        if made is None:
+            return
+        ready, had = made.contact.ready, self.seen.get(name, (0, False, 0, 0))
+        if had[0] == node.lives and any(now < then for now, then in zip(made.have().values(), had[2:])):
+            raise Broken(f"{name} goes back at {self.now:.2f}: {had} to {made.have()}")
+        if ready and not (had[0] == node.lives and had[1]):
+            self.count("desks ready")
+            bound = self.now - SURE - WORD - LATE
+            newest = max((n for n, (at, _) in self.acked.items() if at < bound), default=0)
+            if made.have()["config"] < newest:
+                raise Broken(f"{name} is ready at {self.now:.2f} with {made.have()}, r{newest} stands")
+            for life, at in self.leaves:
+                row = made.steering.roll.rows.get(life)
+                if at < bound and row is not None and row.phase == READY:
+                    raise Broken(f"{name} is ready at {self.now:.2f}, and knows not that {life} left")
+        self.seen[name] = (node.lives, ready, *made.have().values())
+
+    # --- the run
+
+    def step(self):
+        self.now += STEP
+        due = [item for item in self.later if item[0] <= self.now]
+        self.later = [item for item in self.later if item[0] > self.now]
+        for _, what, told in due:
+            what(*told)
+        for wire in self.wires:
+            if wire.stands:
+                wire.carry(self.now)
+                quiet = wire.dialler.kind is Desk and self.now > wire.heard_at + QUIET
+                if quiet and not wire.dialler.frozen and self.now > wire.dialler.thawed_at + QUIET:
+                    wire.lost()
+        self.wires = [wire for wire in self.wires if wire.stands]
+        for node in self.nodes.values():
+            if node.program is not None and not node.frozen:
+                node.links.dial(self.now)
+                node.loop.run()
+        for worker in list(self.workers.values()):
+            if not worker.ended:
+                worker.turn(self.now)
+        if self.faults:
+            raise self.faults[0]
+        self.judge()
+
+    def run(self, seconds):
+        until = self.now + seconds
+        while self.now < until:
+            self.step()
+        return self
+
+    def end(self):
+        for node in self.nodes.values():
+            if node.program is not None:
+                node.end()
+
+
+def trouble(play):
+    """One draw of trouble for some seconds; never all at once, so that there are things to hand out."""
+    dice, archives = play.dice, list(play.archives)
+    dice.shuffle(archives)
+    few = len(archives) // 2
+    span, kind = dice.choice([0.7, 3.0, 6.0, 20.0]), dice.randrange(9)
+    play.patience = dice.choice([PATIENCE, 30.0])
+    if kind < 4:  # one, or two that are cut off together
+        play.part(archives[: dice.randint(1, few)], play.now + span, ("both", "in", "out", "both")[kind])
+    elif kind < 6:
+        play.freeze(archives[0], span)
+    elif kind == 6:
+        play.restart(archives[0])
+    elif kind == 7:
+        play.part(["d0"], play.now + span, dice.choice(["both", "in", "out"]))
+    else:
+        play.restart("d1")
+        play.part(archives[:few], play.now + span)
+    return span
+
+
+def storm(seed, count=5, seconds=60.0):
+    """A minute of trouble, one after the other and at times two at once, with orders and leaves meanwhile."""
+    play = Play(seed, count)
+    dice, until, next_trouble, next_order, next_move = play.dice, play.now + seconds, 0.0, 0.0, 0.0
+    play.run(2.0)
+    play.put("a")
+    play.run(2.0)
+    next_trouble = play.now
+    next_leave = play.now + 5.0
+    try:
+        while play.now < until:
+            if play.now >= next_trouble:
+                next_trouble = play.now + trouble(play) * dice.choice([0.5, 1.2])
+            if play.now >= next_order:
+                next_order = play.now + dice.choice([0.05, 0.5, 1.0])
+                (play.put if dice.random() < 0.4 else play.get)(dice.choice(play.archives))
+            if play.now >= next_move:
+                next_move = play.now + dice.uniform(0.2, 2.0)
+                play.move(dice.choice(play.archives))
+            if play.now >= next_leave:
+                next_leave = play.now + dice.uniform(2.0, 8.0)
+                here = [worker for worker in play.workers.values() if worker.phase == READY]
+                if len(here) > 3:
+                    leaver = dice.choice(here)
+                    leaver.phase, leaver.next_at = "draining", play.now
+                name = f"w{len(play.workers)}"
+                play.workers[name] = Worker(play, name)
+            play.step()
+    finally:
+        play.end()
+    return play
