--- a/bramblewood/archive/holds.py
+++ b/bramblewood/archive/holds.py
@@ -98,8 +98,8 @@
         waiting.add(key)
         since = self.wait_from.setdefault(key, now)
         row = roll.rows.get(entry[OLD])
-        gone = row is not None and row.phase == GONE and row.address != ""
-        ended = gone and roll.homes.get(row.address) != entry[OLD]  # another life listens there
+        gone = row is not None and row.phase == GONE
+        ended = gone and roll.homes.get(row.address, entry[OLD]) != entry[OLD]  # another life listens there
         if ended or now >= since + self.expiry:
             free.append(Freed(service, tuple(run), entry[FENCE], entry[OLD], ""))
         else:
--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -724,7 +724,9 @@
         if request.transport.get_extra_info("sockname")[1] == self.told.inner:
             if method == "POST" and path == "/plan":
                 return await self.planned(plan_call((await request.content.read())[:BEAT_MOST]))
-            return self.view(path)
+            view = self.view(path)  # what this archive knows, rounds or not
+            view.headers["X-Local-View"] = f"{self.me}; whole={int(self.whole(self.loop.time()))}"
+            return view
         body = b""
         bound = most(method, path)
         async for chunk in request.content.iter_chunked(2**16):
--- a/features/health.feature
+++ b/features/health.feature
@@ -17,3 +17,8 @@
     Then nobody is out
     When w0, w1, w2 and w3 fail 4 of 4 at d1 and d2 for 8 reports
     Then two are out
+
+  Scenario: A judgement by an archive that has missed another's changes nothing
+    Given a table in which w0 is out
+    When one archive judges that w1 is out too, and another, which missed that, that w0 may serve again
+    Then w0 and w1 are out
--- /dev/null
+++ b/features/steps/contact.py
@@ -0,0 +1,182 @@
+"""Plays of whole archives and desks; GUARDS are what may be taken out, each by its words in the feature."""
+
+from unittest import mock
+
+from behave import given, then, when
+
+from bramblewood.archive import program
+from bramblewood.archive.accession import TakeLeave
+from bramblewood.archive.ballots import NONE, TABLE
+from bramblewood.archive.holds import Holds
+from bramblewood.archive.leaves import Leaves
+from bramblewood.archive.program import Archive
+from bramblewood.archive.roll import GONE, Roll, Row
+from bramblewood.archive.sessions import Sessions
+from bramblewood.desk.contact import Contact
+from tests import contact_play
+from tests.contact_play import Broken
+
+word_until, obey, call, pulse = Sessions.word_until, Archive.obey, Archive.call, Contact.pulse
+
+
+def one_other(self, now, number, voters, contact):
+    return len(self.rounds[number][1]) > 1
+
+
+def no_forwarding(self, rows, sender=""):
+    news, newer = self.roll.take(self.loop.time(), rows)
+    self.tell_desks(news)
+    return newer
+
+
+async def no_row(self, command):
+    if isinstance(command, TakeLeave) and command.life not in self.roll.rows:
+        return program.answer(200)
+    return await obey(self, command)
+
+
+async def no_clock(self, register, change):
+    waiting = self.loop.create_future()
+    self.propose(register, change, lambda outcome: waiting.done() or waiting.set_result(outcome), 0.85)
+    return await waiting
+
+
+def not_oneself(self, now, voters, known, own):
+    return word_until(self, now, voters, known, own and dict.fromkeys(own, NONE))
+
+
+def claims(self, now, peer, message, have):
+    here = all(have.values()) and all(number <= have[name] for name, number in message["n"].items())
+    self.ready = self.ready or bool(message["whole"] and self.rolled and here)
+    return pulse(self, now, peer, message, have)
+
+
+GUARDS = {
+    "the majority that holds a leave": (Leaves, "confirmed", one_other),
+    "contact before a worker's call is answered": (Archive, "contact", lambda self, now: True),
+    "the word of the majority": (Archive, "whole", lambda self, now: True),
+    "leaves going on between archives": (Archive, "take_rows", no_forwarding),
+    "the row of a leave that nobody knew": (Archive, "obey", no_row),
+    "desks that tell of leaves again": (Roll, "leaving", lambda self, since=0.0: {}),
+    "the look at the clock after a round": (Archive, "agreed", no_clock),
+    "the look at the word as a grant leaves": (Archive, "call", lambda self, one, _: call(self, one, 1e9)),
+    "the look at what oneself has accepted": (Sessions, "word_until", not_oneself),
+    "the word on the configuration": (
+        Archive,
+        "whole",
+        lambda self, now: self.word(now, (TABLE,)) > now,
+    ),
+    "the question before a desk is ready": (Contact, "pulse", claims),
+}
+
+
+def together(seed):
+    return contact_play.twenty(seed, "ab", "both")
+
+
+def played(name):
+    return together if name == "together" else getattr(contact_play, name)
+
+
+@then("{count:d} plays of {some} of {archives:d} for twenty seconds {way} keep the rules")
+def twenty(context, count, some, archives, way):
+    made = [contact_play.twenty(seed, some, way, archives, archives % 5 and 1) for seed in range(count)]
+    for what in ("orders taken", "configurations read", "leaves confirmed", "grants"):
+        assert all(play.plenty.get(what, 0) for play in made), (what, [play.plenty for play in made])
+
+
+@then("{five:d} storms of {seconds:d} s among five archives and {three:d} among three keep the rules")
+def storms(context, five, seconds, three):
+    for count, seeds in ((5, five), (3, three)):
+        for seed in range(seeds):
+            contact_play.storm(seed, count, seconds)
+
+
+@then('{count:d} plays of "{name}" keep the rules')
+def keep(context, count, name):
+    for seed in range(count):
+        played(name)(seed)
+
+
+@then('without {guard} a play of "{name}" is found out within {count:d} seeds')
+def found(context, guard, name, count):
+    place, what, instead = GUARDS[guard]
+    with mock.patch.object(place, what, instead):
+        for seed in range(count):
+            try:
+                played(name)(seed)
+            except Broken:
+                return
+    raise AssertionError("no play found it")
+
+
+@given("a desk that has all, from an archive that is whole")
+def has_all(context):
+    context.contact, context.have = Contact("d", "z"), {"config": 3, "table": 7}
+    context.contact.link("a", True, context.have)
+    told = {"scribe": True, "whole": True, "n": context.have}
+    assert ("a", {"k": "home", "on": True, "have": context.have}) in context.contact.pulse(
+        9.0, "a", told, context.have
+    )
+    assert context.contact.roll(9.1, "a", context.have) == [("a", {"k": "confirm", "t": 9.1})]
+
+
+@when("that answers what was asked {ago:g} s ago")
+@when("that answers what was asked {ago:g} s ago, with a newer {register}")
+def answers(context, ago, register=""):
+    newest = {name: number + (name == register) for name, number in context.have.items()}
+    context.contact.confirmed(20.0, "a", {"t": 20.0 - ago, "n": newest}, context.have)
+
+
+@then("the desk is {word}")
+def ready(context, word):
+    assert context.contact.ready == (word == "ready")
+
+
+@given("three archives with a table")
+def three(context):
+    context.play = contact_play.begun(1, 3)
+    context.play.run(3.0)
+    context.program = context.play.nodes["a"].program
+    context.before = context.program.ballots.version(TABLE)
+
+
+@when("one proposes a move")
+@when("one proposes a move, and its word {ends}")
+def proposes(context, ends=""):
+    change = lambda value: ({**value, "n": value["n"] + 1}, True)  # noqa: E731
+    with mock.patch.object(context.program, "whole", lambda now: not ends):
+        context.program.move(change)
+        context.play.run(1.0)
+
+
+@then("the table {word}")
+def stands(context, word):
+    changed = context.program.ballots.version(TABLE) != context.before
+    assert changed == (word == "has changed")
+
+
+@given("a roll that has heard only the last call of w1")
+def last(context):
+    context.roll = Roll()
+    context.roll.merge(1.0, "w1", Row("", "", "", 1, GONE, 1))
+
+
+@when("it hears an older call of w1 with its address")
+def older(context):
+    assert not context.roll.merge(2.0, "w1", Row("s", "w1:1", "z", 2, "ready", 9))
+
+
+@then("w1 is gone there, with its address")
+def gone(context):
+    assert context.roll.rows["w1"] == Row("s", "w1:1", "z", 2, GONE, 1)
+
+
+@then("its keys are not taken to be free")
+def kept(context):
+    table = {"n": 2, "s": {"s": {"0": ["w2", "", 0.0, 2, "", "w1"]}}}
+    only = Roll()
+    only.merge(1.0, "w1", Row("", "", "", 1, GONE, 1))
+    for roll in (only, context.roll):
+        calls, free = Holds(10.0).step(3.0, table, {"s"}, roll)
+        assert not free and len(calls) == (roll is context.roll)
--- a/features/steps/health.py
+++ b/features/steps/health.py
@@ -55,3 +55,20 @@
     while unwell(context.value):
         cycle(context, {}, ())
     assert abs(context.now - began - span) <= 2 * CYCLE, context.now - began
+
+
+@given("a table in which w0 is out")
+def one_out(context):
+    context.value = judged({"n": 1, "s": {}}, {"w0": [1, True]}, {})[0]
+
+
+@when("one archive judges that w1 is out too, and another, which missed that, that w0 may serve again")
+def two_judge(context):
+    seen = out_of_health(context.value)
+    for told in ({"w0": [1, True], "w1": [1, True]}, {"w0": [1, False]}):
+        context.value = judged(context.value, told, seen)[0] or context.value
+
+
+@then("w0 and w1 are out")
+def both_out(context):
+    assert unwell(context.value) == ["w0", "w1"]
--- a/features/steps/withdrawal.py
+++ b/features/steps/withdrawal.py
@@ -1,5 +1,8 @@
+from unittest import mock
+
 from behave import given, then, when
 
+from bramblewood.archive import withdrawal
 from bramblewood.archive.roll import Roll, Row
 from bramblewood.archive.withdrawal import Room, Withdrawals, out_of, plans_of, started, steps_of
 from tests.approved import approve
@@ -31,6 +34,19 @@
     assert found(count, "work")
 
 
+@then("without the version that a step rests on a worker is out too soon within {count:d} plays")
+def version(context, count):
+    advanced, order = withdrawal.advanced, ["told", "closing", "closed", "out"]
+
+    def unfenced(value, moves, ends):
+        stands = {life: at for life, at in out_of(value).items() if life in moves}
+        later = {life for life, at in stands.items() if order.index(at[1]) < order.index(moves[life][0])}
+        return advanced(value, {life: (moves[life][0], stands[life][2]) for life in later}, ends)
+
+    with mock.patch.object(withdrawal, "advanced", unfenced):
+        assert found(count, "")
+
+
 @given("a service of w1, w2 and w3")
 def service(context):
     context.value, context.lines = {"n": 1, "s": {"s": {"0": ["w3", "", 0.0, 1, "", ""]}}}, []
--- a/features/withdrawal.feature
+++ b/features/withdrawal.feature
@@ -6,6 +6,7 @@
   Scenario: Each guard is needed
     Then without each desk's word a worker is out too soon within 40 plays
     And without the look at what is under way a worker is out too soon within 40 plays
+    And without the version that a step rests on a worker is out too soon within 10 plays
 
   Scenario: What can't be planned is refused and says why
     Given a service of w1, w2 and w3
--- a/tests/contact_play.py
+++ b/tests/contact_play.py
@@ -1,6 +1,7 @@
-"""Whole archives and desks in one process, from a seed: the real shells, each on a loop of its own whose clock
-is the play's. Between them links that delay, hold up in one direction or both, and break; machines that
-freeze, thaw and start anew; workers that beat, leave and hold keys; an operator. Judges look on at every step.
+"""Whole archives and desks in one process, from a seed: the real shells, each on a loop of its own whose
+clock is the play's. Between them links that delay, hold up in one direction or both, and break; machines
+that freeze, thaw and start anew; workers that beat, leave and hold keys; an operator. Judges look on at
+every step.
 """
 
 import asyncio
@@ -11,14 +12,14 @@
 
 from bramblewood.archive import program as archive_program
 from bramblewood.archive.accession import GetConfig, PutConfig, Register, TakeLeave
-from bramblewood.archive.ballots import CONFIG, REGISTERS, TABLE, Ballots
+from bramblewood.archive.ballots import CONFIG, TABLE, Ballots
 from bramblewood.archive.placement import Placement
 from bramblewood.archive.program import Archive
 from bramblewood.archive.roll import READY, Row
 from bramblewood.catalogue.bootfile import Bounds, Settings
 from bramblewood.catalogue.edition import edition_of
 from bramblewood.catalogue.spans import SLOW_CLOCK, SURE, TRAVEL, WORD
-from bramblewood.catalogue.table import KEYS, OLD, WORKER
+from bramblewood.catalogue.table import OLD, WORKER
 from bramblewood.desk.program import Desk
 from bramblewood.lab.operator import configuration
 
@@ -49,7 +50,7 @@
         super().__init__()
         self._selector = types.SimpleNamespace(select=lambda timeout: [], close=lambda: None)
         self.set_exception_handler(self.fault)
-        self.running = set()
+        self.running, self.halts = set(), None
 
     def time(self):
         return self.play.now
@@ -82,6 +83,8 @@
         try:
             while self._ready or self._scheduled and self._scheduled[0].when() <= self.time():
                 self._run_once()
+                if self.halts is not None and self.halts():  # frozen amid a turn
+                    return
         finally:
             asyncio._set_running_loop(None)
 
@@ -91,13 +94,13 @@
 
     def __init__(self, wire, node, peer):
         self.wire, self.node, self.peer = wire, node, peer
-        self.role, self.about, self.sent = "", -1, {}
+        self.role, self.about, self.sent, self.next_at = "", -1, {}, 0.0
         self.queue = []  # what waits to arrive at the other end: (when, message, when sent, newest heard)
 
     def send(self, message):
         if self.wire.stands:
             text = message if isinstance(message, str) else json.dumps(message)
-            due = self.node.play.now + self.node.play.dice.uniform(*WAYS)
+            due = self.node.play.now + self.node.play.dice.uniform(*self.node.play.ways)
             due = max(due, self.queue[-1][0]) if self.queue else due
             heard = self.node.heard.get(self.peer or self.wire.dialler.name, 0.0)
             self.queue.append((due, text, self.node.play.now, heard))
@@ -117,8 +120,11 @@
     def lost(self):
         if not self.stands:
             return
-        self.stands = False
         dialler, acceptor = self.dialler, self.acceptor
+        for end, target in self.ways():
+            if target.frozen:  # what has come is read after the thaw
+                self.take(end, target)
+        self.stands = False
         if dialler.links.up.get(acceptor.name) is self.near:
             del dialler.links.up[acceptor.name]
             dialler.tell(acceptor.name, False)
@@ -126,22 +132,30 @@
             acceptor.loop.call_soon(acceptor.program.left, self.far)
         dialler.links.again[acceptor.name] = dialler.play.now + REDIAL
 
+    def ways(self):
+        return ((self.near, self.acceptor), (self.far, self.dialler))
+
     def carry(self, now):
         """Hand on what has arrived."""
-        for end, target in ((self.near, self.acceptor), (self.far, self.dialler)):
+        for end, target in self.ways():
             if not end.queue or now < end.queue[0][0]:
                 continue
-            if end.node.play.cut(end.node.name, target.name):
-                if now > end.queue[0][0] + end.node.play.patience:
+            play = self.dialler.play
+            if play.cut(end.node.name, target.name):
+                if now > end.queue[0][0] + play.patience:
                     return self.lost()
                 continue
-            if target.frozen:
-                continue
-            while end.queue and now >= end.queue[0][0]:
-                _, text, sent, heard = end.queue.pop(0)
-                target.heard[end.node.name] = sent
-                target.back[end.node.name] = max(heard, target.back.get(end.node.name, 0.0))
-                self.bring(end, target, json.loads(text))
+            if not target.frozen and now >= end.next_at:
+                end.next_at = now + play.slow.get(target.name, 0.0)
+                self.take(end, target, 1 if target.name in play.slow else len(end.queue))
+
+    def take(self, end, target, most=1000):
+        while most and end.queue and target.play.now >= end.queue[0][0]:
+            _, text, sent, heard = end.queue.pop(0)
+            target.heard[end.node.name] = sent
+            target.back[end.node.name] = max(heard, target.back.get(end.node.name, 0.0))
+            self.bring(end, target, json.loads(text))
+            most -= 1
 
     def bring(self, end, target, message):
         if end is self.far:
@@ -197,7 +211,7 @@
         self.loop, self.links = Loop(play), Wires(self)
         self.lives, self.began, self.heard, self.back = self.lives + 1, play.now, {}, {}
         ports = {"Control": (self.name, 3)} if self.kind is Archive else {"Front": (self.name, 3)}
-        seeds = tuple(f"{name}:3" for name in archives)
+        seeds = tuple(f"{name}:3" for name in play.voters)
         told = Settings(
             self.name, self.name, "z", (1, 2), seeds, first, None, BEAT, ports, 2**28, 100, Bounds()
         )
@@ -225,7 +239,7 @@
         """What a start does, with the voters known."""
         made.archives = set(self.play.archives) - {self.name}
         made.born, made.started, made.calls, made.shelf = True, self.play.now, Calls(self), self
-        made.ballots = Ballots(self.name, self.play.archives, self.lives, dict(self.registers), True)
+        made.ballots = Ballots(self.name, self.play.voters, self.lives, dict(self.registers), True)
         made.placement = Placement(self.play.now, BEAT, False)
 
     def write(self, rows, facts, done):
@@ -279,6 +293,9 @@
 
     async def __aenter__(self):
         play = self.node.play
+        play.touch(self.node.name, self.node)
+        if self.kind == "grant" and play.now > self.node.touched_at + WORD + LATE:
+            raise Broken(f"{self.node.name} grants at {play.now:.2f}, apart since {self.node.touched_at:.2f}")
         await asyncio.sleep(play.dice.uniform(*WAYS))
         worker = play.workers.get(self.address.partition(":")[0])
         if worker is None or worker.ended or play.cut(self.node.name, worker.name):
@@ -359,11 +376,12 @@
 
 
 class Play:
-    def __init__(self, seed, count=5, desks=2, start=100.0, workers=4):
-        self.dice, self.now, self.patience = random.Random(seed), start, PATIENCE
-        self.archives = tuple("abcde"[:count])
+    def __init__(self, seed, count=5, desks=2, spares=0):
+        self.dice, self.now, self.patience, self.ways = random.Random(seed), 100.0, PATIENCE, WAYS
+        self.voters = tuple("abcde"[:count])
+        self.archives = self.voters + tuple("xyz"[:spares])  # callers don't tell them apart
         self.wires, self.cuts, self.later, self.answers = [], {}, [], {}
-        self.workers = {}
+        self.workers, self.slow = {}, {}  # by machine: s for each message that comes there
         self.acked, self.refused, self.tried = {}, {}, 0  # configurations by number: when, digest
         self.leaves = []  # (life, when it was acknowledged)
         self.plenty = {}  # how often what the judges look at has come about
@@ -373,7 +391,7 @@
         self.nodes |= {f"d{i}": Node(self, f"d{i}", Desk) for i in range(desks)}
         for node in self.nodes.values():
             node.start(True)
-        for i in range(workers):
+        for i in range(4):
             self.workers[f"w{i}"] = Worker(self, f"w{i}")
 
     def count(self, what):
@@ -396,9 +414,20 @@
 
     def freeze(self, name, span):
         node = self.nodes[name]
-        node.frozen = True
+        node.frozen, node.loop.halts = True, None
         self.later.append((self.now + span, self.thaw, (node, node.lives)))
 
+    def freeze_when(self, name, found, span):
+        """Freeze a machine amid a turn, once this is so."""
+        node = self.nodes[name]
+
+        def halts():
+            if found(node.program):
+                self.freeze(name, span)
+            return node.frozen
+
+        node.loop.halts = halts
+
     def thaw(self, node, life):
         if node.program is not None and node.lives == life:
             node.frozen, node.thawed_at = False, self.now
@@ -438,10 +467,10 @@
                 self.refused[digest] = number
                 self.count("orders refused")
 
-    def put(self, name):
+    def put(self, name, newest=False):
         """An order on what the operator believes to stand, or on an older one."""
         parent = max(self.acked, default=0)
-        if self.dice.random() < 0.2:
+        if not newest and self.dice.random() < 0.2:
             parent = self.dice.choice([0, *self.acked])
         self.tried += 1
         number = max(parent, max(self.acked, default=0)) + self.tried % 3 + 1
@@ -491,7 +520,7 @@
     def touch(self, name, node):
         """What this archive said until `touched_at` has come to a majority, and an answer from there back."""
         node.back[name] = self.now
-        there = [node.back.get(one, 0.0) for one in self.archives]
+        there = [node.back.get(one, 0.0) for one in self.voters]
         node.touched_at = sorted(there, reverse=True)[len(there) // 2]
 
     def judge_answer(self, node, command, answer, asked, known):
@@ -512,8 +541,8 @@
                 raise Broken(f"{what}: r{number}, r{known} was acknowledged before it was asked")
         leaving = isinstance(command, TakeLeave) or isinstance(command, Register) and command.leaving
         if leaving:
-            held = [name for name in self.archives if self.holds(name, command.life)]
-            if len(held) <= len(self.archives) // 2:
+            held = [name for name in self.voters if self.holds(name, command.life)]
+            if len(held) <= len(self.voters) // 2:
                 raise Broken(f"{what}: {command.life}'s leave is held by {held}")
             self.leaves.append((command.life, self.now))
             self.later.append((self.now + DRAIN, self.judge_desks, (command.life, self.now)))
@@ -539,7 +568,7 @@
         for other in self.workers.values():
             if other is worker or other.ended:
                 continue
-            for start, (end, fence, until) in other.held.items():
+            for start, (end, _, until) in other.held.items():
                 if start <= last and first <= end and until > self.now:
                     raise Broken(
                         f"{worker.name} is granted {first}-{last} at {self.now:.2f}, "
@@ -574,7 +603,8 @@
         if made is None:
             return
         ready, had = made.contact.ready, self.seen.get(name, (0, False, 0, 0))
-        if had[0] == node.lives and any(now < then for now, then in zip(made.have().values(), had[2:])):
+        have = tuple(made.have().values())
+        if had[0] == node.lives and any(now < then for now, then in zip(have, had[2:], strict=True)):
             raise Broken(f"{name} goes back at {self.now:.2f}: {had} to {made.have()}")
         if ready and not (had[0] == node.lives and had[1]):
             self.count("desks ready")
@@ -586,7 +616,7 @@
                 row = made.steering.roll.rows.get(life)
                 if at < bound and row is not None and row.phase == READY:
                     raise Broken(f"{name} is ready at {self.now:.2f}, and knows not that {life} left")
-        self.seen[name] = (node.lives, ready, *made.have().values())
+        self.seen[name] = (node.lives, ready, *have)
 
     # --- the run
 
@@ -627,54 +657,216 @@
 
 
 def trouble(play):
-    """One draw of trouble for some seconds; never all at once, so that there are things to hand out."""
-    dice, archives = play.dice, list(play.archives)
-    dice.shuffle(archives)
-    few = len(archives) // 2
+    """One draw of trouble for some seconds; never at all voters at once, so that there is something to hand
+    out.
+    """
+    dice, voters = play.dice, list(play.voters)
+    dice.shuffle(voters)
+    few = len(voters) // 2
     span, kind = dice.choice([0.7, 3.0, 6.0, 20.0]), dice.randrange(9)
     play.patience = dice.choice([PATIENCE, 30.0])
     if kind < 4:  # one, or two that are cut off together
-        play.part(archives[: dice.randint(1, few)], play.now + span, ("both", "in", "out", "both")[kind])
+        play.part(voters[: dice.randint(1, few)], play.now + span, ("both", "in", "out", "both")[kind])
     elif kind < 6:
-        play.freeze(archives[0], span)
+        play.freeze(voters[0], span)
     elif kind == 6:
-        play.restart(archives[0])
+        play.restart(voters[0])
     elif kind == 7:
         play.part(["d0"], play.now + span, dice.choice(["both", "in", "out"]))
     else:
         play.restart("d1")
-        play.part(archives[:few], play.now + span)
+        play.part(voters[:few], play.now + span)
     return span
 
 
-def storm(seed, count=5, seconds=60.0):
-    """A minute of trouble, one after the other and at times two at once, with orders and leaves meanwhile."""
-    play = Play(seed, count)
-    dice, until, next_trouble, next_order, next_move = play.dice, play.now + seconds, 0.0, 0.0, 0.0
-    play.run(2.0)
+def begun(seed, count=5, spares=0, patience=PATIENCE):
+    """A play with its first configuration in force."""
+    play = Play(seed, count, spares=spares)
+    play.patience = patience
+    play.run(1.5 + play.dice.random())
     play.put("a")
+    play.run(1.5)
+    return play
+
+
+def leave(play):
+    """One worker begins to leave, another comes."""
+    here = [worker for worker in play.workers.values() if worker.phase == READY]
+    if len(here) > 3:
+        leaver = play.dice.choice(here)
+        leaver.phase, leaver.next_at = "draining", play.now
+    name = f"w{len(play.workers)}"
+    play.workers[name] = Worker(play, name)
+    return name
+
+
+def storm(seed, count=5, seconds=60.0):
+    """Trouble upon trouble, at times two at once, with orders, moves and leaves meanwhile."""
+    play = begun(seed, count, spares=seed % 2)
+    dice, until = play.dice, play.now + seconds
+    next_trouble = next_order = next_move = next_leave = play.now
+    while play.now < until:
+        if play.now >= next_trouble:
+            next_trouble = play.now + trouble(play) * dice.choice([0.5, 1.2])
+        if play.now >= next_order:
+            next_order = play.now + dice.choice([0.05, 0.5, 1.0])
+            (play.put if dice.random() < 0.4 else play.get)(dice.choice(play.archives))
+        if play.now >= next_move:
+            next_move = play.now + dice.uniform(0.2, 2.0)
+            play.move(dice.choice(play.archives))
+        if play.now >= next_leave:
+            next_leave = play.now + dice.uniform(2.0, 8.0)
+            leave(play)
+        play.step()
+    play.end()
+    return play
+
+
+def twenty(seed, some, way, count=5, spares=0):
+    """These machines are cut off, or frozen, for twenty seconds; orders, reads and leaves go on at all
+    machines, most of them at these.
+    """
+    play = begun(seed, count, spares, seed % 2 and PATIENCE or 30.0)
+    some = list(some)
+    play.run(play.dice.random())
+    for name in some:
+        if way == "frozen":
+            play.freeze(name, 20.0)
+    if way != "frozen":
+        play.part(some, play.now + 20.0, way)
+    until, step = play.now + 23.0, 0
+    while play.now < until:
+        step += 1
+        if step % 20 == 0:
+            name = play.dice.choice([*some, *play.archives])
+            (play.put if play.dice.random() < 0.5 else play.get)(name)
+        if step % 300 == 0:
+            leave(play)
+            for worker in play.workers.values():
+                worker.at = play.dice.choice(some)  # those that still call there
+        play.step()
+    play.end()
+    return play
+
+
+def thaw(seed):
+    """An archive is frozen amid rounds that readers wait for, while others go on."""
+    play = begun(seed, 3)
+    for _ in range(4):
+        for _ in range(5):
+            play.get("a")
+            play.run(0.01)
+        play.freeze("a", 4.0)
+        play.run(0.5)
+        play.put("b")
+        play.run(4.5)
+    play.end()
+    return play
+
+
+def halted(seed):
+    """The scribe is frozen between the look at its word and the calls that rest on it."""
+    play = begun(seed, 3)
+    for _ in range(3):
+        play.freeze_when("a", lambda made: made.holds.out, 5.0)
+        play.run(8.0)
+    play.end()
+    return play
+
+
+def unheard(seed):
+    """A voter accepts what then is chosen, and hears of that from nobody: its links to the other that would
+    tell it are too slow for rounds, though not for pulses.
+    """
+    play = begun(seed, 3)
+    node, before = play.nodes["a"], play.nodes["a"].program.ballots.acceptors[CONFIG].accepted
+    play.patience = 30.0
+    play.put("c", newest=True)
+    play.part(["b"], play.now + 0.6, "in")
+    while node.program.ballots.acceptors[CONFIG].accepted == before:
+        play.step()
+    for other in "ab":
+        play.cuts["c", other] = play.now + 20.0
+    play.cuts.pop(("a", "b"), None)
+    play.ways = (0.15, 0.16)
+    play.run(5.0)
+    play.end()
+    return play
+
+
+def slow(seed):
+    """A desk starts behind links that bring what archives said later and later, while orders go on."""
+    play = begun(seed, 3)
+    play.restart("d1", 0.1)
+    play.slow["d1"] = 0.5 + 0.2 * play.dice.random()
+    for _ in range(30):
+        play.put("a", newest=True)
+        play.run(0.5)
+    play.slow.clear()
     play.run(2.0)
-    next_trouble = play.now
-    next_leave = play.now + 5.0
-    try:
-        while play.now < until:
-            if play.now >= next_trouble:
-                next_trouble = play.now + trouble(play) * dice.choice([0.5, 1.2])
-            if play.now >= next_order:
-                next_order = play.now + dice.choice([0.05, 0.5, 1.0])
-                (play.put if dice.random() < 0.4 else play.get)(dice.choice(play.archives))
-            if play.now >= next_move:
-                next_move = play.now + dice.uniform(0.2, 2.0)
-                play.move(dice.choice(play.archives))
-            if play.now >= next_leave:
-                next_leave = play.now + dice.uniform(2.0, 8.0)
-                here = [worker for worker in play.workers.values() if worker.phase == READY]
-                if len(here) > 3:
-                    leaver = dice.choice(here)
-                    leaver.phase, leaver.next_at = "draining", play.now
-                name = f"w{len(play.workers)}"
-                play.workers[name] = Worker(play, name)
-            play.step()
-    finally:
-        play.end()
+    play.end()
+    return play
+
+
+def forgot(seed):
+    """All archives start anew at once just after a leave; an older call arrives late, and a desk starts."""
+    play = begun(seed, 3)
+    name = sorted(play.workers)[seed % 4]
+    worker = play.workers[name]
+    old = Register(name, Row("s", f"{name}:1", "z", SLOTS, READY, worker.seq))
+    worker.phase, worker.next_at = "draining", play.now
+    while not worker.acknowledged:
+        play.step()
+    worker.next_at = play.now + 20.0  # it calls no more of itself
+    play.nodes["d1"].stop()
+    for one in play.archives:
+        play.restart(one, 0.2)
+    play.run(0.8)
+    play.call("a", old, [None])
+    play.run(0.2)
+    play.nodes["d1"].start(False)
+    play.run(5.0)
+    play.end()
+    return play
+
+
+def stranger(seed):
+    """A worker takes leave at an archive that has never heard of it, as it was cut off; then it is healed."""
+    play = begun(seed, 3)
+    play.part(["a"], play.now + 3.0)
+    name = leave(play)
+    play.workers[name].at, play.workers[name].next_at = "b", play.now
+    play.run(2.9)
+    play.nodes["a"].stop()
+    play.nodes["a"].start(False)
+    play.call("a", TakeLeave(name), [None])
+    play.workers[name].ended = True
+    play.run(4.0)
+    play.end()
+    return play
+
+
+def aside(seed):
+    """Two archives don't hear each other, a third hears both; a worker leaves at one of the two."""
+    play = begun(seed, 3)
+    play.patience = play.dice.choice([PATIENCE, 30.0])
+    play.cuts["a", "c"] = play.cuts["c", "a"] = play.now + 20.0
+    play.run(play.dice.random())
+    name = sorted(play.workers)[seed % 4]
+    play.workers[name].phase, play.workers[name].at = "draining", "c"
+    play.workers[name].next_at = play.now
+    play.run(5.0)
+    play.end()
+    return play
+
+
+def behind(seed):
+    """A configuration comes to two of three, while tables still come to the third."""
+    play = begun(seed, 3)
+    acceptor = play.nodes["a"].program.ballots
+    play.run(play.dice.random())
+    with mock.patch.object(acceptor, "learn", lambda register, *told: None):
+        play.put("b", newest=True)
+        play.run(3.0)
+    play.end()
     return play
--- a/tests/withdrawal_play.py
+++ b/tests/withdrawal_play.py
@@ -42,6 +42,7 @@
         self.archives = {name: Withdrawals(SILENT) for name in "ab"}
         self.desks = {f"d{i}": Desk(1) for i in range(3)}
         self.roll, self.begun, self.outs, self.plans = Roll(), 0, 0, 0
+        self.late = []  # proposals of archives that are slow or were frozen: (when, change)
         for name in WORKERS:
             self.roll.merge(100.0, name, Row("s", f"{name}:1", "z", 2, "ready", 1))
 
@@ -99,7 +100,10 @@
         if self.careless == "work":
             machine.under_way = lambda *_: {}
         if change := machine.step(self.now, view, self.roll, rooms):
-            self.change(change(self.value))
+            if self.dice.random() < 0.1:
+                self.late.append((self.now + 10 * self.dice.random(), change))
+            else:
+                self.change(change(self.value))
 
     def keys(self):
         """The planner moves what a closing worker holds, and the old holder lets go a while later."""
@@ -140,6 +144,9 @@
             self.operator()
             for name in self.archives:
                 self.archive(name)
+            for _, change in [one for one in self.late if one[0] <= self.now]:
+                self.change(change(self.value))
+            self.late = [one for one in self.late if one[0] > self.now]
             self.keys()
             for name, desk in self.desks.items():
                 self.desk(name, desk)
