--- a/features/steps/contact.py
+++ b/features/steps/contact.py
@@ -31,7 +31,7 @@
 
 async def no_row(self, command):
     if isinstance(command, TakeLeave) and command.life not in self.roll.rows:
-        return program.answer(200)
+        return program.answer(200 if self.contact(self.loop.time()) else 503)
     return await obey(self, command)
 
 
--- a/tests/contact_play.py
+++ b/tests/contact_play.py
@@ -433,8 +433,9 @@
             node.frozen, node.thawed_at = False, self.now
 
     def restart(self, name, after=0.3):
-        self.nodes[name].stop()
-        self.later.append((self.now + after, self.nodes[name].start, (False,)))
+        if self.nodes[name].program is not None:
+            self.nodes[name].stop()
+            self.later.append((self.now + after, self.nodes[name].start, (False,)))
 
     # --- callers
 
@@ -651,19 +652,26 @@
         return self
 
     def end(self):
+        """What was acknowledged is in force or was, and nothing that was refused."""
         for node in self.nodes.values():
-            if node.program is not None:
-                node.end()
+            if node.program is None:
+                continue
+            value = node.program.ballots.value(CONFIG) if node.kind is Archive else None
+            past = value["past"] if value else {}
+            for number, digest in past.items():
+                if digest in self.refused or self.acked.get(int(number), (0.0, digest))[1] != digest:
+                    raise Broken(f"r{number} at {node.name} was refused, or is another than was acknowledged")
+            if missing := [n for n in self.acked if past and n <= value["n"] and str(n) not in past]:
+                raise Broken(f"{missing} were acknowledged, and {node.name} knows them not")
+            node.end()
 
 
 def trouble(play):
-    """One draw of trouble for some seconds; never at all voters at once, so that there is something to hand
-    out.
-    """
+    """One draw of trouble for some seconds."""
     dice, voters = play.dice, list(play.voters)
     dice.shuffle(voters)
     few = len(voters) // 2
-    span, kind = dice.choice([0.7, 3.0, 6.0, 20.0]), dice.randrange(9)
+    span, kind = dice.choice([0.7, 3.0, 6.0, 20.0]), dice.randrange(10)
     play.patience = dice.choice([PATIENCE, 30.0])
     if kind < 4:  # one, or two that are cut off together
         play.part(voters[: dice.randint(1, few)], play.now + span, ("both", "in", "out", "both")[kind])
@@ -673,6 +681,9 @@
         play.restart(voters[0])
     elif kind == 7:
         play.part(["d0"], play.now + span, dice.choice(["both", "in", "out"]))
+    elif kind == 8:
+        for name in voters:
+            play.restart(name, 0.2 + 0.3 * dice.random())
     else:
         play.restart("d1")
         play.part(voters[:few], play.now + span)
@@ -831,16 +842,17 @@
 
 
 def stranger(seed):
-    """A worker takes leave at an archive that has never heard of it, as it was cut off; then it is healed."""
+    """A worker takes leave at an archive that has never heard of it, and does not hear the one that has."""
     play = begun(seed, 3)
-    play.part(["a"], play.now + 3.0)
+    play.cuts["a", "b"] = play.cuts["b", "a"] = play.now + 20.0
+    play.run(play.dice.random())
     name = leave(play)
-    play.workers[name].at, play.workers[name].next_at = "b", play.now
-    play.run(2.9)
-    play.nodes["a"].stop()
-    play.nodes["a"].start(False)
+    worker = play.workers[name]
+    worker.at, worker.next_at = "b", play.now
+    play.run(0.5)
+    assert name not in play.nodes["a"].program.roll.rows
+    worker.ended = True
     play.call("a", TakeLeave(name), [None])
-    play.workers[name].ended = True
     play.run(4.0)
     play.end()
     return play
