--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -732,12 +732,15 @@
         elif kind == "roll":
             newer = self.take_rows(message["rows"], link.peer)
             if "id" in message:
-                self.links.send(link.peer, {"k": "rolled", "id": message["id"], "rows": newer})
+                epoch = self.ballots.epoch if self.ballots.voting else -1
+                self.links.send(
+                    link.peer, {"k": "rolled", "id": message["id"], "rows": newer, "epoch": epoch}
+                )
             elif newer:
                 self.links.send(link.peer, {"k": "roll", "rows": newer})
         elif kind == "rolled":
             self.take_rows(message["rows"], link.peer)
-            self.leaves.held(message["id"], link.peer)
+            self.leaves.held(message["id"], link.peer, message["epoch"])
             self.look_leaves()
         elif kind == "home":
             self.home(link, message)
@@ -851,7 +854,9 @@
                 if path == "/plan":
                     return await self.planned(plan_call(body))
                 return await self.seated(members_call(body))
-            return self.view(path)
+            view = self.view(path)  # what this archive knows, rounds or not
+            view.headers["X-Local-View"] = f"{self.me}; whole={int(self.whole(self.loop.time()))}"
+            return view
         body = b""
         bound = most(method, path)
         async for chunk in request.content.iter_chunked(2**16):
@@ -1076,7 +1081,8 @@
 
     def held(self, number: int) -> bool:
         now = self.loop.time()
-        return self.leaves.confirmed(now, number, self.ballots.voters, self.contact(now))
+        ballots = self.ballots
+        return self.leaves.confirmed(now, number, ballots.voters, ballots.epoch, self.contact(now))
 
     def look_leaves(self) -> None:
         for number, waiting in self.confirms.items():
