--- a/bramblewood/archive/program.py
+++ b/bramblewood/archive/program.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import os
 import signal
 from typing import Any
@@ -665,6 +666,7 @@
             "role": "archive",
             "from": self.me,
             "rows": self.rows(),
+            "ages": self.roll.ages(self.loop.time(), math.inf),
         }
 
     def seeds_again(self) -> None:
@@ -682,7 +684,7 @@
         link.peer, link.role = str(message["from"]), message["role"]
         if link.role == "archive":
             self.know(link.peer)
-            self.take_rows(message.get("rows", {}), link.peer)
+            self.take_rows(message.get("rows", {}), link.peer, message.get("ages"))
             return
         self.desks[link.peer] = link
         self.withdrawals.anew(link.peer)
@@ -792,12 +794,12 @@
                 heat, keys = message["heat"].get(service, {}), by_key.get(service, {})
                 self.placement.report(now, service, link.peer, heat, keys, over, some)
 
-    def take_rows(self, rows: dict, sender: str = "") -> dict[str, list]:
+    def take_rows(self, rows: dict, sender: str = "", ages: dict | None = None) -> dict[str, list]:
         """Take rows that another manager sent; those of its workers that leave of which we have a newer word.
 
         News of a leave goes on to the other archives, as its sender may reach but some of them.
         """
-        news, newer = self.roll.take(self.loop.time(), rows)
+        news, newer = self.roll.take(self.loop.time(), rows, ages)
         if news:
             self.tell_desks(news)
         if leaving := {life: row for life, row in news.items() if Row(*row).phase != READY}:
--- a/bramblewood/archive/roll.py
+++ b/bramblewood/archive/roll.py
@@ -61,17 +61,24 @@
                     and (was := self.rows.get(before))
                     and was.phase != GONE
                 ):
-                    # a new life at this address: the one before it has ended
-                    self.rows[before] = was._replace(phase=GONE)
-                    self.since[before] = now
+                    # of two lives at one address the one that was heard last is the newer
+                    older = life if self.heard.get(before, 0.0) > self.heard[life] else before
+                    self.rows[older] = self.rows[older]._replace(phase=GONE)
+                    self.since[older] = now
+                    if older == life:
+                        return True
                 self.homes[row.address] = life
         return news
 
-    def take(self, now: float, rows: dict[str, list]) -> tuple[dict[str, list], dict[str, list]]:
-        """Rows that another manager sent: those that were news here, and of workers that leave those that it
-        has an older word of.
+    def take(
+        self, now: float, rows: dict[str, list], ages: dict[str, float] | None = None
+    ) -> tuple[dict[str, list], dict[str, list]]:
+        """Rows that another manager sent; ages: how long ago it heard of them, 0 s where that is not told.
+        Those that were news here, and of workers that leave those that it has an older word of.
         """
-        news = {life: row for life, row in rows.items() if self.merge(now, life, Row(*row))}
+        ages = ages or {}
+        taken = [life for life, row in rows.items() if self.merge(now, life, Row(*row), ages.get(life, 0.0))]
+        news = {life: [*self.rows[life]] for life in taken}
         ours = {life: self.rows[life] for life in rows}
         newer = {
             life: [*row]
--- a/features/sessions.feature
+++ b/features/sessions.feature
@@ -17,3 +17,6 @@
     And at 10 its word on ballot 5 holds until 10.9
     When b gave back the stamp 9.95 at 10.1, with ballot 5 accepted
     Then at 10.1 its word on ballot 4 holds until 0
+
+  Scenario: Of two lives at one address the one that was heard last stands, whoever is told of it first
+    Then a life that ended while its archive was cut off does not end the one that came after it
--- a/features/steps/contact.py
+++ b/features/steps/contact.py
@@ -23,8 +23,8 @@
     return len(self.rounds[number][1]) > 0
 
 
-def no_forwarding(self, rows, sender=""):
-    news, newer = self.roll.take(self.loop.time(), rows)
+def no_forwarding(self, rows, sender="", ages=None):
+    news, newer = self.roll.take(self.loop.time(), rows, ages)
     self.tell_desks(news)
     return newer
 
--- a/features/steps/sessions.py
+++ b/features/steps/sessions.py
@@ -1,6 +1,7 @@
 from behave import given, then, when
 
 from bramblewood.archive.ballots import NONE, TABLE
+from bramblewood.archive.roll import GONE, READY, Roll, Row
 from bramblewood.archive.sessions import Sessions
 
 ABOUT = {"voters": ["a", "b", "c"], "archives": ["a", "b", "c"], "desks": ["d1"]}
@@ -43,3 +44,18 @@
     voters, known = {name: name for name in "abc"}, {TABLE: (1, ballot, "b", 1)}
     found = context.sessions.word_until(now, voters, 1, known, {TABLE: NONE})
     assert abs(found - until) < 1e-9, found
+
+
+@then("a life that ended while its archive was cut off does not end the one that came after it")
+def healed(context):
+    cut, others = Roll(), Roll()  # told at 12 of each other's rows, as the cut heals
+    cut.merge(1.0, "old", Row("s", "10.0.0.9:1", "z", 1, READY, 3))
+    others.merge(11.0, "new", Row("s", "10.0.0.9:1", "z", 1, READY, 1))
+    sent = {name: ({life: [*row] for life, row in roll.rows.items()}, roll.ages(12.0, 60.0))
+            for name, roll in (("cut", cut), ("others", others))}  # fmt: skip
+    news, _ = others.take(12.0, *sent["cut"])
+    cut.take(12.0, *sent["others"])
+    for roll in (cut, others):
+        assert {life: row.phase for life, row in roll.rows.items()} == {"old": GONE, "new": READY}
+        assert roll.homes["10.0.0.9:1"] == "new"
+    assert Row(*news["old"]).phase == GONE  # as it is told on
