--- a/features/contact.feature
+++ b/features/contact.feature
@@ -20,7 +20,7 @@
       | ab   | 5     | frozen |
 
   Scenario: Trouble upon trouble
-    Then 1 storms of 20 s among five archives and 1 among three keep the rules
+    Then 1 storms of 10 s among five archives and 1 among three keep the rules
 
   Scenario Outline: Directed plays, and each guard taken out
     Then 1 plays of "<play>" keep the rules
