--- a/bramblewood/archive/membership.py
+++ b/bramblewood/archive/membership.py
@@ -201,7 +201,7 @@
             "state": self.state(members, me, peers[me]),
             "members": {name: shown(name) for name in sorted(voters)},
             "others": {name: shown(name) for name in sorted(peers.keys() - voters.keys())},
-            "tolerance": (enough(self.tolerance) - 1) // 2,
+            "tolerance": self.tolerance.losses,
             "margin": self.margin(members, peers),
         }
 
--- a/bramblewood/archive/quorums.py
+++ b/bramblewood/archive/quorums.py
@@ -35,8 +35,8 @@
 
 
 def enough(tolerance: Tolerance) -> int:
-    """Voters of whom a majority is left, where no two stand in a zone or region that may go whole."""
-    return 2 * max(tolerance.machines, tolerance.zones, tolerance.regions) + 1
+    """Voters of whom a majority is left after these losses."""
+    return 2 * tolerance.losses + 1
 
 
 def first_voters(
--- a/bramblewood/catalogue/bootfile.py
+++ b/bramblewood/catalogue/bootfile.py
@@ -57,6 +57,11 @@
     zones: int = 0
     regions: int = 0
 
+    @property
+    def losses(self) -> int:
+        """Voters that may be away at once, where no two stand in a zone or region that may go whole."""
+        return max(self.machines, self.zones, self.regions)
+
 
 @dataclass(frozen=True)
 class Bounds:
@@ -108,11 +113,6 @@
         """The port at which archives hear other managers; the same on all machines."""
         return self.ports[0]
 
-    @property
-    def losses(self) -> int:
-        """Voters that may be away at once, where no two stand in a zone or region that may go whole."""
-        return max(self.tolerance.machines, self.tolerance.zones, self.tolerance.regions)
-
     def seed_ips(self) -> tuple[str, ...]:
         return tuple(seed.rpartition(":")[0] for seed in self.seeds)
 
--- a/features/steps/settings.py
+++ b/features/steps/settings.py
@@ -38,7 +38,7 @@
 
 def shown(told: Settings) -> str:
     bounds = {name: value for name, value in vars(told.bounds).items() if value != getattr(Bounds, name)}
-    kept = {"bounds": bounds, "tolerance": vars(told.tolerance), "losses": told.losses}
+    kept = {"bounds": bounds, "tolerance": vars(told.tolerance), "losses": told.tolerance.losses}
     kept |= {"counted": told.counted, "seeds": told.seeds, "unread": told.unread}
     kept |= {"memory": told.memory, "descriptors": told.descriptors}
     return json.dumps(kept)
