Controllers notice damaged and diverging content: schema version 3 with checksums, damaged disks kept aside

Cause: of 60 single bytes changed in a controller's database 16 passed 'storage check' with other content, 'storage show' ended in a traceback on 17, and a controller with a changed byte answered other content under one version.

Change: every row has a CRC-32C over table, key and text; a register counts and sums its parts, 'totals' the facts and registers. A start reads and checks all; a damaged database is kept aside (damaged-N, at most three) and the controller goes on as a new member; damage met by a write, or content that differs from a majority's under the same proposal number (digests in heartbeats), ends the process with exit code 3, and the next start keeps the folder aside. Nothing is decided together with a controller whose content differs. Founding seeds that kept a database aside don't found again; with no voter set known anywhere the log says the way out.

The header's write-ahead flag is required of version 3 only.

--- a/bramblewood/common/messages/between_controllers.py
+++ b/bramblewood/common/messages/between_controllers.py
@@ -30,6 +30,8 @@
     controllers: list[str] | None = None
     proxies: list[str] | None = None  # names of those connected to the sender
     worker_ages: dict[str, float] | None = None  # s since workers were heard, of the last ones
+    # by register: the proposal number of what is safe on the sender's disk, and the digest of its content
+    digests: dict[str, tuple[tuple, int]] | None = None
 
     @classmethod
     def from_wire(cls, message: dict) -> "ControllerHeartbeat":
@@ -52,6 +54,7 @@
             message.get("archives"),
             message.get("desks"),
             message.get("heard"),
+            digests_from_wire(message.get("sums")),
         )
 
     def to_wire(self) -> dict[str, Any]:
@@ -77,12 +80,20 @@
             ("archives", self.controllers),
             ("desks", self.proxies),
             ("heard", self.worker_ages),
+            ("sums", self.digests),
         ):
             if value is not None:
                 made[key] = value
         return made
 
 
+def digests_from_wire(rows: dict[str, list] | None) -> dict[str, tuple[tuple, int]] | None:
+    """Digests by register; None where a heartbeat has none, as those of earlier releases."""
+    if rows is None:
+        return None
+    return {register: (tuple(number), digest) for register, (number, digest) in rows.items()}
+
+
 class RegistryAcknowledgement(NamedTuple):
     """A controller holds the registrations that it was sent, or newer ones."""
 
--- a/bramblewood/controller/controller_peers.py
+++ b/bramblewood/controller/controller_peers.py
@@ -109,6 +109,7 @@
             settings.counts_for_tolerance,
             sorted({self.runtime.own_address, *self.known}),
             sorted(self.proxy_sessions.connected),
+            dict(self.quorum_io.content_agreement.own.newest) or None,
         )
 
     def _for_peer(
@@ -131,4 +132,5 @@
             controllers=unsent.controllers,
             proxies=unsent.proxies,
             worker_ages=worker_ages,
+            digests=unsent.digests,
         )
--- a/bramblewood/controller/peer_handlers.py
+++ b/bramblewood/controller/peer_handlers.py
@@ -25,6 +25,7 @@
 from .consensus.messages import CONSENSUS_MESSAGE_KINDS
 from .consensus.proposal_number import NO_PROPOSAL
 from .consensus.registers import DATA_REGISTERS, TABLE
+from .content_watch import ContentWatch
 from .controller_peers import ControllerPeers
 from .load_reports import LoadReports
 from .proxy_feed import ProxyFeed
@@ -54,6 +55,7 @@
         chosen_values: ChosenValues,
         load_reports: LoadReports,
         worker_api: WorkerApi,
+        content_watch: ContentWatch,
     ) -> None:
         self.runtime, self.quorum_io, self.quorum_contact = runtime, quorum_io, quorum_contact
         self.sessions, self.controller_peers = sessions, controller_peers
@@ -61,6 +63,7 @@
         self.proxy_feed, self.proxy_sessions = proxy_feed, proxy_feed.proxy_sessions
         self.proxy_heartbeats, self.chosen_values = proxy_heartbeats, chosen_values
         self.load_reports, self.worker_api = load_reports, worker_api
+        self.content_watch = content_watch
         self.handlers = {
             kinds.HEARTBEAT: self.handle_heartbeat,
             kinds.REGISTRY_UPDATE: self.handle_registry_update,
@@ -114,6 +117,9 @@
         self.sessions.record_heartbeat(now, peer, heartbeat)
         if heartbeat.echo < 0:  # it has heard nothing of ours yet: at a start nobody waits for the next turn
             self.controller_peers.send_heartbeats(now, peer)
+        is_first_on_connection = heartbeat.zone is not None
+        if heartbeat.digests is not None or is_first_on_connection:  # before anything of it is believed
+            self.content_watch.record(peer, heartbeat.digests or {})
         self.registry.record_last_heard(now, heartbeat.worker_ages or {})
         self._learn_from_heartbeat(now, peer, heartbeat)
         self.chosen_values.refresh()
@@ -125,6 +131,8 @@
 
     def _learn_from_heartbeat(self, now: float, peer: str, heartbeat: ControllerHeartbeat) -> None:
         consensus, effects = self.quorum_io.consensus, no_effects()
+        if self.content_watch.agreement.differs_from(peer):
+            return
         if heartbeat.members is not None:
             consensus.adopt_voter_set(now, heartbeat.members, effects)
         for register, proposal_number in heartbeat.durable.items():
--- a/bramblewood/controller/quorum_io.py
+++ b/bramblewood/controller/quorum_io.py
@@ -17,6 +17,7 @@
 from .consensus.registers import DATA_REGISTERS
 from .consensus.replica import ConsensusReplica
 from .consensus.voter_set import founding_voters
+from .content_agreement import ContentAgreement
 from .runtime import TICK_INTERVAL, Runtime
 from .storage import Storage
 
@@ -31,13 +32,15 @@
     """The consensus replica of this controller, its writes under way, and proposals to its quorum.
 
     Invariant: nothing that rests on a write is sent or answered before the write is durable. Where a write
-    fails, its proposals are answered with None: their outcome is unclear.
+    fails, its proposals are answered with None: their outcome is unclear. Nothing is decided together with a
+    controller whose content differs from ours.
     """
 
     consensus: ConsensusReplica
 
     def __init__(self, runtime: Runtime, storage: Storage) -> None:
         self.runtime, self.storage = runtime, storage
+        self.content_agreement = ContentAgreement(storage.digests)
         self.incarnation = int.from_bytes(os.urandom(4), "big")
         self.pending_writes = PendingWrites({})
         self.writes_in_flight = 0
@@ -46,14 +49,20 @@
         self.on_epoch_changed: Callable[[], None] = lambda: None  # once it is on disk
         self.on_progress: Callable[[], None] = lambda: None  # after each step that may have chosen something
 
-    def restore(self, facts: dict[str, Any], registers: dict[str, tuple]) -> None:
-        """Begin from what the disk holds. An empty one is new, whether or not there was another before."""
+    def restore(
+        self, facts: dict[str, Any], registers: dict[str, tuple], replaces_damaged: bool = False
+    ) -> None:
+        """Begin from what the disk holds. An empty one is new, whether or not there was another before.
+
+        replaces_damaged: a damaged database was kept aside. Others may hold what was acknowledged since the
+        first boot, so this controller takes no part in founding the first voter set, whatever `FirstBoot` is.
+        """
         settings = self.runtime.settings
         voter_set, active_epoch = facts.get(VOTER_SET_FACT), facts.get(ACTIVE_EPOCH_FACT, -1)
         if voter_set is None and "voters" in facts:  # of form 1, which knew no epochs
             voter_set = {"n": 1, "voters": dict.fromkeys(facts["voters"], ""), "before": {}}
             active_epoch = 1 if "born" in facts else -1
-        elif voter_set is None and settings.first_boot and settings.ip in settings.seed_hosts():
+        elif voter_set is None and not replaces_damaged and self._is_founding_seed():
             voter_set, active_epoch = founding_voters(settings.seed_hosts()), 0
         disk = facts.get(DISK_FACT) or new_disk_name()
         self.consensus = ConsensusReplica(
@@ -63,6 +72,11 @@
         if voter_set is not None:
             self.pending_writes.facts[VOTER_SET_FACT] = voter_set
 
+    def _is_founding_seed(self) -> bool:
+        """Whether this controller takes part in the founding of the first voter set."""
+        settings = self.runtime.settings
+        return settings.first_boot and settings.ip in settings.seed_hosts()
+
     def versions(self) -> dict[str, int]:
         """The newest versions known to be chosen, by register."""
         return {register: self.consensus.version(register) for register in DATA_REGISTERS}
@@ -103,7 +117,9 @@
         return outcome if in_time else None
 
     def handle_consensus_message(self, peer: str, message: dict) -> None:
-        """Take a message of the consensus, in its wire form."""
+        """Take a message of the consensus, in its wire form; none of a peer whose content differs."""
+        if self.content_agreement.differs_from(peer):
+            return
         consensus = self.consensus
         self.execute(consensus.receive(self.runtime.now(), peer, message))
         rejection = consensus.take_last_rejection()
--- a/bramblewood/controller/row_encoding.py
+++ b/bramblewood/controller/row_encoding.py
@@ -13,12 +13,14 @@
 from typing import Any, Literal, NamedTuple
 
 from ..common.errors import BramblewoodError
-from .value_diff import PATCH_KEYS, REMOVE_KEYS, SET
+from .value_diff import MISSING, PATCH_KEYS, REMOVE_KEYS, SET
 
 VALUE = "value"
 ROWS_PER_BATCH = 1000  # decoded in one go: far fewer calls than one by one, far less memory than all
 MAX_DEPTH = 3  # keys to a slice of the table: "s", service, first key; one change is of so much at least
 ROOT_PATH = "[]"
+ENCODER = json.JSONEncoder(separators=(",", ":"))
+MAP_ROW = "{}"  # text of the row of a map whose keys have rows of their own
 
 PUT, CLEAR, DELETE = "put", "clear", "delete"
 
@@ -30,16 +32,20 @@
 
 
 class RowOperation(NamedTuple):
-    """PUT a row's text at a path; CLEAR the rows below a path; DELETE: the row at the path too."""
+    """PUT a row's text at a path; CLEAR the rows below a path; DELETE: the row at the path too.
+
+    replaced: the text that a PUT takes the place of, None where no row is there.
+    """
 
     kind: Literal["put", "clear", "delete"]
     path: str
     text: str = ""
+    replaced: str | None = None
 
 
 def to_json(value: Any) -> str:
     """The text of a row."""
-    return json.dumps(value, separators=(",", ":"))
+    return ENCODER.encode(value)
 
 
 def child_path(path: str, key: str) -> str:
@@ -56,35 +62,51 @@
     return ('["', "[#") if path == ROOT_PATH else (f"{path[:-1]},", f"{path[:-1]}-")
 
 
-def encode_rows(value: Any, path: str = ROOT_PATH, depth: int = 0) -> Iterator[RowOperation]:
-    """All rows of a value that lies at this path, each to be put."""
-    if not isinstance(value, dict) or depth == MAX_DEPTH:
-        yield RowOperation(PUT, path, to_json(value))
-        return
-    yield RowOperation(PUT, path, "{}")
-    for key, inner in value.items():
-        yield from encode_rows(inner, child_path(path, key), depth + 1)
+def has_rows_below(value: Any, depth: int) -> bool:
+    """Whether this value, so many keys deep, has a row for each of its keys."""
+    return isinstance(value, dict) and depth < MAX_DEPTH
+
+
+def row_text(value: Any, depth: int) -> str:
+    """The text of the row at a value's own path."""
+    return MAP_ROW if has_rows_below(value, depth) else to_json(value)
+
+
+def encode_rows(
+    value: Any, path: str = ROOT_PATH, depth: int = 0, old: Any = MISSING
+) -> Iterator[RowOperation]:
+    """All rows of a value that lies at this path, each to be put. Below the path there is no row; old: what
+    lies at the path itself.
+    """
+    replaced = None if old is MISSING else row_text(old, depth)
+    yield RowOperation(PUT, path, row_text(value, depth), replaced)
+    if has_rows_below(value, depth):
+        for key, inner in value.items():
+            yield from encode_rows(inner, child_path(path, key), depth + 1)
 
 
 def row_operations(
-    difference: dict[str, Any] | None, value: Any, path: str = ROOT_PATH, depth: int = 0
+    difference: dict[str, Any] | None, old: Any, value: Any, path: str = ROOT_PATH, depth: int = 0
 ) -> Iterator[RowOperation]:
-    """What a difference (`value_diff.difference`) changes of the rows; value: what it leads to.
+    """What a difference (`value_diff.difference`) changes of the rows; old: the value whose rows are there,
+    MISSING for none; value: what the difference makes of it.
 
     A row that is put again keeps its place.
     """
     if difference is None:
         return
     if SET in difference:
-        yield RowOperation(CLEAR, path)
-        yield from encode_rows(value, path, depth)
+        if has_rows_below(old, depth):
+            yield RowOperation(CLEAR, path)
+        yield from encode_rows(value, path, depth, old)
     elif depth == MAX_DEPTH:
-        yield RowOperation(PUT, path, to_json(value))
+        yield RowOperation(PUT, path, to_json(value), to_json(old))
     else:
         for key in difference.get(REMOVE_KEYS, ()):
             yield RowOperation(DELETE, child_path(path, key))
         for key, inner in difference[PATCH_KEYS].items():
-            yield from row_operations(inner, value[key], child_path(path, key), depth + 1)
+            inner_path = child_path(path, key)
+            yield from row_operations(inner, old.get(key, MISSING), value[key], inner_path, depth + 1)
 
 
 def decode_rows(rows: Iterable[tuple[str, str]]) -> Any:
--- a/bramblewood/controller/server.py
+++ b/bramblewood/controller/server.py
@@ -3,7 +3,6 @@
 import asyncio
 import signal
 from contextlib import AsyncExitStack
-from typing import Any
 
 from aiohttp import web
 from result import Err
@@ -14,8 +13,10 @@
 from ..common.worker_registry import WorkerRegistry
 from .chosen_values import ChosenValues
 from .consensus.effects import no_effects
+from .content_watch import ContentWatch
 from .controller_peers import KNOWN_CONTROLLERS_FACT, ControllerPeers
 from .coordinator_loop import CoordinatorLoop
+from .damaged_storage import mark_damaged, open_or_replace
 from .drain_progress import DrainProgress
 from .http_listener import HttpListener
 from .introspection import Introspection
@@ -37,6 +38,7 @@
 from .runtime import TICK_INTERVAL, Runtime
 from .sessions import Sessions
 from .storage import Storage
+from .storage_reader import StoredState
 from .voter_changes import VoterChanges
 from .worker_api import WorkerApi
 
@@ -44,6 +46,7 @@
 HOUSEKEEPING_INTERVAL = 0.5  # s, the policy's own turn
 LISTEN_BACKLOG = 512
 STORAGE_UNUSABLE = 2  # exit code
+STORAGE_DAMAGED = 3  # exit code: the next start keeps the database aside
 
 
 class Controller:
@@ -55,12 +58,14 @@
         self.sessions = Sessions(runtime.own_address)
         self.quorum_contact = QuorumContact(runtime, self.quorum_io, self.sessions)
         self.registry, self.proxy_sessions = WorkerRegistry(), ProxySessions()
+        self.content_watch = ContentWatch(runtime, self.quorum_io)
         self.registry_exchange = RegistryExchange(runtime, self.registry, self.proxy_sessions)
         self._build_peer_parts()
         self._build_coordinator()
         self._build_apis()
         self._connect_parts()
         self.next_housekeeping_at = 0.0
+        self.damage: str | None = None  # why this process is to end and its database to be kept aside
 
     def _build_peer_parts(self) -> None:
         self.controller_peers = ControllerPeers(
@@ -142,6 +147,7 @@
             self.chosen_values,
             LoadReports(self.coordinator_loop, self.drain_progress, self.outlier_detection),
             self.worker_api,
+            self.content_watch,
         )
         self.http_listener = HttpListener(
             runtime, self.peer_handlers, self.worker_api, self.operator_api, self.introspection
@@ -156,6 +162,7 @@
             None,
             runtime.settings.bind_ip,
         )
+        self.content_watch.on_divergence = self.handle_damage
         self.quorum_io.on_progress = self.chosen_values.refresh
         self.quorum_io.on_epoch_changed = self.handle_epoch_change
         self.proxy_feed.on_configuration_announced = lambda: self.proxy_heartbeats.send(runtime.now())
@@ -168,38 +175,58 @@
         self.coordinator_loop.placement = self.proxy_heartbeats.placement = planner
 
     async def run(self) -> int:
-        """Run until SIGTERM. Returns the exit code: 0, or 2 where the storage can't be opened."""
+        """Run until SIGTERM. Returns the exit code: 0, 2 where the storage can't be opened, 3 where it turned
+        out to be damaged, so that the controller is to be started again.
+        """
         runtime, loop = self.runtime, asyncio.get_running_loop()
         runtime.loop = loop
         storage = self.quorum_io.storage
-        found = await asyncio.to_thread(storage.open)
+        found = await asyncio.to_thread(open_or_replace, storage, runtime.log)
         if isinstance(found, Err):
-            runtime.log.error("storage unusable", step="open", problem=found.err_value)
+            runtime.log.error("storage unusable", step="open", problem=str(found.err_value))
             return STORAGE_UNUSABLE
-        self._restore(found.ok_value["facts"], found.ok_value["registers"])
+        self._restore(found.ok_value)
         loop.add_signal_handler(signal.SIGTERM, runtime.shutdown_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self.controller_peers.reread_seeds)
         async with AsyncExitStack() as resources:
             resources.callback(storage.close)
             await self._open_resources(resources)
             self._log_start()
-            while not self.voter_changes.may_shut_down(runtime.now()):
+            while self.damage is None and not self.voter_changes.may_shut_down(runtime.now()):
                 self.tick(runtime.now())
                 await self._wait_for_next_tick()
             self.quorum_io.consensus.stop_voting()  # who holds what we hold has been looked at
             runtime.log.info("stopped", step="end")
+        if self.damage is not None:
+            return await self._end_damaged(self.damage)
         return 0
 
-    def _restore(self, facts: dict[str, Any], registers: dict[str, tuple]) -> None:
+    def handle_damage(self, reason: str) -> None:
+        """The database turned out to be damaged: vote no more, and end."""
+        if self.damage is None:
+            self.damage = reason
+            self.quorum_io.consensus.stop_voting()
+            self.runtime.log.error("storage damaged", step="run", problem=reason)
+
+    async def _end_damaged(self, reason: str) -> int:
+        try:
+            await asyncio.to_thread(mark_damaged, self.quorum_io.storage.folder, reason)
+        except OSError as problem:
+            self.runtime.log.error("storage not marked", step="end", problem=str(problem))
+        return STORAGE_DAMAGED
+
+    def _restore(self, found: StoredState) -> None:
         """Go on from what the disk holds."""
         runtime, settings, loop = self.runtime, self.runtime.settings, self.runtime.loop
-        self.quorum_io.restore(facts, registers)
+        storage = self.quorum_io.storage
+        storage.on_damage = lambda problem: loop.call_soon_threadsafe(self.handle_damage, problem)
+        self.quorum_io.restore(found.facts, found.registers, storage.replaces_damaged)
         self.set_planner(
             PlacementPlanner(runtime.now(), settings.heartbeat_interval, settings.detect_hot_keys)
         )
-        self.quorum_io.storage.start(lambda done, problem: loop.call_soon_threadsafe(done, problem))
+        storage.start(lambda done, problem: loop.call_soon_threadsafe(done, problem))
         self.quorum_io.execute(no_effects())
-        known = facts.get(KNOWN_CONTROLLERS_FACT, ())
+        known = found.facts.get(KNOWN_CONTROLLERS_FACT, ())
         for peer in {*settings.seed_hosts(), *self.quorum_io.consensus.voters, *known}:
             self.controller_peers.add(peer)
         runtime.started_at = runtime.now()
@@ -251,6 +278,7 @@
         if now >= self.next_housekeeping_at:
             self.next_housekeeping_at = now + HOUSEKEEPING_INTERVAL
             self.registry.remove_expired(now)
+            self.content_watch.check()
             proxies = self.sessions.all_proxies(now, list(self.proxy_sessions.connected))
             self.drain_progress.record_connected_proxies(now, proxies)
         self.coordinator_loop.step(now)
--- a/bramblewood/controller/sessions.py
+++ b/bramblewood/controller/sessions.py
@@ -12,6 +12,7 @@
 waits in a socket.
 """
 
+from collections.abc import Collection
 from typing import NamedTuple
 
 from ..common.messages import ControllerHeartbeat
@@ -47,9 +48,10 @@
     counted: bool | None  # whether the loss of its zone is to be borne
     controllers: list[str] | None
     proxies: list[str] | None
+    digests: dict[str, tuple[tuple, int]] | None = None  # of what is safe on its disk, by register
 
 
-NOTHING_SENT = PeerDetails(None, None, None, None, None)
+NOTHING_SENT = PeerDetails(None, None, None, None, None, None)
 
 
 class Sessions:
@@ -111,6 +113,7 @@
         epoch: int,
         known: dict[str, ProposalNumber],
         accepted: dict[str, ProposalNumber] | None,
+        excluded: Collection[str] = (),
     ) -> float:
         """Until when it is certain that in these registers nothing newer than `known` is chosen; 0.0 where it
         is not. With no register it tells of contact alone.
@@ -119,6 +122,7 @@
         the epoch as it sent shows that no later epoch had begun.
         accepted: what this controller has accepted itself, None where it does not vote. It counts as heard
         when it was last found to have accepted nothing newer: with one more voter that may be the majority.
+        excluded: controllers that count for nothing, as their content differs from ours.
         """
         echoes = []
         if accepted is not None and self.own_address in voters:
@@ -137,7 +141,7 @@
                 for register, proposal_number in known.items()
             )
             is_active = is_voter(voters, peer, session.disk) and session.is_voting and session.epoch == epoch
-            if is_active and has_nothing_newer:
+            if is_active and has_nothing_newer and peer not in excluded:
                 echoes.append(session.echo)
         needed = majority(voters)
         if not voters or len(echoes) < needed:
--- a/bramblewood/controller/storage.py
+++ b/bramblewood/controller/storage.py
@@ -10,64 +10,65 @@
 that was acknowledged in it.
 
 A register's value lies as rows (`row_encoding.py`), and a commit writes those that differ from what the last
-safe commit left there. docs/controller-storage.md tells the form and its bounds.
+safe commit left there, with their checksums (`storage_checksums.py`). All that lies there is checked at each
+start (`storage_reader.py`). docs/controller-storage.md tells the form and its bounds.
 """
 
 import contextlib
-import json
 import os
 import queue
 import sqlite3
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
-from typing import Any, NamedTuple, TypedDict
+from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
 
-from .row_encoding import DELETE, PUT, RowOperation, decode_rows, descendant_range, row_operations, to_json
-from .value_diff import SET, difference
+from .content_agreement import StoredDigests
+from .row_encoding import DELETE, PUT, RowOperation, descendant_range, row_operations, to_json
+from .storage_checksums import (
+    ContentSum,
+    StoredChecksums,
+    fact_checksum,
+    part_checksum,
+    register_checksum,
+    totals_checksum,
+)
+from .storage_errors import StorageDamagedError, StorageError, is_corruption, means_damage
+from .storage_reader import (
+    ProposalNumber,
+    RegisterState,
+    RowsDamagedError,
+    StoredState,
+    find_file_faults,
+    read_database,
+    schema_version,
+)
+from .storage_schema import (
+    CREATE_TABLES,
+    DATABASE_FILE,
+    DELETE_FACT,
+    DELETE_PART,
+    DELETE_PARTS_BELOW,
+    DROP_TABLES,
+    PUT_FACT,
+    PUT_PART,
+    PUT_REGISTER,
+    PUT_TOTALS,
+    SCHEMA_VERSION,
+)
+from .value_diff import MISSING, SET, difference
 
-DATABASE_FILE = "shelf.db"
 THREAD_NAME = "shelf"
-SCHEMA_VERSION = 2  # the form of the tables; a later one is not opened
-SCHEMA_VERSION_1 = 1  # a register was one row with its whole value; proposal numbers had no epoch
 # bytes that the log keeps once its frames are in the database, which is after 1,000 pages of 4 KiB (sqlite's
 # own wal_autocheckpoint): without it a large transaction's log stays as large for good
 WAL_SIZE_LIMIT = 4 * 2**20
 AUTO_VACUUM = "pragma auto_vacuum=full"  # pages that are free leave the file with the commit that freed them
-CREATE_TABLES = (
-    "create table if not exists facts (name text primary key, value text not null)",
-    "create table registers (name text primary key, promised text not null, accepted text not null)",
-    # in the order of id a value is put together
-    "create table parts (id integer primary key, register text not null, path text not null,"
-    " value text not null, unique (register, path))",
-)
-PUT_REGISTER = (
-    "insert into registers values (?, ?, ?) on conflict (name) do update"
-    " set promised = excluded.promised, accepted = excluded.accepted"
-)
-PUT_PART = (
-    "insert into parts (register, path, value) values (?, ?, ?)"
-    " on conflict (register, path) do update set value = excluded.value"
-)
-DELETE_PARTS_BELOW = "delete from parts where register = ? and path > ? and path < ?"
-DELETE_PART = "delete from parts where register = ? and path = ?"
-PUT_FACT = "insert into facts values (?, ?) on conflict (name) do update set value = excluded.value"
-DELETE_FACT = "delete from facts where name = ?"
 
-ProposalNumber = tuple  # as `consensus` has it; that package is not loaded for commands that only read
-RegisterState = tuple[ProposalNumber, ProposalNumber, Any]  # promised, accepted, value
 RegisterWrite = tuple[str, ProposalNumber, ProposalNumber, Any]  # register, promised, accepted, value
 
 
-class StoredState(TypedDict):
-    """All that lies in a database."""
-
-    facts: dict[str, Any]
-    registers: dict[str, RegisterState]
-
-
 class WriteRequest(NamedTuple):
     """One transaction that waits for the writer."""
 
@@ -91,86 +92,79 @@
     return sqlite3.connect(path, isolation_level=None, check_same_thread=False)
 
 
-def to_tuples(value: Any) -> Any:
-    """A proposal number as it is compared: JSON knows lists only."""
-    return tuple(map(to_tuples, value)) if isinstance(value, list) else value
-
-
-def add_epoch(number: ProposalNumber) -> ProposalNumber:
-    """A proposal number of schema version 1 as one of the first epoch; one that nobody cast (counter 0) is
-    of none.
-    """
-    return (1 if number[0] else 0, *number)
-
-
-def read_database(database: Any) -> StoredState:
-    """What lies there, in any schema version up to SCHEMA_VERSION.
-
-    Raises ValueError where rows don't fit together, sqlite3.Error where the file can't be read.
-    """
-    version = database.execute("pragma user_version").fetchone()[0]
-    if version == 0:
-        return {"facts": {}, "registers": {}}
-    facts = {name: json.loads(value) for name, value in database.execute("select name, value from facts")}
-    registers = read_registers_1(database) if version == SCHEMA_VERSION_1 else read_registers(database)
-    return {"facts": facts, "registers": registers}
-
-
-def read_registers(database: Any) -> dict[str, RegisterState]:
-    """The registers of schema version 2."""
-    registers = {}
-    for name, *numbers in database.execute("select name, promised, accepted from registers"):
-        promised, accepted = (to_tuples(json.loads(number)) for number in numbers)
-        parts = database.execute("select path, value from parts where register = ? order by id", (name,))
-        registers[name] = (promised, accepted, decode_rows(parts))
-    return registers
-
-
-def read_registers_1(database: Any) -> dict[str, RegisterState]:
-    """The registers of schema version 1, their proposal numbers as of the first epoch."""
-    registers = {}
-    for name, *numbers, value in database.execute("select name, promised, accepted, value from registers"):
-        promised, accepted = (add_epoch(to_tuples(json.loads(number))) for number in numbers)
-        registers[name] = (promised, accepted, json.loads(value))
-    return registers
-
-
 class Storage:
     """A controller's database and the thread that writes to it."""
 
     def __init__(self, folder: str, connect: Callable[[str], Any] | None = None) -> None:
         """connect(path) opens the database, sqlite3's own way unless a test gives another."""
         self.connect = connect or connect_durably
-        self.path = os.path.join(folder, DATABASE_FILE)
+        self.folder, self.path = folder, os.path.join(folder, DATABASE_FILE)
         self.write_queue: queue.SimpleQueue[WriteRequest | None] = queue.SimpleQueue()  # None: the last
         self.writer_thread = threading.Thread(target=self.run_writer, daemon=True, name=THREAD_NAME)
         self.database: sqlite3.Connection | None = None
         self.notify: Callable[[Callable, str | None], None] = print
         self.stored_values: dict[str, Any] = {}  # each register's, as the newest safe commit left it
-
-    def open(self) -> Result[StoredState, str]:
-        """What lies there, or a line that says why it can't be used."""
+        self.checksums = StoredChecksums({}, {})  # of what the newest safe commit left
+        self.digests = StoredDigests()  # of the registers, by the same commits
+        self.on_damage: Callable[[str], None] = lambda problem: None  # called in the writer's thread
+        self.replaces_damaged = False  # a database was kept aside here, now or at an earlier start
+
+    def open(self) -> Result[StoredState, StorageError]:
+        """What lies there, or why it can't be used."""
+        database = None
         try:
             database = self.connect(self.path)
             database.execute("pragma locking_mode=exclusive")
             database.execute("pragma synchronous=extra")  # before the log: see above
-            version = database.execute("pragma user_version").fetchone()[0]
+            version = schema_version(database)
             if version > SCHEMA_VERSION:
-                return Err(f"{self.path}: form {version}, and this program knows {SCHEMA_VERSION}")
+                problem = (
+                    f"form {version}, and this program knows {SCHEMA_VERSION}: start the program that"
+                    " wrote it or, to begin as after a lost disk, move the folder away"
+                )
+                return Err(StorageError(self.path, problem))
+            self.require_log_in_use(database, version)
             database.execute(f"pragma journal_size_limit={WAL_SIZE_LIMIT}")
             database.execute(AUTO_VACUUM)  # takes hold in a database that is made here
             if database.execute("pragma journal_mode=wal").fetchone()[0] != "wal":
-                return Err(f"{self.path}: no write-ahead log can be kept here")
-            found = read_database(database)
+                return Err(StorageError(self.path, "no write-ahead log can be kept here"))
+            found = self.read(database)
             if version < SCHEMA_VERSION:
-                self.upgrade(database, version, found["registers"])
+                self.upgrade(database, found)
+            else:
+                self.checksums = found.checksums
             self.enable_auto_vacuum(database)
-        except (sqlite3.Error, OSError, ValueError) as problem:
-            return Err(f"{self.path}: {problem}")
+        except (sqlite3.Error, OSError, ValueError, TypeError, LookupError, RecursionError) as problem:
+            if not means_damage(problem):
+                return Err(StorageError(self.path, problem))
+            if database is not None:
+                with contextlib.suppress(sqlite3.Error):
+                    database.close()  # else its files could not be moved
+            return Err(StorageDamagedError(self.path, problem))
         self.database = database
-        self.stored_values = {name: value for name, (_, _, value) in found["registers"].items()}
+        self.stored_values = {name: value for name, (_, _, value) in found.registers.items()}
+        self.record_digests(found.registers)
         return Ok(found)
 
+    def record_digests(self, registers: dict[str, RegisterState]) -> None:
+        """These registers are safe on disk as `checksums` says."""
+        for name, (_, accepted, _) in registers.items():
+            self.digests.record(name, tuple(accepted), self.checksums.parts[name].total)
+
+    def require_log_in_use(self, database: Any, version: int) -> None:
+        """A database of the newest version was switched to the write-ahead log before its tables were made.
+        One that says otherwise has a damaged header, and sqlite would pass over its log.
+        """
+        if version == SCHEMA_VERSION and database.execute("pragma journal_mode").fetchone()[0] != "wal":
+            raise RowsDamagedError("the header names no write-ahead log")
+
+    def read(self, database: Any) -> StoredState:
+        """All that lies there, checked. Raises as `read_database` does."""
+        faults = find_file_faults(database)
+        if faults:
+            raise RowsDamagedError(faults[0])
+        return read_database(database)
+
     def enable_auto_vacuum(self, database: Any) -> None:
         """Have a database of an older version, too, give back its free pages; one that can't now does at a
         later start.
@@ -181,14 +175,14 @@
                 database.execute(AUTO_VACUUM)
                 database.execute("vacuum")
 
-    def upgrade(self, database: Any, version: int, registers: dict[str, RegisterState]) -> None:
+    def upgrade(self, database: Any, found: StoredState) -> None:
         """Make the newest schema of an empty database or an older version, in one transaction."""
         database.execute("begin immediate")
-        if version == SCHEMA_VERSION_1:
-            database.execute("drop table registers")
-        for statement in CREATE_TABLES:
+        for statement in (*DROP_TABLES, *CREATE_TABLES):
             database.execute(statement)
-        self.write_rows(database, registers, {})
+        self.checksums = StoredChecksums({}, {})
+        self.checksums = self.write_rows(database, found.registers, found.facts)
+        write_totals(database, self.checksums)
         database.execute(f"pragma user_version={SCHEMA_VERSION}")
         database.execute("commit")
 
@@ -235,36 +229,88 @@
             facts.update(some_facts)
         try:
             self.database.execute("begin immediate")
-            self.write_rows(self.database, latest, facts)
+            checksums = self.write_rows(self.database, latest, facts)
             self.database.execute("commit")
         except Exception as problem:  # the disk's, or a value's that can't be written: the thread goes on
             with contextlib.suppress(sqlite3.Error):  # the next transaction tells whether the disk is back
                 if self.database.in_transaction:
                     self.database.execute("rollback")
+            if is_corruption(problem):
+                self.on_damage(str(problem))
             return f"{type(problem).__name__}: {problem}"
+        self.checksums = checksums
+        self.record_digests(latest)
         self.stored_values.update({name: value for name, (_, _, value) in latest.items()})
         return None
 
-    def write_rows(self, database: Any, registers: dict[str, RegisterState], facts: dict[str, Any]) -> None:
-        """Within a transaction: the rows in which this differs from what is stored."""
+    def write_rows(
+        self, database: Any, registers: dict[str, RegisterState], facts: dict[str, Any]
+    ) -> StoredChecksums:
+        """Within a transaction: the rows in which this differs from what is stored. Returns the checksums of
+        what is stored once it is committed.
+        """
+        checksums = self.checksums.copy()
         for name, (promised, accepted, value) in registers.items():
-            database.execute(PUT_REGISTER, (name, to_json(promised), to_json(accepted)))
-            known = name in self.stored_values
-            change = difference(self.stored_values[name], value) if known else {SET: value}
-            for operation in row_operations(change, value):
-                apply_operation(database, name, operation)
+            old = self.stored_values.get(name, MISSING)
+            change = {SET: value} if old is MISSING else difference(old, value)
+            stored = checksums.parts.get(name, ContentSum())
+            parts = write_parts(database, name, row_operations(change, old, value), stored)
+            numbers = to_json(promised), to_json(accepted)
+            checksum = register_checksum(name, *numbers, parts)
+            database.execute(PUT_REGISTER, (name, *numbers, *parts, checksum))
+            checksums.parts[name] = parts
         for name, value in facts.items():
-            if value is None:
-                database.execute(DELETE_FACT, (name,))
-            else:
-                database.execute(PUT_FACT, (name, to_json(value)))
+            write_fact(database, name, value, checksums.facts)
+        if facts or checksums.parts.keys() != self.checksums.parts.keys():
+            write_totals(database, checksums)
+        return checksums
+
 
+def write_totals(database: Any, checksums: StoredChecksums) -> None:
+    """Within a transaction: what says which rows there are."""
+    totals = checksums.totals()
+    database.execute(PUT_TOTALS, (*totals, totals_checksum(totals)))
 
-def apply_operation(database: Any, register: str, operation: RowOperation) -> None:
-    """Within a transaction: one operation on a register's rows."""
-    if operation.kind == PUT:
-        database.execute(PUT_PART, (register, operation.path, operation.text))
+
+def write_fact(database: Any, name: str, value: Any, checksums: dict[str, int]) -> None:
+    """Within a transaction: put a fact, or remove it where its value is None; checksums: of all facts."""
+    if value is None:
+        database.execute(DELETE_FACT, (name,))
+        checksums.pop(name, None)
         return
-    database.execute(DELETE_PARTS_BELOW, (register, *descendant_range(operation.path)))
+    text = to_json(value)
+    checksums[name] = fact_checksum(name, text)
+    database.execute(PUT_FACT, (name, text, checksums[name]))
+
+
+def write_parts(
+    database: Any, register: str, operations: Iterable[RowOperation], stored: ContentSum
+) -> ContentSum:
+    """Within a transaction: operations on the rows of a register's value.
+
+    Returns the sum of all its rows, given the sum of those that are stored.
+    """
+    for operation in operations:
+        if operation.kind == PUT:
+            stored = put_part(database, register, operation, stored)
+        else:
+            stored = clear_parts(database, register, operation, stored)
+    return stored
+
+
+def put_part(database: Any, register: str, operation: RowOperation, stored: ContentSum) -> ContentSum:
+    """Within a transaction: put one row. Returns the sum of all rows."""
+    path, replaced = operation.path, operation.replaced
+    checksum = part_checksum(register, path, operation.text)
+    database.execute(PUT_PART, (register, path, operation.text, checksum))
+    return stored.with_row(checksum, None if replaced is None else part_checksum(register, path, replaced))
+
+
+def clear_parts(database: Any, register: str, operation: RowOperation, stored: ContentSum) -> ContentSum:
+    """Within a transaction: remove the rows below a path, and the row there as `operation` says. Returns the
+    sum of the rows that are left.
+    """
+    removed = list(database.execute(DELETE_PARTS_BELOW, (register, *descendant_range(operation.path))))
     if operation.kind == DELETE:
-        database.execute(DELETE_PART, (register, operation.path))
+        removed += database.execute(DELETE_PART, (register, operation.path))
+    return stored.without(len(removed), sum(checksum for (checksum,) in removed))
--- a/bramblewood/controller/voter_changes.py
+++ b/bramblewood/controller/voter_changes.py
@@ -17,6 +17,12 @@
 from .sessions import Sessions
 
 FOUNDING_TIMEOUT = 3.0  # s of the first boot in which more controllers may show up; all start at once
+UNKNOWN_VOTERS_PATIENCE = 10.0  # s after a start until nobody in reach is taken to know a voter set
+UNKNOWN_VOTERS_LOG_INTERVAL = 30.0  # s
+WAY_OUT = (
+    "bring back a controller whose disk is sound; if there is none left, start the seeds on empty folders"
+    " with FirstBoot = true and put the configuration again"
+)
 VOTE_KEPT_FRACTION = 2 / 3  # of GraceS that a vote is kept after SIGTERM, until others hold what it holds
 
 
@@ -37,6 +43,7 @@
         self.membership = Membership(settings.tolerance, settings.region_of_zone, settings.bounds.CatchUpS)
         self.is_changing = False  # a proposal from here is under way
         self.shutdown_began_at: float | None = None
+        self.next_unknown_voters_log_at = 0.0
 
     def peer_statuses(self, now: float) -> dict[str, PeerStatus]:
         """All known controllers, by address; one that was never heard counts as silent since our start."""
@@ -60,7 +67,10 @@
     def propose_due_change(self, now: float) -> None:
         """Propose the change of the voter set that is due, if any."""
         consensus = self.quorum_io.consensus
-        if self.is_changing or not consensus.is_member and consensus.epoch == 0:
+        if consensus.epoch == 0 and not consensus.is_member:
+            self._log_unknown_voters(now)
+            return
+        if self.is_changing:
             return
         change = None
         if consensus.epoch == 0:
@@ -84,6 +94,14 @@
         following = next_voter_set(consensus.voter_set, change.voters)
         self.quorum_io.propose(VOTER_SET, following, self.change_finished, PROPOSAL_TIMEOUT)
 
+    def _log_unknown_voters(self, now: float) -> None:
+        """Neither this disk nor any controller in reach knows who votes: say so, and what helps."""
+        due_at = max(self.runtime.started_at + UNKNOWN_VOTERS_PATIENCE, self.next_unknown_voters_log_at)
+        if now >= due_at:
+            self.next_unknown_voters_log_at = now + UNKNOWN_VOTERS_LOG_INTERVAL
+            known = sorted(self.controller_peers.known)
+            self.runtime.log.error("voters unknown", step="epoch", peer=known, way_out=WAY_OUT)
+
     def change_finished(self, outcome: Any) -> None:
         """A proposed change was agreed, or not; None where that is unclear."""
         self.is_changing = False
--- a/features/steps/quorum_contact.py
+++ b/features/steps/quorum_contact.py
@@ -53,9 +53,9 @@
     return await grant_or_release(self, call, 1e9)
 
 
-def ignores_own_acceptance(self, now, voters, epoch, known, accepted):
+def ignores_own_acceptance(self, now, voters, epoch, known, accepted, excluded):
     nothing_accepted = accepted and dict.fromkeys(accepted, NO_PROPOSAL)
-    return quorum_contact_until(self, now, voters, epoch, known, nothing_accepted)
+    return quorum_contact_until(self, now, voters, epoch, known, nothing_accepted, excluded)
 
 
 def without_question(self, now, peer, heartbeat, known_versions):
--- a/features/steps/storage.py
+++ b/features/steps/storage.py
@@ -108,7 +108,7 @@
 @then("it is refused with one line that names form {version:d}, and no byte of it has changed")
 def refused(context, version):
     disk = context.play.disk
-    reason = storage_on(disk).open().err_value
+    reason = str(storage_on(disk).open().err_value)
     assert f"form {version}" in reason and "\n" not in reason, reason
     assert {name: bytes(inode.contents) for name, inode in disk.names.items()} == context.files
 
@@ -147,7 +147,8 @@
         run = lambda *words: CliRunner().invoke(storage_commands, [*words, folder])  # noqa: E731
         before = [run(command) for command in ("check", "show", "export")]
         storage = Storage(folder)
-        assert storage.open().ok_value == history.states[0]
+        facts, registers, _ = storage.open().ok_value
+        assert {"facts": facts, "registers": registers} == history.states[0]
         assert storage.database.execute("pragma auto_vacuum").fetchone() == (1,)
         after = [run(command) for command in ("check", "show", "export")]
         facts = {"born": None, "voters": None, "disk": "0a0b0c0d"}  # as a controller goes on to write
--- a/tests/simulation/storage_failures.py
+++ b/tests/simulation/storage_failures.py
@@ -101,7 +101,8 @@
         if disk.errors:
             return
         raise StateLost(found.err_value)
-    history.accept_found({what: dict(sorted(rows.items())) for what, rows in found.ok_value.items()})
+    facts, registers = (dict(sorted(rows.items())) for rows in found.ok_value[:2])
+    history.accept_found({"facts": facts, "registers": registers})
     for _ in range(writes):
         if storage.commit(history.next_batch(dice)) is None:
             history.states = history.states[-1:]
@@ -172,13 +173,13 @@
 class UpgradesStepwise(Storage):
     """Upgrades by a transaction for each step."""
 
-    def upgrade(self, database, version, registers):
+    def upgrade(self, database, found):
         bare = types.SimpleNamespace(
             execute=lambda sql, values=(): (
                 Rows() if sql in ("begin immediate", "commit") else database.execute(sql, values)
             )
         )
-        super().upgrade(bare, version, registers)
+        super().upgrade(bare, found)
 
 
 class EqualInPython(Storage):
@@ -186,7 +187,7 @@
 
     def write_rows(self, database, registers, facts):
         with mock.patch("bramblewood.controller.value_diff.equal_as_json", operator.eq):
-            super().write_rows(database, registers, facts)
+            return super().write_rows(database, registers, facts)
 
 
 class TrustsAnyDifference(Storage):
@@ -195,11 +196,13 @@
     def write_rows(self, database, registers, facts):
         known = lambda old, new: new.change if isinstance(new, PatchedDict) else difference(old, new)  # noqa: E731
         with mock.patch("bramblewood.controller.storage.difference", known):
-            super().write_rows(database, registers, facts)
+            return super().write_rows(database, registers, facts)
 
 
 SYNCHRONOUS_FULL = ("synchronous=extra", "synchronous=full")
-PUT_PART_CONFLICT = "on conflict (register, path) do update set value = excluded.value"
+PUT_PART_CONFLICT = (
+    "on conflict (register, path) do update set value = excluded.value, checksum = excluded.checksum"
+)
 FAULTS = {  # what is wrong with the storage, as arguments of a play
     "neither a synced folder nor a first page": {
         "replacements": (SYNCHRONOUS_FULL, ("auto_vacuum=full", "auto_vacuum=none"))
@@ -334,7 +337,7 @@
     def after_power_cut(self):
         """What a start finds."""
         disk = self.disk.after_power_cut(random.Random(1))
-        return storage_on(disk).open().ok_value["registers"]
+        return storage_on(disk).open().ok_value.registers
 
     def end(self):
         self.may_answer.set()
--- a/tests/test_old_disks.py
+++ b/tests/test_old_disks.py
@@ -80,12 +80,12 @@
 def contents(found: dict) -> str:
     """What an opened folder holds, in the form of `storage export`; the order of keys counts."""
     fields = ("promised", "accepted", "value")
-    registers = {name: dict(zip(fields, one, strict=True)) for name, one in found["registers"].items()}
-    return json.dumps({"facts": found["facts"], "registers": registers})
+    registers = {name: dict(zip(fields, one, strict=True)) for name, one in found.registers.items()}
+    return json.dumps({"facts": found.facts, "registers": registers})
 
 
 def assert_proposal_numbers_can_be_compared(found: dict) -> None:
-    for promised, accepted, _ in found["registers"].values():
+    for promised, accepted, _ in found.registers.values():
         assert isinstance(promised, tuple) and isinstance(accepted, tuple)
         assert accepted <= promised
 
@@ -122,7 +122,7 @@
     assert json.loads(command("shelf", "export", folder)) == expected
     again = Storage(folder)
     assert json.loads(contents(again.open().unwrap())) == expected
-    assert again.database.execute("pragma user_version").fetchone() == (2,)
+    assert again.database.execute("pragma user_version").fetchone() == (3,)
     again.database.close()
 
 
