Messages between peers are read with the types of their fields; what can't be read ends one connection

Cause: a message that lacked a key ended the task that dials its sender for good (KeyError), and a value of another type was stored and met later, in the middle of a turn.

Change: messages/fields.py reads each field with its type, or raises PeerMessageError; voter sets, register values, proposal numbers and registrations are checked before anything of the message is used, rows before any is merged. Errors name kind, key and peer ('message malformed' in the log), the connection closes and is dialled again, with a pause that doubles up to 5 s while the peer goes on so. Registers and fields of later releases are passed over.

Test changed: hot keys of a heartbeat are two lists, as proxies have always read them, where the test had a map.

--- a/bramblewood/common/messages/between_controllers.py
+++ b/bramblewood/common/messages/between_controllers.py
@@ -3,6 +3,7 @@
 from typing import Any, NamedTuple
 
 from . import kinds
+from .fields import Fields, is_integer, is_list, is_proposal_number
 from .greetings import Registrations, Versions
 
 
@@ -36,25 +37,26 @@
     @classmethod
     def from_wire(cls, message: dict) -> "ControllerHeartbeat":
         """Read the form on the wire."""
+        fields = Fields(message)
         return cls(
-            message["t"],
-            message["v"],
-            message["w"],
-            {register: tuple(number) for register, number in message["acc"].items()},
-            {register: tuple(number) for register, number in message["dur"].items()},
-            message["ep"],
-            message["disk"],
-            message["ver"],
-            message["leaving"],
-            message["e"],
-            message.get("bound"),
-            message.get("members"),
-            message.get("zone"),
-            message.get("counted"),
-            message.get("archives"),
-            message.get("desks"),
-            message.get("heard"),
-            digests_from_wire(message.get("sums")),
+            fields.number("t"),
+            fields.flag("v"),
+            fields.flag("w"),
+            fields.proposal_numbers("acc"),
+            fields.proposal_numbers("dur"),
+            fields.integer("ep"),
+            fields.text("disk"),
+            fields.versions("ver"),
+            fields.flag("leaving"),
+            fields.number("e"),
+            fields.map_of("bound", is_proposal_number, "proposal numbers", None),
+            fields.mapping("members", None),
+            fields.text("zone", None),
+            fields.flag("counted", None),
+            fields.texts("archives", None),
+            fields.texts("desks", None),
+            fields.ages("heard", None),
+            digests_from_wire(fields),
         )
 
     def to_wire(self) -> dict[str, Any]:
@@ -87,11 +89,15 @@
         return made
 
 
-def digests_from_wire(rows: dict[str, list] | None) -> dict[str, tuple[tuple, int]] | None:
+def is_digest_row(row: Any) -> bool:
+    """Whether this is a proposal number with a digest."""
+    return is_list(row) and len(row) == 2 and is_proposal_number(row[0]) and is_integer(row[1])
+
+
+def digests_from_wire(fields: Fields) -> dict[str, tuple[tuple, int]] | None:
     """Digests by register; None where a heartbeat has none, as those of earlier releases."""
-    if rows is None:
-        return None
-    return {register: (tuple(number), digest) for register, (number, digest) in rows.items()}
+    rows = fields.map_of("sums", is_digest_row, "proposal numbers with digests", None)
+    return rows and {register: (tuple(number), digest) for register, (number, digest) in rows.items()}
 
 
 class RegistryAcknowledgement(NamedTuple):
@@ -104,7 +110,8 @@
     @classmethod
     def from_wire(cls, message: dict) -> "RegistryAcknowledgement":
         """Read the form on the wire."""
-        return cls(message["id"], message["rows"], message["epoch"])
+        fields = Fields(message)
+        return cls(fields.integer("id"), fields.rows("rows"), fields.integer("epoch"))
 
     def to_wire(self) -> dict[str, Any]:
         """The form on the wire."""
--- a/bramblewood/common/messages/greetings.py
+++ b/bramblewood/common/messages/greetings.py
@@ -3,6 +3,7 @@
 from typing import Any, NamedTuple
 
 from . import kinds
+from .fields import Fields
 
 ROLE_CONTROLLER, ROLE_PROXY = "archive", "desk"  # values of `role`
 Versions = dict[str, int]  # newest version, by register
@@ -20,7 +21,10 @@
     @classmethod
     def from_wire(cls, message: dict) -> "Hello":
         """Read the form on the wire."""
-        return cls(message["role"], str(message["from"]), message.get("rows", {}), message.get("ages"))
+        fields = Fields(message)
+        return cls(
+            fields.text("role"), fields.text("from"), fields.rows("rows", {}), fields.ages("ages", None)
+        )
 
     def to_wire(self) -> dict[str, Any]:
         """The form on the wire."""
@@ -38,7 +42,8 @@
     @classmethod
     def from_wire(cls, message: dict) -> "RegistryUpdate":
         """Read the form on the wire."""
-        return cls(message["rows"], message.get("id"), "all" in message)
+        fields = Fields(message)
+        return cls(fields.rows("rows"), fields.integer("id", None), "all" in message)
 
     def to_wire(self) -> dict[str, Any]:
         """The form on the wire."""
--- a/bramblewood/common/messages/with_proxies.py
+++ b/bramblewood/common/messages/with_proxies.py
@@ -2,9 +2,61 @@
 
 from typing import Any, NamedTuple
 
+from ..slice_table import is_slice_row
 from . import kinds
+from .fields import Fields, is_integer, is_list, is_number, is_text
 from .greetings import Versions
 
+WORKER_ROW_LENGTHS = range(4, 7)  # attempts, unanswered, mean time, load; then those that failed
+LOAD_PLACE = 3  # in such a row; null where the worker stated none
+WORK_IN_FLIGHT_FIELDS = 3
+
+
+def is_map(value: Any) -> bool:
+    """Whether this is a map."""
+    return isinstance(value, dict)
+
+
+def is_fractions(value: Any) -> bool:
+    """Whether this is a map of numbers."""
+    return is_map(value) and all(map(is_number, value.values()))
+
+
+def is_key(value: Any) -> bool:
+    """Whether this is a key, or a range of keys, as the key of a map."""
+    return str(value).isdecimal()
+
+
+def is_hot_key_status(value: Any) -> bool:
+    """Whether these are the ranges of keys to watch, and the hot keys."""
+    return (
+        is_list(value)
+        and len(value) == 2
+        and all(is_list(one) and all(map(is_integer, one)) for one in value)
+    )
+
+
+def is_counts(value: Any) -> bool:
+    """Whether this is a map of counts by key or by range of keys."""
+    return is_fractions(value) and all(map(is_key, value))
+
+
+def is_worker_row(value: Any) -> bool:
+    """Whether this is what a proxy saw of one worker."""
+    if not is_list(value) or len(value) not in WORKER_ROW_LENGTHS:
+        return False
+    return all(is_number(one) or one is None and place == LOAD_PLACE for place, one in enumerate(value))
+
+
+def is_work_in_flight(value: Any) -> bool:
+    """Whether this is what a proxy has in flight at one worker."""
+    return is_list(value) and len(value) == WORK_IN_FLIGHT_FIELDS and all(map(is_number, value))
+
+
+def is_slices(value: Any) -> bool:
+    """Whether this is a map of slices by their first keys."""
+    return is_map(value) and all(map(is_key, value)) and all(map(is_slice_row, value.values()))
+
 
 class ProxyHeartbeat(NamedTuple):
     """What a controller tells each proxy twice a second, and as it becomes current or ceases to."""
@@ -23,16 +75,17 @@
     @classmethod
     def from_wire(cls, message: dict) -> "ProxyHeartbeat":
         """Read the form on the wire."""
+        fields = Fields(message)
         return cls(
-            message["n"],
-            message["whole"],
-            message["scribe"],
-            message["desks"],
-            message.get("silent"),
-            message.get("zone"),
-            message.get("archives"),
-            message.get("near"),
-            message.get("crowds"),
+            fields.versions("n"),
+            fields.flag("whole"),
+            fields.flag("scribe"),
+            fields.integer("desks"),
+            fields.texts("silent", None),
+            fields.text("zone", None),
+            fields.texts("archives", None),
+            fields.map_of("near", is_fractions, "parts of requests by zone", None),
+            fields.map_of("crowds", is_hot_key_status, "ranges and keys", None),
         )
 
     def to_wire(self) -> dict[str, Any]:
@@ -64,7 +117,7 @@
     @classmethod
     def from_wire(cls, message: dict) -> "Subscribe":
         """Read the form on the wire."""
-        return cls(message["have"])
+        return cls(Fields(message).versions("have"))
 
     def to_wire(self) -> dict[str, Any]:
         """The form on the wire."""
@@ -81,7 +134,7 @@
 
 def subscription_from_wire(message: dict) -> Subscribe | Unsubscribe:
     """Both share one kind on the wire."""
-    return Subscribe.from_wire(message) if message["on"] else Unsubscribe()
+    return Subscribe.from_wire(message) if Fields(message).flag("on") else Unsubscribe()
 
 
 class UpdateRequest(NamedTuple):
@@ -93,7 +146,8 @@
     @classmethod
     def from_wire(cls, message: dict) -> "UpdateRequest":
         """Read the form on the wire."""
-        return cls(message["r"], message["have"])
+        fields = Fields(message)
+        return cls(fields.text("r"), fields.integer("have"))
 
     def to_wire(self) -> dict[str, Any]:
         """The form on the wire."""
@@ -114,13 +168,14 @@
     @classmethod
     def from_wire(cls, message: dict) -> "LoadReport":
         """Read the form on the wire."""
+        fields = Fields(message)
         return cls(
-            message["over"],
-            message["heat"],
-            message["met"],
-            message.get("keys"),
-            message.get("n"),
-            message.get("left"),
+            fields.number("over"),
+            fields.map_of("heat", is_counts, "requests by range of keys"),
+            fields.map_of("met", is_worker_row, "rows of a worker"),
+            fields.map_of("keys", is_counts, "requests by key", None),
+            fields.integer("n", None),
+            fields.map_of("left", is_work_in_flight, "rows of three numbers", None),
         )
 
     def to_wire(self) -> dict[str, Any]:
@@ -140,7 +195,7 @@
     @classmethod
     def from_wire(cls, message: dict) -> "ConfirmationRequest":
         """Read the form on the wire."""
-        return cls(message["t"])
+        return cls(Fields(message).number("t"))
 
     def to_wire(self) -> dict[str, Any]:
         """The form on the wire."""
@@ -156,7 +211,8 @@
     @classmethod
     def from_wire(cls, message: dict) -> "Confirmation":
         """Read the form on the wire."""
-        return cls(message["t"], message["n"])
+        fields = Fields(message)
+        return cls(fields.number("t"), fields.versions("n"))
 
     def to_wire(self) -> dict[str, Any]:
         """The form on the wire."""
@@ -174,7 +230,9 @@
     @classmethod
     def from_wire(cls, message: dict) -> "RemoveReaders":
         """Read the form on the wire."""
-        return cls(message["id"], message["service"], message["key"], tuple(message["lives"]))
+        fields = Fields(message)
+        instance_ids = tuple(fields.texts("lives"))
+        return cls(fields.integer("id"), fields.text("service"), fields.integer("key"), instance_ids)
 
     def to_wire(self) -> dict[str, Any]:
         """The form on the wire."""
@@ -196,7 +254,8 @@
     @classmethod
     def from_wire(cls, message: dict) -> "ReadersRemoved":
         """Read the form on the wire."""
-        return cls(message["id"], message["n"])
+        fields = Fields(message)
+        return cls(fields.integer("id"), fields.integer("n"))
 
     def to_wire(self) -> dict[str, Any]:
         """The form on the wire."""
@@ -212,7 +271,8 @@
     @classmethod
     def from_wire(cls, message: dict) -> "ConfigurationUpdate":
         """Read the form on the wire."""
-        return cls(message["n"], message["config"])
+        fields = Fields(message)
+        return cls(fields.integer("n"), fields.mapping("config"))
 
     def to_wire(self) -> dict[str, Any]:
         """The form on the wire."""
@@ -231,8 +291,10 @@
     @classmethod
     def from_wire(cls, message: dict) -> "TableUpdate":
         """Read the form on the wire."""
-        base = message.get("base")
-        return cls(message["n"], message["s" if base is None else "d"], base, message.get("w"))
+        fields = Fields(message)
+        base = fields.integer("base", None)
+        services = fields.map_of("s" if base is None else "d", is_slices, "rows by first key")
+        return cls(fields.integer("n"), services, base, fields.map_of("w", is_text, "steps", None))
 
     def to_wire(self) -> dict[str, Any]:
         """The form on the wire."""
--- a/bramblewood/common/peer_connections.py
+++ b/bramblewood/common/peer_connections.py
@@ -8,18 +8,29 @@
 import json
 import socket
 from collections.abc import Callable
+from enum import Enum
 from typing import Any
 
 import aiohttp
 from aiohttp import web
 
-from .errors import PeerMessageError
+from .errors import BramblewoodError, PeerMessageError
 
 CONNECT_TIMEOUT = 0.6  # s for a connection to come up; many times the transit between zones
 # s without a message after which a connection counts as lost; heartbeats come each quarter of a second
 CONNECTION_TIMEOUT = 1.2
 FIRST_RECONNECT_DELAY = 0.1  # s between dials; doubled after each that failed
 MAX_RECONNECT_DELAY = 0.5  # s
+MAX_DELAY_AFTER_MALFORMED = 5.0  # s between dials to a peer that goes on to send what can't be decoded
+# what handling a message raises where it is not of the form that it should have
+MALFORMED_MESSAGE_ERRORS = (
+    LookupError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
 MAX_QUEUED_MESSAGES = 400  # that may wait for a slow peer; with more the connection is given up
 MAX_MESSAGE_BYTES = 16 * 2**20  # a configuration of thousands of routes and its table
 UNACKNOWLEDGED_TIMEOUT_MS = 1000  # that sent bytes may stay unacknowledged (TCP_USER_TIMEOUT)
@@ -89,17 +100,32 @@
 
 
 def decode_message(connection: PeerConnection, text: str) -> Message:
-    """The message in a websocket's text; raises PeerMessageError where it is no JSON."""
+    """The message in a websocket's text; raises PeerMessageError where it is no JSON object with a kind."""
     try:
-        return json.loads(text)
-    except ValueError as error:
+        message = json.loads(text)
+    except (ValueError, RecursionError) as error:
         raise PeerMessageError(error, peer=connection.peer) from error
+    if not isinstance(message, dict) or not isinstance(message.get("k"), str):
+        raise PeerMessageError("no message with a kind", peer=connection.peer)
+    return message
+
+
+def handle_message(connection: PeerConnection, on_message: MessageHandler, text: str) -> None:
+    """Decode a message and hand it on. Raises PeerMessageError, with kind and peer, where that can't be."""
+    message = decode_message(connection, text)
+    try:
+        on_message(connection, message)
+    except MALFORMED_MESSAGE_ERRORS as error:
+        problem = error.problem if isinstance(error, BramblewoodError) else repr(error)
+        raise PeerMessageError(f"{message['k']:.40}: {problem}", peer=connection.peer) from error
 
 
 async def receive_messages(
     connection: PeerConnection, on_message: MessageHandler, timeout: float | None
 ) -> None:
-    """Hand on each message until the connection ends or brings none for `timeout` s."""
+    """Hand on each message until the connection ends or brings none for `timeout` s. Raises PeerMessageError
+    at the first that can't be handled.
+    """
     while True:
         try:
             frame = await connection.websocket.receive(timeout=timeout)
@@ -107,7 +133,15 @@
             return
         if frame.type is not aiohttp.WSMsgType.TEXT:
             return
-        on_message(connection, decode_message(connection, frame.data))
+        handle_message(connection, on_message, frame.data)
+
+
+class DialOutcome(Enum):
+    """How one dialled connection ended."""
+
+    FAILED = "failed"  # it did not come up
+    LOST = "lost"
+    MALFORMED = "malformed"  # the peer sent what can't be decoded
 
 
 class PeerConnections:
@@ -135,6 +169,8 @@
         self._receive_timeout = receive_timeout
         self._local_address = (local_ip, 0) if local_ip else None
         self._session: aiohttp.ClientSession | None = None
+        # called with each message that could not be handled, before its connection is closed
+        self.on_malformed: Callable[[PeerMessageError], None] = lambda error: None
 
     def maintain(self, peer: str, port: int) -> None:
         """Keep a connection to this peer from now on."""
@@ -159,13 +195,15 @@
     async def _maintain(self, peer: str, port: int) -> None:
         delay = FIRST_RECONNECT_DELAY
         while True:
-            if await self._connect_and_receive(peer, port):
+            outcome = await self._connect_and_receive(peer, port)
+            if outcome is DialOutcome.LOST:
                 delay = FIRST_RECONNECT_DELAY
             await asyncio.sleep(delay)
-            delay = min(delay * 2, MAX_RECONNECT_DELAY)
+            is_malformed = outcome is DialOutcome.MALFORMED
+            delay = min(delay * 2, MAX_DELAY_AFTER_MALFORMED if is_malformed else MAX_RECONNECT_DELAY)
 
-    async def _connect_and_receive(self, peer: str, port: int) -> bool:
-        """Dial once, and receive until the connection is lost; whether it came up."""
+    async def _connect_and_receive(self, peer: str, port: int) -> DialOutcome:
+        """Dial once, and receive until the connection is lost."""
         connection = None
         try:
             connection = PeerConnection(peer, await self._open(peer, port))
@@ -173,12 +211,15 @@
             self.connected[peer] = connection
             self._on_change(peer, True)
             await receive_messages(connection, self._on_message, self._receive_timeout)
+        except PeerMessageError as error:
+            self.on_malformed(error)
+            return DialOutcome.MALFORMED
         except (OSError, TimeoutError, aiohttp.ClientError, ValueError):
             pass  # dialled again, whatever the reason
         finally:
             if connection is not None:
                 await self._close_lost(peer, connection)
-        return connection is not None
+        return DialOutcome.FAILED if connection is None else DialOutcome.LOST
 
     async def _open(self, peer: str, port: int) -> aiohttp.ClientWebSocketResponse:
         if self._session is None:
@@ -211,6 +252,7 @@
     on_first_message: MessageHandler,
     on_message: MessageHandler,
     on_close: Callable[[PeerConnection], None],
+    on_malformed: Callable[[PeerMessageError], None] = lambda error: None,
 ) -> web.StreamResponse:
     """Serve a connection that a peer dialled: its first message says who it is."""
     websocket = web.WebSocketResponse(compress=True, max_msg_size=MAX_MESSAGE_BYTES)
@@ -223,9 +265,11 @@
     try:
         first = await websocket.receive(timeout=CONNECTION_TIMEOUT)
         if first.type is aiohttp.WSMsgType.TEXT:
-            on_first_message(connection, decode_message(connection, first.data))
+            handle_message(connection, on_first_message, first.data)
             await receive_messages(connection, on_message, None)
-    except (TimeoutError, ValueError, ConnectionError):
+    except PeerMessageError as error:
+        on_malformed(error)
+    except (TimeoutError, ConnectionError):
         pass  # the peer dials again
     finally:
         on_close(connection)
--- a/bramblewood/common/slice_table.py
+++ b/bramblewood/common/slice_table.py
@@ -18,6 +18,7 @@
 
 WORKER, SECOND, SECOND_SHARE, FENCING_TOKEN, HANDOVER, PREVIOUS_OWNER = range(6)  # places in a row
 READERS = 6  # place of the readers, where the row has any
+ROW_LENGTHS = (READERS, READERS + 1)
 # steps of a worker in a drain plan, as they are stored and sent
 DRAIN_ANNOUNCED, DRAIN_IN_PROGRESS, DRAINED, OUT_OF_SERVICE = "told", "closing", "closed", "out"
 UNASSIGNED = ["", "", 0.0, 0, "", ""]  # the row of a slice that no worker has yet
@@ -51,6 +52,19 @@
         return [*self[:READERS], *([self.readers] if self.readers else [])]
 
 
+def is_slice_row(value: Any) -> bool:
+    """Whether this is the row of a slice, as far as a look-up relies on it."""
+    if not isinstance(value, (list, tuple)) or len(value) not in ROW_LENGTHS:
+        return False
+    worker, second, share, fencing_token, _, previous_owner, *readers = value
+    return (
+        type(worker) is type(second) is type(previous_owner) is str
+        and type(share) in (int, float)
+        and type(fencing_token) is int
+        and all(isinstance(by_worker, dict) for by_worker in readers)
+    )
+
+
 def all_readers(row: Row) -> dict[str, int]:
     """All workers that may hold read replicas of this record, those too that are readers no more."""
     return row[READERS] if len(row) > READERS else {}
--- a/bramblewood/common/worker_registry.py
+++ b/bramblewood/common/worker_registry.py
@@ -13,11 +13,15 @@
 
 from typing import Any, NamedTuple
 
+from .errors import PeerMessageError
+from .messages.fields import is_number, is_text
+
 READY, DRAINING, GONE = "ready", "draining", "gone"
 PHASE_ORDER = {READY: 0, DRAINING: 1, GONE: 2}
 GONE_RETENTION = 600.0  # s that a worker that is gone is kept, so that a late message of it changes nothing
 
 # names of a registration's fields on the operators' pages, in order
+MIN_ROW_LENGTH = 6  # the fields that a row has always had
 VIEW_KEYS = ("service", "address", "zone", "slots", "phase", "seq", "cold", "revision")
 
 RegistrationRow = list[Any]  # a registration as it travels
@@ -35,6 +39,20 @@
     warm_up_left: float = 0.0  # s that it was still slow when this was said
     revision: str = ""  # of its software
 
+    @classmethod
+    def from_row(cls, row: Any) -> "WorkerRegistration":
+        """A registration in the form that it travels in. Raises PeerMessageError where the row is none."""
+        if not MIN_ROW_LENGTH <= len(row) <= len(VIEW_KEYS):
+            raise PeerMessageError(f"registration of {len(row)} fields")
+        registration = cls(*row)
+        texts = registration.service, registration.address, registration.zone, registration.revision
+        numbers = registration.slots, registration.call_sequence, registration.warm_up_left
+        if not all(map(is_text, texts)) or not all(map(is_number, numbers)):
+            raise PeerMessageError(f"registration with fields of other types: {row!r:.80}")
+        if registration.phase not in PHASE_ORDER:
+            raise PeerMessageError(f"registration of an unknown phase: {registration.phase!r:.40}")
+        return registration
+
     def to_view(self) -> dict[str, Any]:
         """The fields by their names on the operators' pages (`/view/roll`, `--json`)."""
         return dict(zip(VIEW_KEYS, self, strict=True))
@@ -111,16 +129,17 @@
         registry knows something newer.
         """
         ages = ages or {}
+        registrations = {instance_id: WorkerRegistration.from_row(row) for instance_id, row in rows.items()}
         changed = [
             instance_id
-            for instance_id, row in rows.items()
-            if self.record(now, instance_id, WorkerRegistration(*row), ages.get(instance_id, 0.0))
+            for instance_id, registration in registrations.items()
+            if self.record(now, instance_id, registration, ages.get(instance_id, 0.0))
         ]
         news = {instance_id: [*self.registrations[instance_id]] for instance_id in changed}
         newer_here = {}
-        for instance_id, row in rows.items():
+        for instance_id, theirs in registrations.items():
             ours = self.registrations[instance_id]
-            if ours.phase != READY and ours.precedence() > WorkerRegistration(*row).precedence():
+            if ours.phase != READY and ours.precedence() > theirs.precedence():
                 newer_here[instance_id] = [*ours]
         return news, newer_here
 
--- a/bramblewood/controller/consensus/epochs.py
+++ b/bramblewood/controller/consensus/epochs.py
@@ -139,6 +139,8 @@
         """
         registers = {}
         for register, (accepted, value) in state.registers.items():
+            if register not in self.acceptors:
+                continue  # of a program that knows more registers
             if value is not OMITTED:
                 registers[register] = NumberedValue(accepted, value)
             elif accepted == self.acceptors[register].accepted:
--- a/bramblewood/controller/consensus/messages.py
+++ b/bramblewood/controller/consensus/messages.py
@@ -8,8 +8,11 @@
 
 from typing import Any, NamedTuple, Protocol
 
+from ...common.errors import PeerMessageError
+from ...common.messages.fields import Fields
 from .proposal_number import ProposalNumber
-from .voter_set import VoterSet
+from .registers import VOTER_SET
+from .voter_set import VoterSet, voter_set_from
 
 # kinds, as `k` on the wire
 PREPARE = "prepare"
@@ -29,6 +32,21 @@
 number_from = ProposalNumber.from_wire
 
 
+def value_from(register: str, value: Any) -> Any:
+    """A register's value: none yet, or a map with its version. Raises PeerMessageError."""
+    if value is None:
+        return value
+    if register == VOTER_SET:
+        return voter_set_from(value)
+    Fields(value).integer("n")
+    return value
+
+
+def value_if_given(register: str, wire: dict) -> Any:
+    """The value that a message carries under `v`, OMITTED where it left it out."""
+    return value_from(register, wire["v"]) if "v" in wire else OMITTED
+
+
 class Message(Protocol):
     """What every message of this module has."""
 
@@ -73,9 +91,9 @@
     @classmethod
     def from_wire(cls, wire: dict) -> "Promise":
         """Read the form on the wire."""
-        return cls(
-            wire["r"], number_from(wire["b"]), wire["disk"], number_from(wire["a"]), wire.get("v", OMITTED)
-        )
+        register, disk = wire["r"], Fields(wire).text("disk")
+        accepted, value = number_from(wire["a"]), value_if_given(register, wire)
+        return cls(register, number_from(wire["b"]), disk, accepted, value)
 
     def to_wire(self) -> dict:
         """The form on the wire."""
@@ -98,7 +116,7 @@
         """Read the form on the wire."""
         if "base" in wire:
             return AcceptDifference(wire["r"], number_from(wire["b"]), number_from(wire["base"]), wire["d"])
-        return cls(wire["r"], number_from(wire["b"]), wire["v"])
+        return cls(wire["r"], number_from(wire["b"]), value_from(wire["r"], wire["v"]))
 
     def to_wire(self) -> dict:
         """The form on the wire."""
@@ -129,7 +147,7 @@
     @classmethod
     def from_wire(cls, wire: dict) -> "Accepted":
         """Read the form on the wire."""
-        return cls(wire["r"], number_from(wire["b"]), wire["disk"])
+        return cls(wire["r"], number_from(wire["b"]), Fields(wire).text("disk"))
 
     def to_wire(self) -> dict:
         """The form on the wire."""
@@ -147,7 +165,7 @@
     @classmethod
     def from_wire(cls, wire: dict) -> "Rejected":
         """Read the form on the wire."""
-        return cls(wire["r"], number_from(wire["b"]), number_from(wire["p"]), wire["disk"])
+        return cls(wire["r"], number_from(wire["b"]), number_from(wire["p"]), Fields(wire).text("disk"))
 
     def to_wire(self) -> dict:
         """The form on the wire."""
@@ -197,7 +215,7 @@
     @classmethod
     def from_wire(cls, wire: dict) -> "Chosen":
         """Read the form on the wire."""
-        return cls(wire["r"], number_from(wire["b"]), wire["v"])
+        return cls(wire["r"], number_from(wire["b"]), value_from(wire["r"], wire["v"]))
 
     def to_wire(self) -> dict:
         """The form on the wire."""
@@ -212,7 +230,7 @@
     @classmethod
     def from_wire(cls, wire: dict) -> "EpochNotice":
         """Read the form on the wire."""
-        return cls(wire["m"])
+        return cls(voter_set_from(wire["m"]))
 
     def to_wire(self) -> dict:
         """The form on the wire."""
@@ -232,8 +250,8 @@
     @classmethod
     def from_wire(cls, wire: dict) -> "JoinEpoch":
         """Read the form on the wire."""
-        held = {register: number_from(number) for register, number in wire["have"].items()}
-        return cls(wire["m"], held, "again" in wire)
+        held = {register: number_from(number) for register, number in Fields(wire).mapping("have").items()}
+        return cls(voter_set_from(wire["m"]), held, "again" in wire)
 
     def to_wire(self) -> dict:
         """The form on the wire."""
@@ -248,9 +266,9 @@
     value: Any = OMITTED
 
     @classmethod
-    def from_wire(cls, wire: dict) -> "AcceptedState":
-        """Read the form on the wire."""
-        return cls(number_from(wire["a"]), wire.get("v", OMITTED))
+    def from_wire(cls, register: str, wire: dict) -> "AcceptedState":
+        """Read the form on the wire, of this register."""
+        return cls(number_from(wire["a"]), value_if_given(register, wire))
 
     def to_wire(self) -> dict:
         """The form on the wire."""
@@ -270,8 +288,12 @@
     @classmethod
     def from_wire(cls, wire: dict) -> "EpochState":
         """Read the form on the wire."""
-        registers = {register: AcceptedState.from_wire(state) for register, state in wire["regs"].items()}
-        return cls(wire["e"], wire["held"], wire["disk"], registers)
+        fields = Fields(wire)
+        registers = {
+            register: AcceptedState.from_wire(register, state)
+            for register, state in fields.mapping("regs").items()
+        }
+        return cls(fields.integer("e"), fields.integer("held"), fields.text("disk"), registers)
 
     def to_wire(self) -> dict:
         """The form on the wire."""
@@ -302,5 +324,11 @@
 
 
 def decode(wire: dict) -> RegisterMessage | EpochMessage:
-    """The message of this wire form. KeyError where its kind or a key of it is unknown or missing."""
-    return MESSAGE_TYPES[wire["k"]].from_wire(wire)
+    """The message of this wire form. KeyError where its kind is unknown, PeerMessageError where a key is
+    missing or has a value of another type.
+    """
+    message_type = MESSAGE_TYPES[wire["k"]]
+    try:
+        return message_type.from_wire(wire)
+    except (KeyError, TypeError) as error:
+        raise PeerMessageError(f"{wire['k']}: {error!r}") from error
--- a/bramblewood/controller/consensus/proposal_number.py
+++ b/bramblewood/controller/consensus/proposal_number.py
@@ -3,6 +3,9 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from ...common.errors import PeerMessageError
+from ...common.messages.fields import is_proposal_number
+
 
 class ProposalNumber(NamedTuple):
     """The number of one proposal; later proposals compare greater, field by field.
@@ -18,7 +21,9 @@
 
     @classmethod
     def from_wire(cls, fields: Sequence) -> "ProposalNumber":
-        """Read the form on the wire, a list of the fields in order."""
+        """Read the form on the wire, a list of the fields in order. Raises PeerMessageError."""
+        if not is_proposal_number(fields):
+            raise PeerMessageError(f"expected a proposal number, found {fields!r:.60}")
         return cls(*fields)
 
 
--- a/bramblewood/controller/consensus/replica.py
+++ b/bramblewood/controller/consensus/replica.py
@@ -38,6 +38,7 @@
     VoterReply,
     VoterRequest,
     decode,
+    value_from,
 )
 from .proposal_number import NO_PROPOSAL, ProposalNumber
 from .proposal_round import Change
@@ -182,7 +183,11 @@
 
     def check_disk_rollback(self, epoch: int, commitments: Mapping[str, Sequence], new_disk: str) -> Effects:
         """A peer tells what it heard this voter commit to; see `EpochTransition.check_disk_rollback`."""
-        numbers = {register: ProposalNumber.from_wire(number) for register, number in commitments.items()}
+        numbers = {
+            register: ProposalNumber.from_wire(number)
+            for register, number in commitments.items()
+            if register in self.acceptors  # else of a program that knows more registers
+        }
         effects = self.epochs.check_disk_rollback(epoch, numbers, new_disk)
         if effects.facts:
             self.durable_accepted = dict.fromkeys(ALL_REGISTERS, NO_PROPOSAL)
@@ -258,7 +263,7 @@
                 case AcceptDifference(register, number, base, difference):
                     acceptor = self.acceptors[register]
                     if base == acceptor.accepted:  # else the next round brings the value itself
-                        value = apply_difference(acceptor.value, difference)
+                        value = value_from(register, apply_difference(acceptor.value, difference))
                         self._accept(now, peer, register, number, value, effects)
 
     def _on_prepare(self, now: float, peer: str, prepare: Prepare, effects: Effects) -> None:
--- a/bramblewood/controller/consensus/voter_set.py
+++ b/bramblewood/controller/consensus/voter_set.py
@@ -1,7 +1,9 @@
 """Sets of voters: who votes in an epoch, each by address and disk."""
 
 from collections.abc import Callable
-from typing import TypedDict
+from typing import Any, TypedDict
+
+from ...common.messages.fields import Fields, is_text
 
 
 class VoterSet(TypedDict):
@@ -12,6 +14,15 @@
     before: dict[str, str]  # the voters of the epoch before, likewise
 
 
+def voter_set_from(wire: Any) -> VoterSet:
+    """Read the form on the wire. Raises PeerMessageError."""
+    fields = Fields(wire)
+    fields.integer("n")
+    for key in ("voters", "before"):
+        fields.map_of(key, is_text, "names of disks")
+    return wire
+
+
 NO_VOTERS: VoterSet = {"n": 0, "voters": {}, "before": {}}
 ANY_DISK = ""  # stands for a disk's name where a seat belongs to whatever disk is at the address
 
--- a/bramblewood/controller/http_listener.py
+++ b/bramblewood/controller/http_listener.py
@@ -61,7 +61,11 @@
         handlers, path = self.peer_handlers, request.raw_path
         if request.path == CONNECTION_PATH:
             return await accept_connection(
-                request, handlers.handle_greeting, handlers.handle_message, handlers.handle_disconnect
+                request,
+                handlers.handle_greeting,
+                handlers.handle_message,
+                handlers.handle_disconnect,
+                handlers.log_malformed,
             )
         if request.method != "POST" or path not in (DRAIN_PLAN_PATH, MEMBERS_PATH):
             return self.introspection.respond(path)
--- a/bramblewood/controller/peer_handlers.py
+++ b/bramblewood/controller/peer_handlers.py
@@ -3,6 +3,7 @@
 import math
 from typing import Any
 
+from ..common.errors import PeerMessageError
 from ..common.messages import (
     ROLE_CONTROLLER,
     Confirmation,
@@ -24,7 +25,8 @@
 from .consensus.effects import no_effects
 from .consensus.messages import CONSENSUS_MESSAGE_KINDS
 from .consensus.proposal_number import NO_PROPOSAL
-from .consensus.registers import DATA_REGISTERS, TABLE
+from .consensus.registers import ALL_REGISTERS, DATA_REGISTERS, TABLE
+from .consensus.voter_set import voter_set_from
 from .content_watch import ContentWatch
 from .controller_peers import ControllerPeers
 from .load_reports import LoadReports
@@ -101,6 +103,10 @@
         """A connection that was dialled to us has ended."""
         self.proxy_sessions.remove(connection)
 
+    def log_malformed(self, error: PeerMessageError) -> None:
+        """A message could not be decoded; its connection is closed, and dialled again."""
+        self.runtime.log.error("message malformed", **error.log_fields())
+
     def handle_message(self, connection: PeerConnection, message: dict) -> None:
         """Any message but the first on a connection. Unknown kinds are ignored: newer peers may send them."""
         handler = self.handlers.get(message["k"])
@@ -114,6 +120,8 @@
     def handle_heartbeat(self, connection: PeerConnection, message: dict) -> None:
         """A controller is there, and says what it has accepted and knows to be chosen."""
         now, peer, heartbeat = self.runtime.now(), connection.peer, ControllerHeartbeat.from_wire(message)
+        if heartbeat.members is not None:
+            voter_set_from(heartbeat.members)
         self.sessions.record_heartbeat(now, peer, heartbeat)
         if heartbeat.echo < 0:  # it has heard nothing of ours yet: at a start nobody waits for the next turn
             self.controller_peers.send_heartbeats(now, peer)
@@ -136,6 +144,8 @@
         if heartbeat.members is not None:
             consensus.adopt_voter_set(now, heartbeat.members, effects)
         for register, proposal_number in heartbeat.durable.items():
+            if register not in ALL_REGISTERS:
+                continue  # of a program that knows more registers
             if proposal_number != NO_PROPOSAL and heartbeat.is_voting:
                 consensus.record_acceptance(now, peer, heartbeat.disk, register, proposal_number, effects)
         self.quorum_io.execute(effects)
--- a/bramblewood/controller/server.py
+++ b/bramblewood/controller/server.py
@@ -162,6 +162,7 @@
             None,
             runtime.settings.bind_ip,
         )
+        runtime.peer_connections.on_malformed = handlers.log_malformed
         self.content_watch.on_divergence = self.handle_damage
         self.quorum_io.on_progress = self.chosen_values.refresh
         self.quorum_io.on_epoch_changed = self.handle_epoch_change
--- a/bramblewood/proxy/controller_selection.py
+++ b/bramblewood/proxy/controller_selection.py
@@ -8,6 +8,7 @@
 that this proxy asked, from a controller that had fresh contact with a quorum on all registers at that moment.
 """
 
+import math
 import zlib
 
 from ..common.messages import (
@@ -103,6 +104,8 @@
             self.coordinator = None
         messages = self._select_upstream(known_versions)
         for register, version in heartbeat.versions.items():
+            if register not in known_versions:
+                continue  # of a controller that knows more registers
             if version > known_versions[register] and self._is_due(now, register, version):
                 messages.append((peer, UpdateRequest(register, known_versions[register])))
         return messages + self.confirmation_request(now, known_versions)
@@ -134,10 +137,10 @@
     ) -> None:
         """A controller that is current answers what we asked it: these versions are the newest."""
         newest, asked_at = confirmation.versions, confirmation.asked_at
-        if newest["table"] <= known_versions["table"]:
+        if newest.get("table", math.inf) <= known_versions["table"]:
             self.table_confirmed_at = max(self.table_confirmed_at, asked_at)
         has_newest = all(known_versions.values()) and all(
-            known_versions[register] >= version for register, version in newest.items()
+            newest.get(register, math.inf) <= version for register, version in known_versions.items()
         )
         if has_newest and peer == self.registry_source and now < asked_at + CONFIRMATION_VALIDITY:
             self.is_ready = True
--- a/bramblewood/proxy/controller_sessions.py
+++ b/bramblewood/proxy/controller_sessions.py
@@ -11,6 +11,7 @@
 
 from ..common.configuration import Configuration
 from ..common.configuration_parser import build_configuration
+from ..common.errors import PeerMessageError
 from ..common.messages import (
     ROLE_PROXY,
     ConfigurationUpdate,
@@ -67,6 +68,7 @@
         self.peer_connections = PeerConnections(
             self.greeting, self.handle_message, self.connection_changed, CONNECTION_TIMEOUT, settings.bind_ip
         )
+        self.peer_connections.on_malformed = self.log_malformed
         self.loop: asyncio.AbstractEventLoop
         self.updated: asyncio.Event
         self.reported_at = 0.0  # when the last load report was sent
@@ -111,6 +113,10 @@
         """A connection came up or was lost."""
         self._send_all(self.selection.connection_changed(peer, is_up, self.known_versions()))
 
+    def log_malformed(self, error: PeerMessageError) -> None:
+        """A controller sent what can't be decoded; its connection is closed, and dialled again."""
+        self.log.error("message malformed", **error.log_fields())
+
     def handle_message(self, connection: PeerConnection, message: dict) -> None:
         """A message arrived; kinds that are not known are ignored."""
         handler = self._handlers.get(message["k"])
@@ -135,8 +141,8 @@
 
     def _on_registrations(self, now: float, connection: PeerConnection, message: dict) -> None:
         update = RegistryUpdate.from_wire(message)
-        for instance_id, row in update.registrations.items():
-            registration = WorkerRegistration(*row)
+        registrations = {name: WorkerRegistration.from_row(row) for name, row in update.registrations.items()}
+        for instance_id, registration in registrations.items():
             changed = self.load_balancer.registry.record(now, instance_id, registration)
             if changed and registration.phase == GONE:
                 self.connection_pool.close_all(instance_id)
--- /dev/null
+++ b/tests/test_malformed_messages.py
@@ -0,0 +1,169 @@
+"""What can't be decoded ends one connection, which is dialled again, and nothing else."""
+
+import asyncio
+import json
+from collections.abc import Iterator
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from bramblewood.common.errors import PeerMessageError
+from bramblewood.common.messages import kinds
+from bramblewood.common.peer_connections import MAX_DELAY_AFTER_MALFORMED, PeerConnections
+from bramblewood.common.worker_registry import WorkerRegistration, WorkerRegistry
+from bramblewood.controller.consensus.messages import CONSENSUS_MESSAGE_KINDS
+from tests.simulation.malformed_messages import READERS, is_malformed, malformed_texts, mutations, read
+from tests.simulation.membership_commands import INNER, ControllerFleet
+from tests.test_consensus_messages import WIRE_FORMS as CONSENSUS_TEXTS
+from tests.test_messages import WIRE_FORMS
+from tests.test_peer_connections import HOST, Acceptor, listening
+
+COMMON_FORMS = [wire for _, wire in WIRE_FORMS]
+CONSENSUS_FORMS = [json.loads(text) for text in CONSENSUS_TEXTS]
+ALL_FORMS = [*COMMON_FORMS, *CONSENSUS_FORMS]
+ROW = ["register", "10.0.0.9:80", "here", 4, "ready", 7, 0.0, "v1"]
+# sound by themselves, and still no message that can be handled
+UNUSABLE_TEXTS = [
+    "{no JSON",
+    "[]",
+    "null",
+    '{"no":"kind"}',
+    '{"k":7}',
+    "[" * 100_000,
+    json.dumps({"k": kinds.REGISTRY_UPDATE, "rows": {"w": []}}),
+    json.dumps({"k": kinds.REGISTRY_UPDATE, "rows": {"w": [*ROW, 1]}}),
+    json.dumps({"k": kinds.REGISTRY_UPDATE, "rows": {"w": [7, *ROW[1:]]}}),
+    json.dumps({"k": kinds.REGISTRY_UPDATE, "rows": {"w": [*ROW[:4], "asleep", 7]}}),
+    json.dumps({"k": "prepare", "r": ["config"], "b": [1, 4, "a", 7], "have": [0, 0, "", 0]}),
+]
+
+
+def test_every_kind_is_played() -> None:
+    played = {wire["k"] for wire in ALL_FORMS}
+    assert played == {*READERS, kinds.HEARTBEAT, *CONSENSUS_MESSAGE_KINDS}
+
+
+@pytest.mark.parametrize("wire", ALL_FORMS, ids=lambda wire: wire["k"])
+def test_a_mutation_is_read_or_a_typed_error(wire: dict) -> None:
+    outcomes = [is_malformed(one) for one in mutations(wire)]  # any other error fails here
+    assert any(outcomes)
+
+
+@pytest.mark.parametrize("wire", ALL_FORMS, ids=lambda wire: wire["k"])
+def test_what_a_later_release_adds_is_passed_over(wire: dict) -> None:
+    assert read({**wire, "later": {"x": [1]}}) == read(wire)
+
+
+def test_an_error_names_the_key_and_what_was_found() -> None:
+    with pytest.raises(PeerMessageError, match="key have: expected versions, found 'x'"):
+        read({"k": kinds.SUBSCRIPTION, "on": True, "have": {"table": "x"}})
+    with pytest.raises(PeerMessageError, match="no key r"):
+        read({"k": kinds.UPDATE_REQUEST, "have": 0})
+
+
+def test_one_bad_registration_of_many_changes_nothing() -> None:
+    registry = WorkerRegistry()
+    with pytest.raises(PeerMessageError):
+        registry.record_all(1.0, {"good": ROW, "bad": ROW[:3]})
+    assert not registry.registrations
+    assert WorkerRegistration.from_row(ROW[:6]).revision == ""
+
+
+# --- a peer that is dialled
+
+
+def test_a_peer_that_sends_what_cannot_be_decoded_is_dialled_again() -> None:
+    async def play() -> None:
+        acceptor, errors = Acceptor(), []
+        async with asyncio.timeout(5), listening(acceptor) as port:
+
+            def handle(connection: object, message: dict) -> None:
+                raise KeyError("missing")
+
+            connections = PeerConnections(lambda peer: {"k": "hello"}, handle, lambda *_: None, None)
+            connections.on_malformed = errors.append
+            connections.maintain(HOST, port)
+            began, times = asyncio.get_running_loop().time(), []
+            for text in ('{"k":"pulse"}', "[]", "{no JSON", '{"k":"roll"}'):
+                connection, _ = await acceptor.first_messages.get()
+                times.append(asyncio.get_running_loop().time() - began)
+                connection.send(text)
+            await acceptor.first_messages.get()
+            assert not connections.tasks[HOST].done()
+            await connections.close()
+        assert [error.peer for error in errors] == [HOST] * 4
+        assert errors[0].step == "receive" and str(errors[0]) == "pulse: KeyError('missing')"
+        waits = [later - earlier for earlier, later in zip(times, times[1:], strict=False)]
+        assert waits[0] < waits[1] < waits[2] < MAX_DELAY_AFTER_MALFORMED  # the pause grows
+
+    asyncio.run(play())
+
+
+# --- running controllers
+
+
+@pytest.fixture
+def fleet() -> Iterator[ControllerFleet]:
+    made = ControllerFleet()
+    made.write_settings(3, 3)
+    for number in range(1, 4):
+        made.start(number)
+    made.put_configuration()
+    made.wait_until_settled()
+    yield made
+    made.close()
+
+
+async def send_each(url: str, hello: dict, texts: list[str], answers: list[bool]) -> None:
+    """Each text on a connection of its own; answers: whether the controller closed it."""
+    async with aiohttp.ClientSession() as session:
+        for text in texts:
+            async with session.ws_connect(url) as websocket:
+                await websocket.send_str(json.dumps(hello))
+                await websocket.send_str(text)
+                answers.append(await is_closed(websocket))
+
+
+async def is_closed(websocket: aiohttp.ClientWebSocketResponse) -> bool:
+    """Whether the peer ends this connection; what it sends on it is passed over."""
+    ended = (web.WSMsgType.CLOSE, web.WSMsgType.CLOSED, web.WSMsgType.CLOSING, web.WSMsgType.ERROR)
+    try:
+        async with asyncio.timeout(1.0):
+            while (await websocket.receive()).type not in ended:
+                pass
+    except TimeoutError:
+        return False
+    return True
+
+
+@pytest.mark.parametrize("role", ["archive", "desk"])
+def test_running_controllers_take_no_harm(role: str, fleet: ControllerFleet) -> None:
+    hello = {"k": kinds.HELLO, "role": role, "from": fleet.address_of(2), "rows": {}}
+    for_controllers = [wire for wire in COMMON_FORMS if wire["k"] in controller_kinds(role)]
+    forms = [*for_controllers, *(CONSENSUS_FORMS if role == "archive" else [])]
+    texts, closed = [*malformed_texts(forms), *UNUSABLE_TEXTS], []
+    url = f"http://{fleet.address_of(1)}:{INNER}/link"
+    fleet.loop.run_until_complete(send_each(url, hello, texts, closed))
+    kept = [text[:200] for text, was_closed in zip(texts, closed, strict=True) if not was_closed]
+    assert len(texts) > 100 and not kept
+    assert all(process.returncode is None for process in fleet.running.values())
+    fleet.wait_until_settled()
+    fleet.put_configuration()
+    fleet.wait_until_read_back()
+    lines = fleet.log_events(1, "message malformed")
+    assert lines and all(line["step"] == "receive" and line["peer"] for line in lines)
+
+
+def controller_kinds(role: str) -> set[str]:
+    """The kinds that a controller handles, of a controller or of a proxy."""
+    if role == "archive":
+        return {kinds.HEARTBEAT, kinds.REGISTRY_UPDATE, kinds.REGISTRY_ACKNOWLEDGEMENT}
+    return {
+        kinds.SUBSCRIPTION,
+        kinds.UPDATE_REQUEST,
+        kinds.LOAD_REPORT,
+        kinds.CONFIRMATION_REQUEST,
+        kinds.REMOVE_READERS,
+        kinds.REGISTRY_UPDATE,
+    }
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -29,7 +29,10 @@
     (messages.ControllerHeartbeat, {**HEARTBEAT, "bound": {}, **SELDOM, "heard": {}}),
     (messages.ProxyHeartbeat, TO_PROXY),
     (messages.ProxyHeartbeat, {**TO_PROXY, "silent": ["w"], "zone": "", "archives": [], "near": {}}),
-    (messages.ProxyHeartbeat, {**TO_PROXY, "zone": "z", "archives": ["a"], "near": {}, "crowds": {"s": {}}}),
+    (
+        messages.ProxyHeartbeat,
+        {**TO_PROXY, "zone": "z", "archives": ["a"], "near": {}, "crowds": {"s": [[1], [8]]}},
+    ),
     (messages.RegistryUpdate, {"k": "roll", "rows": {"w": ["s"]}}),
     (messages.RegistryUpdate, {"k": "roll", "rows": {}, "id": 0}),
     (messages.RegistryUpdate, {"k": "roll", "rows": {}, "all": True}),
