Deregistrations are on a majority's disks before they are acknowledged

Cause: who left was in memory only. After all machines had lost their power at once a late 'ready' brought back a worker that had been acknowledged as draining or gone, at proxies too.

A controller counts itself and answers others only once its own write is safe.

Tests changed: the run 'restart of all after a deregistration' is now held by disks and by proxies, so both are taken out to see it found; a step says that the asking controller's own disk holds the registration.

--- a/bramblewood/controller/peer_handlers.py
+++ b/bramblewood/controller/peer_handlers.py
@@ -12,6 +12,7 @@
     Hello,
     LoadReport,
     ReadersRemoved,
+    Registrations,
     RegistryAcknowledgement,
     RegistryUpdate,
     RemoveReaders,
@@ -29,6 +30,7 @@
 from .consensus.voter_set import voter_set_from
 from .content_watch import ContentWatch
 from .controller_peers import ControllerPeers
+from .departures import Departures
 from .load_reports import LoadReports
 from .proxy_feed import ProxyFeed
 from .proxy_heartbeats import ProxyHeartbeats
@@ -58,6 +60,7 @@
         load_reports: LoadReports,
         worker_api: WorkerApi,
         content_watch: ContentWatch,
+        departures: Departures,
     ) -> None:
         self.runtime, self.quorum_io, self.quorum_contact = runtime, quorum_io, quorum_contact
         self.sessions, self.controller_peers = sessions, controller_peers
@@ -65,7 +68,7 @@
         self.proxy_feed, self.proxy_sessions = proxy_feed, proxy_feed.proxy_sessions
         self.proxy_heartbeats, self.chosen_values = proxy_heartbeats, chosen_values
         self.load_reports, self.worker_api = load_reports, worker_api
-        self.content_watch = content_watch
+        self.content_watch, self.departures = content_watch, departures
         self.handlers = {
             kinds.HEARTBEAT: self.handle_heartbeat,
             kinds.REGISTRY_UPDATE: self.handle_registry_update,
@@ -159,13 +162,20 @@
         update, peer = RegistryUpdate.from_wire(message), connection.peer
         newer = self.registry_exchange.record_all(update.registrations, peer)
         if update.request_id is not None:
-            consensus = self.quorum_io.consensus
-            epoch = consensus.epoch if consensus.is_active_voter else -1
-            answer = RegistryAcknowledgement(update.request_id, newer, epoch)
-            self.runtime.peer_connections.send(peer, answer.to_wire())
+            request_id = update.request_id
+            self.departures.keep(
+                update.registrations, lambda: self._acknowledge_registrations(peer, request_id, newer)
+            )
         elif newer:
             self.runtime.peer_connections.send(peer, RegistryUpdate(newer).to_wire())
 
+    def _acknowledge_registrations(self, peer: str, request_id: int, newer: Registrations) -> None:
+        """They are safe on this disk."""
+        consensus = self.quorum_io.consensus
+        epoch = consensus.epoch if consensus.is_active_voter else -1
+        answer = RegistryAcknowledgement(request_id, newer, epoch)
+        self.runtime.peer_connections.send(peer, answer.to_wire())
+
     def handle_registry_acknowledgement(self, connection: PeerConnection, message: dict) -> None:
         """A controller holds a registration that we asked it to hold."""
         answer, peer = RegistryAcknowledgement.from_wire(message), connection.peer
--- a/bramblewood/controller/quorum_io.py
+++ b/bramblewood/controller/quorum_io.py
@@ -133,6 +133,15 @@
                 promised=format_proposal_number(promised),
             )
 
+    def write_facts(self, facts: dict[str, Any], on_durable: Callable[[], None]) -> None:
+        """Write facts, None to remove one, and call on_durable once they are safe on disk. Where the disk
+        refuses them they come along with the next write, and nothing is called.
+        """
+        effects = no_effects()
+        effects.facts.update(facts)
+        effects.answer(lambda outcome: outcome and on_durable(), True)
+        self.execute(effects)
+
     def execute(self, effects: Effects) -> None:
         """Write what these effects ask for, then send and answer."""
         rows, facts = self.pending_writes.prepare_write(effects)
--- a/bramblewood/controller/server.py
+++ b/bramblewood/controller/server.py
@@ -17,6 +17,7 @@
 from .controller_peers import KNOWN_CONTROLLERS_FACT, ControllerPeers
 from .coordinator_loop import CoordinatorLoop
 from .damaged_storage import mark_damaged, open_or_replace
+from .departures import Departures
 from .drain_progress import DrainProgress
 from .http_listener import HttpListener
 from .introspection import Introspection
@@ -59,6 +60,7 @@
         self.quorum_contact = QuorumContact(runtime, self.quorum_io, self.sessions)
         self.registry, self.proxy_sessions = WorkerRegistry(), ProxySessions()
         self.content_watch = ContentWatch(runtime, self.quorum_io)
+        self.departures = Departures(runtime, self.quorum_io, self.registry)
         self.registry_exchange = RegistryExchange(runtime, self.registry, self.proxy_sessions)
         self._build_peer_parts()
         self._build_coordinator()
@@ -124,7 +126,9 @@
 
     def _build_apis(self) -> None:
         runtime, quorum_io, quorum_contact = self.runtime, self.quorum_io, self.quorum_contact
-        self.worker_api = WorkerApi(runtime, quorum_io, quorum_contact, self.registry_exchange)
+        self.worker_api = WorkerApi(
+            runtime, quorum_io, quorum_contact, self.registry_exchange, self.departures
+        )
         self.operator_api = OperatorApi(runtime, quorum_io, quorum_contact, self.registry, self.voter_changes)
         self.introspection = Introspection(
             runtime,
@@ -148,6 +152,7 @@
             LoadReports(self.coordinator_loop, self.drain_progress, self.outlier_detection),
             self.worker_api,
             self.content_watch,
+            self.departures,
         )
         self.http_listener = HttpListener(
             runtime, self.peer_handlers, self.worker_api, self.operator_api, self.introspection
@@ -222,6 +227,7 @@
         storage = self.quorum_io.storage
         storage.on_damage = lambda problem: loop.call_soon_threadsafe(self.handle_damage, problem)
         self.quorum_io.restore(found.facts, found.registers, storage.replaces_damaged)
+        self.departures.restore(found.facts)
         self.set_planner(
             PlacementPlanner(runtime.now(), settings.heartbeat_interval, settings.detect_hot_keys)
         )
@@ -280,6 +286,7 @@
             self.next_housekeeping_at = now + HOUSEKEEPING_INTERVAL
             self.registry.remove_expired(now)
             self.content_watch.check()
+            self.departures.remove_expired(now)
             proxies = self.sessions.all_proxies(now, list(self.proxy_sessions.connected))
             self.drain_progress.record_connected_proxies(now, proxies)
         self.coordinator_loop.step(now)
--- a/bramblewood/controller/worker_api.py
+++ b/bramblewood/controller/worker_api.py
@@ -6,6 +6,7 @@
 
 from ..common.worker_registry import GONE, WorkerRegistration
 from .commands import DeregisterWorker, RegisterWorker
+from .departures import Departures
 from .deregistration import CONFIRMATION_TIMEOUT, Deregistrations
 from .http_responses import NO_QUORUM, make_response
 from .quorum_contact import QuorumContact
@@ -21,7 +22,7 @@
     """Answers workers. Each call is recorded and passed on at once, acknowledged with quorum contact only,
     so that the worker goes to a controller that the others hear.
 
-    Invariant: a deregistration is acknowledged only once a majority of the voters holds it.
+    Invariant: a deregistration is acknowledged only once a majority of the voters has it on disk.
     """
 
     def __init__(
@@ -30,9 +31,10 @@
         quorum_io: QuorumIO,
         quorum_contact: QuorumContact,
         registry_exchange: RegistryExchange,
+        departures: Departures,
     ) -> None:
         self.runtime, self.quorum_io, self.quorum_contact = runtime, quorum_io, quorum_contact
-        self.registry_exchange = registry_exchange
+        self.registry_exchange, self.departures = registry_exchange, departures
         self.deregistrations = Deregistrations(runtime.own_address)
         self.confirmations: dict[int, asyncio.Future] = {}  # by request id
 
@@ -54,7 +56,7 @@
         request_id = self.deregistrations.begin(self.runtime.now())
         confirmation = self.confirmations[request_id] = self.runtime.loop.create_future()
         self.registry_exchange.record(instance_id, registration, request_id)
-        self.check_confirmations()
+        self.departures.keep([instance_id], lambda: self._held_here(request_id))
         try:
             async with asyncio.timeout(CONFIRMATION_TIMEOUT):
                 await confirmation
@@ -65,6 +67,10 @@
         self.deregistrations.end(request_id)
         return web.json_response({}) if is_confirmed else make_response(503, "no majority holds it in time")
 
+    def _held_here(self, request_id: int) -> None:
+        self.deregistrations.record_held_here(request_id)
+        self.check_confirmations()
+
     def check_confirmations(self) -> None:
         """Wake the deregistrations that are confirmed by now."""
         for request_id, confirmation in self.confirmations.items():
--- a/features/quorum_contact.feature
+++ b/features/quorum_contact.feature
@@ -33,7 +33,8 @@
       | minority partition                    | quorum contact of a current controller              | 1     |
       | deregistration across a broken pair   | forwarding of deregistrations between controllers   | 4     |
       | deregistration of an unknown worker   | the registration of a worker that nobody knew       | 1     |
-      | restart of all after a deregistration | proxies that hand deregistrations over again        | 1     |
+      | restart of all after a deregistration | proxies that hand them over again, and the disks    | 1     |
+      | all dark after a deregistration       | deregistrations on the controllers' disks           | 1     |
       | freeze amid reads                     | the look at the clock after a proposal              | 4     |
       | freeze before grants                  | the look at quorum contact as a grant leaves        | 1     |
       | unlearned acceptance                  | the look at what the controller itself has accepted | 4     |
--- a/features/steps/quorum_contact.py
+++ b/features/steps/quorum_contact.py
@@ -1,5 +1,6 @@
 """Runs of whole fleets; GUARDS are what may be taken out, each by its words in the feature."""
 
+import contextlib
 from unittest import mock
 
 from behave import given, then, when
@@ -8,6 +9,7 @@
 from bramblewood.common.worker_registry import GONE, WorkerRegistration, WorkerRegistry
 from bramblewood.controller.consensus.proposal_number import NO_PROPOSAL
 from bramblewood.controller.consensus.registers import TABLE
+from bramblewood.controller.departures import Departures
 from bramblewood.controller.deregistration import Deregistrations
 from bramblewood.controller.http_responses import make_response
 from bramblewood.controller.key_leases import KeyLeases
@@ -66,6 +68,8 @@
     return heartbeat_received(self, now, peer, heartbeat, known_versions)
 
 
+FORGETS_DEPARTURES = (Departures, "restore", lambda self, facts: None)
+# by what is taken out: owner, attribute and replacement, of one or more in a row
 GUARDS = {
     "the majority that holds a deregistration": (Deregistrations, "is_confirmed", one_other_holder),
     "quorum contact before a worker's call is answered": (
@@ -76,10 +80,10 @@
     "quorum contact of a current controller": (QuorumContact, "is_current", lambda self, now: True),
     "forwarding of deregistrations between controllers": (RegistryExchange, "record_all", no_forwarding),
     "the registration of a worker that nobody knew": (WorkerApi, "deregister", unknown_worker_unrecorded),
-    "proxies that hand deregistrations over again": (
-        WorkerRegistry,
-        "departing_registrations",
-        lambda self, since=0.0: {},
+    "deregistrations on the controllers' disks": FORGETS_DEPARTURES,
+    "proxies that hand them over again, and the disks": (
+        *FORGETS_DEPARTURES,
+        *(WorkerRegistry, "departing_registrations", lambda self, since=0.0: {}),
     ),
     "the look at the clock after a proposal": (QuorumIO, "agree", no_look_at_clock),
     "the look at quorum contact as a grant leaves": (LeaseCalls, "grant_or_release", grant_on_old_contact),
@@ -128,8 +132,10 @@
 
 @then('without {guard} a run of "{name}" breaks a rule within {count:d} seeds')
 def missing_guard_breaks_rule(context, guard, name, count):
-    owner, attribute, replacement = GUARDS[guard]
-    with mock.patch.object(owner, attribute, replacement):
+    with contextlib.ExitStack() as patches:
+        taken_out = iter(GUARDS[guard])
+        for owner, attribute, replacement in zip(taken_out, taken_out, taken_out, strict=True):
+            patches.enter_context(mock.patch.object(owner, attribute, replacement))
         for seed in range(count):
             try:
                 DIRECTED_RUNS[name](seed)
@@ -219,6 +225,7 @@
 def asked_about(context):
     context.deregistrations = Deregistrations("a")
     context.request_id = context.deregistrations.begin(10.0)
+    context.deregistrations.record_held_here(context.request_id)
 
 
 @when("b answers as a voter of epoch 3, and c as none")
--- a/tests/simulation/fleet/machine.py
+++ b/tests/simulation/fleet/machine.py
@@ -105,6 +105,7 @@
         controller.quorum_io.incarnation = 1000 * self.starts + ord(self.name)
         controller.quorum_io.storage = self
         controller.quorum_io.restore(dict(self.facts), dict(self.registers))
+        controller.departures.restore(self.facts)
         controller.controller_peers.known = set(self.fleet.controllers) - {self.name}
         controller.controller_peers.next_seed_reread_at = 1e9
         worker_session = WorkerSession(self)
@@ -127,6 +128,7 @@
             for register, promised, accepted, value in rows:
                 self.registers[register] = (promised, accepted, value)
             self.facts |= facts
+            self.facts = {name: value for name, value in self.facts.items() if value is not None}
             on_done(None)
 
         self.loop.call_later(SYNC_TIME, synced)
--- a/tests/simulation/quorum_contact.py
+++ b/tests/simulation/quorum_contact.py
@@ -201,6 +201,34 @@
     return fleet
 
 
+def all_dark_after_deregistration(seed):
+    """All machines lose their power within milliseconds of a deregistration's acknowledgement, and one its
+    disk; an old call comes late, more than once and at several controllers.
+    """
+    fleet = started_fleet(seed, 3 + 2 * (seed % 2))
+    name = fleet.rng.choice(sorted(fleet.workers))
+    worker = fleet.workers[name]
+    registration = WorkerRegistration("s", f"{name}:1", "z", SLOTS, READY, worker.call_sequence)
+    worker.phase, worker.next_call_at = DRAINING, fleet.now
+    while not worker.is_acknowledged:
+        fleet.step()
+    worker.next_call_at = fleet.now + UNTIL_THE_END  # it calls no more of itself
+    for machine in fleet.machines.values():
+        machine.kill()
+    lost = fleet.machines[fleet.rng.choice(fleet.voters)]
+    lost.facts, lost.registers = {"disk": f"disk-{lost.name}-2"}, {}
+    for machine in fleet.machines.values():
+        fleet.at(fleet.now + fleet.rng.uniform(0.2, 1.0), machine.start, False)
+    for _ in range(6):
+        command = RegisterWorker(name, registration)
+        late = fleet.now + fleet.rng.uniform(0.3, 6.0)
+        fleet.at(late, fleet.call, fleet.rng.choice(fleet.controllers), command)
+    fleet.run(9.0)
+    assert all(state.is_ready for state in fleet.rules.proxy_states.values())
+    fleet.end()
+    return fleet
+
+
 def deregistration_of_unknown_worker(seed):
     """A worker deregisters at a controller that has never heard of it, and does not hear the one that has."""
     fleet = started_fleet(seed, 3)
@@ -251,6 +279,7 @@
     "unlearned acceptance": unlearned_acceptance,
     "proxy behind slow connections": proxy_behind_slow_connections,
     "restart of all after a deregistration": restart_of_all_after_deregistration,
+    "all dark after a deregistration": all_dark_after_deregistration,
     "deregistration of an unknown worker": deregistration_of_unknown_worker,
     "deregistration across a broken pair": deregistration_across_broken_pair,
     "missed configuration": missed_configuration,
