Load reports with a worker's stated load are read again

Cause: the check of a report's rows took the stated load for a number; it is a list of running, waiting and slots.

Change: the load is null or three integers. A load above a million, or with digits that are no decimals, is ignored at the proxy, as what is no load always was: else a worker's answer could end a proxy's connection.

--- a/bramblewood/common/messages/with_proxies.py
+++ b/bramblewood/common/messages/with_proxies.py
@@ -9,6 +9,7 @@
 
 WORKER_ROW_LENGTHS = range(4, 7)  # attempts, unanswered, mean time, load; then those that failed
 LOAD_PLACE = 3  # in such a row; null where the worker stated none
+LOAD_FIELDS = 3  # running, waiting, slots
 WORK_IN_FLIGHT_FIELDS = 3
 
 
@@ -45,7 +46,10 @@
     """Whether this is what a proxy saw of one worker."""
     if not is_list(value) or len(value) not in WORKER_ROW_LENGTHS:
         return False
-    return all(is_number(one) or one is None and place == LOAD_PLACE for place, one in enumerate(value))
+    load = value[LOAD_PLACE]
+    if load is not None and not (is_list(load) and len(load) == LOAD_FIELDS and all(map(is_integer, load))):
+        return False
+    return all(is_number(one) for place, one in enumerate(value) if place != LOAD_PLACE)
 
 
 def is_work_in_flight(value: Any) -> bool:
@@ -65,6 +69,8 @@
     is_current: bool
     is_coordinator: bool
     proxy_count: int
+    # of the live workers that the sender knows; None from earlier releases
+    live_digest: int | None = None
     silent_workers: list[str] | None = None  # instance ids without a heartbeat for too long
     # what changes seldom is left out where it was sent on this connection before
     zone: str | None = None
@@ -81,6 +87,7 @@
             fields.flag("whole"),
             fields.flag("scribe"),
             fields.integer("desks"),
+            fields.integer("live", None),
             fields.texts("silent", None),
             fields.text("zone", None),
             fields.texts("archives", None),
@@ -98,6 +105,7 @@
             "desks": self.proxy_count,
         }
         for key, value in (
+            ("live", self.live_digest),
             ("silent", self.silent_workers),
             ("zone", self.zone),
             ("archives", self.controllers),
--- a/bramblewood/proxy/worker_observations.py
+++ b/bramblewood/proxy/worker_observations.py
@@ -12,6 +12,7 @@
 LOAD_VALIDITY = 1.0  # s that a stated load is used; reports are about as old
 FULL_QUEUE_VALIDITY = 0.15  # s that a full queue is believed: about a request's work
 REJECTION_BACKOFF = 0.1  # s that requests bound to a worker leave it alone after it rejected one
+MAX_STATED_LOAD = 10**6  # of running, waiting, slots; what is above is no load of one worker
 NO_LOAD = (0, 0, 0)
 
 
@@ -73,9 +74,12 @@
     def record_load(self, now: float, header: str) -> None:
         """Take in `X-Server-Load`: running, waiting, slots; anything else is ignored."""
         parts = header.split(",")
-        if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        if len(parts) != 3 or not all(part.strip().isdecimal() for part in parts):
             return
-        self.load, self.load_at, self.load_reported = tuple(map(int, parts)), now, True
+        load = tuple(map(int, parts))
+        if max(load) > MAX_STATED_LOAD:
+            return
+        self.load, self.load_at, self.load_reported = load, now, True
         _, waiting, slots = self.load
         if waiting > slots:
             self.hot_key_queue.reduce_rate(now, OVERLOADED_RATE_FACTOR)
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -13,6 +13,8 @@
 from bramblewood.common.peer_connections import MAX_DELAY_AFTER_MALFORMED, PeerConnections
 from bramblewood.common.worker_registry import WorkerRegistration, WorkerRegistry
 from bramblewood.controller.consensus.messages import CONSENSUS_MESSAGE_KINDS
+from bramblewood.proxy.load_balancing import LoadBalancer
+from bramblewood.proxy.load_report import take_report
 from tests.simulation.malformed_messages import READERS, is_malformed, malformed_texts, mutations, read
 from tests.simulation.membership_commands import INNER, ControllerFleet
 from tests.test_consensus_messages import WIRE_FORMS as CONSENSUS_TEXTS
@@ -55,6 +57,28 @@
     assert read({**wire, "later": {"x": [1]}}) == read(wire)
 
 
+def test_what_a_proxy_reports_of_its_workers_is_read() -> None:
+    """Reports as proxies make them, with and without a stated load, failures, hot keys and a drain plan."""
+    balancer = LoadBalancer(2.5)
+    balancer.slices.drain_steps = {"w1": "told", "w3": "closing"}
+    for number, load in enumerate(("", "1,0,4", "7,12,4", "9" * 30 + ",1,1", "none")):
+        observation = balancer.observation(f"w{number}")
+        observation.record_answer(0.5)
+        observation.record_failure(1.0, number == 1)
+        observation.record_load(1.5, load)
+        observation.request_started(1.5, number == 3)
+        if number == 2:
+            observation.record_server_error()
+        balancer.request_counts.record_request("s", number)
+    balancer.request_counts.apply_hot_keys({"s": [[0], [3]]})
+    balancer.request_counts.record_request("s", 3)
+    balancer.request_counts.record_request("s", 4000)
+    report = json.loads(json.dumps(take_report(balancer, 0.5, 2.5).to_wire()))
+    assert report["met"]["w2"][3] == [7, 12, 4] and report["met"]["w0"][3] is report["met"]["w3"][3] is None
+    assert report["left"] and report["heat"] and report["keys"]
+    assert json.loads(json.dumps(read(report).to_wire())) == report
+
+
 def test_an_error_names_the_key_and_what_was_found() -> None:
     with pytest.raises(PeerMessageError, match="key have: expected versions, found 'x'"):
         read({"k": kinds.SUBSCRIPTION, "on": True, "have": {"table": "x"}})
