Workers that no controller knows are noticed; one rule for leases; releases need quorum contact

Cause: a worker that died unheard while all controllers started anew stayed ready at a proxy for good. A release of a thawed coordinator left without a look at its quorum contact.

A release leaves on quorum contact only. A missing settings file is exit code 2; a controller that is not heard is shown as not whole.

--- a/bramblewood/cli/settings_check.py
+++ b/bramblewood/cli/settings_check.py
@@ -7,10 +7,11 @@
 
 from ..common import settings
 from ..common.configuration_parser import validate_configuration
+from ..common.errors import SettingsUnreadableError
 from .configuration_file import read_configuration
 from .exit_codes import PROBLEM_FOUND, SUCCESS
 from .options import BOOT, JSON
-from .output import write_result
+from .output import fail, write_result
 
 
 @click.command()
@@ -25,6 +26,8 @@
     faults = []
     if boot or not config:
         loaded = settings.load(boot)
+        if isinstance(loaded, Err) and isinstance(loaded.err_value, SettingsUnreadableError):
+            fail(loaded.err_value)
         faults += [str(loaded.err_value)] if isinstance(loaded, Err) else []
     if config:
         faults += [f"{config}: {fault}" for fault in validate_configuration(read_configuration(config))[1]]
--- a/bramblewood/common/errors.py
+++ b/bramblewood/common/errors.py
@@ -41,7 +41,11 @@
 
     def in_file(self, path: str) -> "SettingsError":
         """The same error with the file that it was found in."""
-        return SettingsError(self.problem, path=path)
+        return type(self)(self.problem, path=path)
+
+
+class SettingsUnreadableError(SettingsError):
+    """A settings file that is not there, or can't be read."""
 
 
 class PeerMessageError(BramblewoodError, ValueError):
--- a/bramblewood/common/peer_connections.py
+++ b/bramblewood/common/peer_connections.py
@@ -15,6 +15,7 @@
 from aiohttp import web
 
 from .errors import BramblewoodError, PeerMessageError
+from .timeouts import UNACKNOWLEDGED_TIMEOUT_MS
 
 CONNECT_TIMEOUT = 0.6  # s for a connection to come up; many times the transit between zones
 # s without a message after which a connection counts as lost; heartbeats come each quarter of a second
@@ -33,7 +34,6 @@
 )
 MAX_QUEUED_MESSAGES = 400  # that may wait for a slow peer; with more the connection is given up
 MAX_MESSAGE_BYTES = 16 * 2**20  # a configuration of thousands of routes and its table
-UNACKNOWLEDGED_TIMEOUT_MS = 1000  # that sent bytes may stay unacknowledged (TCP_USER_TIMEOUT)
 COMPRESSION_WINDOW_BITS = 15
 
 Message = dict[str, Any]
--- a/bramblewood/common/settings.py
+++ b/bramblewood/common/settings.py
@@ -11,7 +11,7 @@
 
 from result import Err, Ok, Result
 
-from .errors import SettingsError
+from .errors import SettingsError, SettingsUnreadableError
 from .schema import check
 from .settings_path import DEFAULT_SETTINGS_PATH, SETTINGS_PATH_VARIABLE
 
@@ -139,7 +139,7 @@
         with open(path, "rb") as file:
             content = file.read()
     except OSError as error:
-        return Err(SettingsError(error.strerror, path=path))
+        return Err(SettingsUnreadableError(error.strerror, path=path))
     settings = parse_settings(content).map(lambda parsed: replace(parsed, path=path))
     return settings.map_err(lambda error: error.in_file(path))
 
--- a/bramblewood/common/worker_registry.py
+++ b/bramblewood/common/worker_registry.py
@@ -11,6 +11,8 @@
 A registration travels as a list, its fields in order. All times in s of the steady clock.
 """
 
+import zlib
+from collections.abc import Collection
 from typing import Any, NamedTuple
 
 from .errors import PeerMessageError
@@ -76,6 +78,7 @@
         self.changed_at: dict[str, float] = {}  # when its phase, address or slots last changed here
         self.warm_at: dict[str, float] = {}  # when its slow start ends
         self.instance_by_address: dict[str, str] = {}  # the one that was registered there last
+        self._live_digest: int | None = None  # None: to be worked out again
 
     def record(
         self, now: float, instance_id: str, registration: WorkerRegistration, age: float = 0.0
@@ -98,6 +101,7 @@
         self.registrations[instance_id] = registration
         if known is not None and known_to_others(known) == known_to_others(registration):
             return False
+        self._live_digest = None
         self.changed_at[instance_id] = now
         self.warm_at[instance_id] = now + registration.warm_up_left
         if registration.phase != GONE:
@@ -173,6 +177,17 @@
             if registration.phase != GONE and now - self.last_heard.get(instance_id, 0.0) > timeout
         }
 
+    def live_instances(self) -> list[str]:
+        """The workers that are not gone."""
+        return [one for one, registration in self.registrations.items() if registration.phase != GONE]
+
+    def live_digest(self, without: Collection[str] = ()) -> int:
+        """A number that two registries share if they know the same live workers; without: those left out."""
+        if self._live_digest is None:
+            self._live_digest = sum(map(instance_digest, self.live_instances()))
+        left_out = (one for one in without if self.registrations[one].phase != GONE)
+        return self._live_digest - sum(map(instance_digest, left_out))
+
     def ready_instances(self, service: str) -> list[str]:
         """The workers of a service that take requests, by their own word."""
         return [
@@ -193,6 +208,11 @@
                 state.pop(instance_id, None)
 
 
+def instance_digest(instance_id: str) -> int:
+    """One worker's part of a digest."""
+    return zlib.crc32(instance_id.encode())
+
+
 def known_to_others(registration: WorkerRegistration) -> tuple[str, str, int]:
     """What other controllers and proxies act on; a change of it is sent on at once."""
     return registration.phase, registration.address, registration.slots
--- a/bramblewood/controller/introspection.py
+++ b/bramblewood/controller/introspection.py
@@ -136,7 +136,7 @@
             "archives": {
                 peer: {
                     "heard": round(now - session.received_at, 2),
-                    "whole": session.is_current,
+                    "whole": session.is_current and self.sessions.is_present(now, peer),
                     "votes": session.is_voting,
                 }
                 for peer, session in self.sessions.by_peer.items()
--- a/bramblewood/controller/key_leases.py
+++ b/bramblewood/controller/key_leases.py
@@ -21,17 +21,14 @@
 from http import HTTPStatus
 from typing import Any, Literal, NamedTuple
 
-from ..common.peer_connections import UNACKNOWLEDGED_TIMEOUT_MS
 from ..common.slice_table import KEY_SPACE_SIZE, Row, SliceEntry, sorted_starts
-from ..common.timeouts import CLOCK_DRIFT_FACTOR, MAX_TRANSIT_TIME, QUORUM_CONTACT_VALIDITY
+from ..common.timeouts import lease_expiry
 from ..common.worker_registry import GONE, WorkerRegistry
 
 # part of HoldMaxS that a grant lasts: some seconds without a quorum cost nothing, a dead worker's keys wait
 # as long
 LEASE_FRACTION = 0.6
 RENEWAL_FRACTION = 1 / 3  # of a lease after which it is renewed: two further attempts fit
-# s from a call's sending to its arrival at most: lost packets are sent again until the socket gives them up
-MAX_CALL_TRANSIT = UNACKNOWLEDGED_TIMEOUT_MS / 1000 + MAX_TRANSIT_TIME
 RETRY_DELAY = 0.3  # s between attempts of a call that failed
 
 GRANT: Literal["grant"] = "grant"  # kinds of calls, as in their paths
@@ -122,7 +119,7 @@
     @property
     def expiry_wait(self) -> float:
         """s after a change is known in which every grant that rests on an older table expires."""
-        return self.lease_duration * CLOCK_DRIFT_FACTOR + QUORUM_CONTACT_VALIDITY + MAX_CALL_TRANSIT
+        return lease_expiry(self.lease_duration)
 
     def next_calls(
         self, now: float, table: dict[str, Any], keyed: set[str], registry: WorkerRegistry
--- a/bramblewood/controller/lease_calls.py
+++ b/bramblewood/controller/lease_calls.py
@@ -39,7 +39,7 @@
 class LeaseCalls:
     """Calls under way, their counts, and the two HTTP sessions that they use.
 
-    Invariant: no grant leaves after the quorum contact that it rests on has run out.
+    Invariant: no call leaves after the quorum contact that it rests on has run out.
     """
 
     pooled_session: aiohttp.ClientSession
@@ -79,7 +79,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def grant_or_release(self, call: LeaseCall, until: float) -> None:
-        """One grant or release. until: when the quorum contact ends that a grant rests on, own clock in s."""
+        """One grant or release. until: when the quorum contact ends that it rests on, own clock in s."""
         sent_at = self.runtime.now()
         status, handover = await self._send_lease_call(call, sent_at, until)
         self.counts[f"archive_{call.kind}s"] += 1
@@ -109,7 +109,13 @@
             self.registry_exchange.record(call.instance_id, registration._replace(phase=GONE))
 
     async def _send_lease_call(self, call: LeaseCall, sent_at: float, until: float) -> tuple[int, str]:
-        """The call's status and handover; NO_ANSWER, CONNECTION_REFUSED where there was none."""
+        """The call's status and handover; NO_ANSWER, CONNECTION_REFUSED where there was none.
+
+        A grant's connection must be up by `until`. A release needs contact as it starts, so that a freeze
+        doesn't lie before it; its connection may take longer, as whatever it frees stands in the table.
+        """
+        if sent_at >= until:
+            return NO_ANSWER, ""
         body = {"Source": call.first_key, "TargetVersion": call.last_key, "fence": call.fencing_token}
         timeout = self.key_leases.expiry_wait
         if call.kind == GRANT:
--- a/bramblewood/controller/proxy_heartbeats.py
+++ b/bramblewood/controller/proxy_heartbeats.py
@@ -53,6 +53,7 @@
             is_current=is_current,
             is_coordinator=is_coordinator,
             proxy_count=len(self.sessions.all_proxies(now, list(self.proxy_sessions.connected))),
+            live_digest=self.registry_exchange.registry.live_digest(),
             silent_workers=sorted(silent) or None,
         )
         short = encode(heartbeat.to_wire())
--- a/bramblewood/controller/sessions.py
+++ b/bramblewood/controller/sessions.py
@@ -171,7 +171,7 @@
         return [
             peer
             for peer, session in self.by_peer.items()
-            if self._is_present(now, peer) and session.is_current
+            if self.is_present(now, peer) and session.is_current
         ]
 
     def coordinator(self, now: float, is_current: bool) -> str | None:
@@ -185,12 +185,10 @@
     def all_proxies(self, now: float, connected: list[str]) -> set[str]:
         """The proxies connected to any controller heard of late; connected: those connected to this one."""
         elsewhere = [
-            proxy
-            for peer, proxies in self.proxies.items()
-            for proxy in proxies
-            if self._is_present(now, peer)
+            proxy for peer, proxies in self.proxies.items() for proxy in proxies if self.is_present(now, peer)
         ]
         return {*connected, *elsewhere}
 
-    def _is_present(self, now: float, peer: str) -> bool:
+    def is_present(self, now: float, peer: str) -> bool:
+        """Whether another controller was heard of late."""
         return peer in self.by_peer and now - self.by_peer[peer].received_at <= PEER_TIMEOUT
--- a/bramblewood/proxy/controller_selection.py
+++ b/bramblewood/proxy/controller_selection.py
@@ -50,6 +50,11 @@
         self.table_confirmed_at = -1e9
         self.is_ready = False
 
+    def is_current_upstream(self, peer: str) -> bool:
+        """Whether this controller is the upstream, and current by its newest heartbeat."""
+        heartbeat = self.heartbeats.get(peer)
+        return peer == self.upstream and heartbeat is not None and heartbeat.is_current
+
     def connection_changed(self, peer: str, is_up: bool, known_versions: Versions) -> OutgoingMessages:
         """The connection to a controller came up or was lost."""
         if is_up:
--- a/bramblewood/proxy/controller_sessions.py
+++ b/bramblewood/proxy/controller_sessions.py
@@ -22,6 +22,7 @@
     ReadersRemoved,
     RegistryUpdate,
     RemoveReaders,
+    Subscribe,
     TableUpdate,
     UpdateRequest,
     Versions,
@@ -35,6 +36,7 @@
 from .controller_selection import ControllerSelection, OutgoingMessages
 from .load_balancing import LoadBalancer
 from .load_report import take_report
+from .registry_freshness import RegistryFreshness
 from .retry_budget import RetryBudget
 
 CONFIGURATION_REGISTER, TABLE_REGISTER = "config", "table"  # names of the registers on the wire
@@ -65,6 +67,8 @@
         self.configuration: Configuration | None = None
         self.client_limits = DEFAULT_LIMITS
         self.selection = ControllerSelection(settings.name, settings.zone)
+        self.freshness = RegistryFreshness(load_balancer.registry, settings.heartbeat_interval)
+        self._silent_workers: set[str] = set()  # by the newest heartbeat of a current controller
         self.peer_connections = PeerConnections(
             self.greeting, self.handle_message, self.connection_changed, CONNECTION_TIMEOUT, settings.bind_ip
         )
@@ -132,12 +136,16 @@
                 for service, by_zone in heartbeat.zone_affinity.items()
             }
         if heartbeat.is_current:
-            self.load_balancer.timed_out = set(heartbeat.silent_workers or ())
+            self._silent_workers = set(heartbeat.silent_workers or ())
             self.retry_budget.proxies = max(heartbeat.proxy_count, 1)
         for controller in heartbeat.controllers or ():
             self.peer_connections.maintain(controller, self.settings.peer_port)
         versions = self.known_versions()
         self._send_all(self.selection.heartbeat_received(now, connection.peer, heartbeat, versions))
+        if connection.peer == self.selection.upstream:
+            if self.freshness.heartbeat_received(now, heartbeat):
+                connection.send(Subscribe(versions).to_wire())  # brings the complete registry again
+        self._update_timed_out()
 
     def _on_registrations(self, now: float, connection: PeerConnection, message: dict) -> None:
         update = RegistryUpdate.from_wire(message)
@@ -146,11 +154,18 @@
             changed = self.load_balancer.registry.record(now, instance_id, registration)
             if changed and registration.phase == GONE:
                 self.connection_pool.close_all(instance_id)
+        is_current = self.selection.is_current_upstream(connection.peer)
+        self.freshness.registrations_received(now, registrations, update.is_complete, is_current)
+        self._update_timed_out()
         if update.is_complete:
             versions = self.known_versions()
             self._send_all(self.selection.registry_received(now, connection.peer, versions))
         self._notify_waiting()
 
+    def _update_timed_out(self) -> None:
+        """Workers that the controllers name silent, and those that they don't know any more."""
+        self.load_balancer.timed_out = self._silent_workers | self.freshness.unconfirmed
+
     def _on_configuration(self, now: float, connection: PeerConnection, message: dict) -> None:
         update = ConfigurationUpdate.from_wire(message)
         if self.configuration is None or update.version > self.configuration.revision:
--- a/features/quorum_contact.feature
+++ b/features/quorum_contact.feature
@@ -36,7 +36,9 @@
       | restart of all after a deregistration | proxies that hand them over again, and the disks    | 1     |
       | all dark after a deregistration       | deregistrations on the controllers' disks           | 1     |
       | freeze amid reads                     | the look at the clock after a proposal              | 4     |
-      | freeze before grants                  | the look at quorum contact as a grant leaves        | 1     |
+      | freeze before grants                  | the look at quorum contact as a call leaves         | 1     |
+      | freeze before releases                | the look at quorum contact as a call leaves         | 1     |
+      | death unheard amid a restart of all   | the look for workers that no controller knows       | 1     |
       | unlearned acceptance                  | the look at what the controller itself has accepted | 4     |
       | missed configuration                  | quorum contact on the configuration                 | 1     |
       | proxy behind slow connections         | the question before a proxy is ready                | 1     |
--- a/features/steps/key_leases.py
+++ b/features/steps/key_leases.py
@@ -4,8 +4,9 @@
 
 from behave import given, then, when
 
+from bramblewood.common.timeouts import MAX_CALL_TRANSIT
 from bramblewood.common.worker_registry import GONE, WorkerRegistration, WorkerRegistry
-from bramblewood.controller.key_leases import MAX_CALL_TRANSIT, KeyLeases
+from bramblewood.controller.key_leases import KeyLeases
 from bramblewood.controller.lease_calls import (
     LeaseCalls,
     open_pooled_session,
--- a/features/steps/quorum_contact.py
+++ b/features/steps/quorum_contact.py
@@ -20,6 +20,7 @@
 from bramblewood.controller.sessions import Sessions
 from bramblewood.controller.worker_api import WorkerApi
 from bramblewood.proxy.controller_selection import ControllerSelection
+from bramblewood.proxy.registry_freshness import RegistryFreshness
 from tests.simulation import quorum_contact
 from tests.simulation.fleet import RuleViolation
 from tests.simulation.quorum_contact import DIRECTED_RUNS
@@ -86,7 +87,12 @@
         *(WorkerRegistry, "departing_registrations", lambda self, since=0.0: {}),
     ),
     "the look at the clock after a proposal": (QuorumIO, "agree", no_look_at_clock),
-    "the look at quorum contact as a grant leaves": (LeaseCalls, "grant_or_release", grant_on_old_contact),
+    "the look for workers that no controller knows": (
+        RegistryFreshness,
+        "registrations_received",
+        lambda self, now, instance_ids, is_complete, is_current: None,
+    ),
+    "the look at quorum contact as a call leaves": (LeaseCalls, "grant_or_release", grant_on_old_contact),
     "the look at what the controller itself has accepted": (
         Sessions,
         "quorum_contact_until",
--- a/tests/simulation/fleet/machine.py
+++ b/tests/simulation/fleet/machine.py
@@ -176,7 +176,7 @@
 
     async def __aenter__(self):
         machine, fleet = self.machine, self.machine.fleet
-        fleet.rules.check_grant_is_sent_in_contact(machine, self.kind)
+        fleet.rules.check_call_is_sent_in_contact(machine, self.kind)
         await asyncio.sleep(fleet.rng.uniform(*TRANSIT_TIMES))
         worker = fleet.workers.get(self.address.partition(":")[0])
         if worker is None or worker.has_ended or fleet.is_cut(machine.name, worker.name):
--- a/tests/simulation/fleet/rules.py
+++ b/tests/simulation/fleet/rules.py
@@ -148,10 +148,9 @@
 
     # --- leases
 
-    def check_grant_is_sent_in_contact(self, machine, kind):
+    def check_call_is_sent_in_contact(self, machine, kind):
         self.update_contact(machine)
-        if kind == "grant":
-            self.check_contact(machine, CONTACT_SLACK, "grants")
+        self.check_contact(machine, CONTACT_SLACK, f"sends a {kind}")
 
     def check_grant_is_exclusive(self, worker, first, last):
         """Two workers that are up lease the same keys at no moment."""
--- a/tests/simulation/key_leases.py
+++ b/tests/simulation/key_leases.py
@@ -13,10 +13,10 @@
 from typing import Any
 
 from bramblewood.common.slice_table import KEY_SPACE_SIZE, SliceEntry
+from bramblewood.common.timeouts import MAX_CALL_TRANSIT
 from bramblewood.common.worker_registry import READY, WorkerRegistration, WorkerRegistry
 from bramblewood.controller.key_leases import (
     GRANT,
-    MAX_CALL_TRANSIT,
     NO_ANSWER,
     RELEASE,
     KeyLeases,
--- a/tests/simulation/quorum_contact.py
+++ b/tests/simulation/quorum_contact.py
@@ -7,8 +7,9 @@
 from bramblewood.common.worker_registry import DRAINING, READY, WorkerRegistration
 from bramblewood.controller.commands import DeregisterWorker, RegisterWorker
 from bramblewood.controller.consensus.registers import CONFIG
+from bramblewood.controller.key_leases import RELEASE
 
-from .fleet import CONNECTION_PATIENCE, Fleet
+from .fleet import CONNECTION_PATIENCE, Fleet, RuleViolation
 from .fleet.worker import SLOTS
 
 LONG_PATIENCE = 30.0  # s; bytes outlast any partition
@@ -229,6 +230,38 @@
     return fleet
 
 
+def death_unheard_amid_restart_of_all(seed):
+    """A worker dies without a word while all controllers restart; the proxies go on."""
+    fleet = started_fleet(seed, 3)
+    fleet.run(fleet.rng.random())
+    name = fleet.rng.choice(sorted(fleet.workers))
+    fleet.workers[name].has_ended = True
+    for controller in fleet.controllers:
+        fleet.restart(controller, 0.2 + 0.3 * fleet.rng.random())
+    fleet.run(16.0)
+    for machine in fleet.machines.values():
+        if machine.is_proxy and name not in machine.server.load_balancer.timed_out:
+            raise RuleViolation(f"{machine.name} still takes {name} for ready")
+    for machine in fleet.machines.values():
+        if machine.is_proxy and len(machine.server.load_balancer.timed_out) > 1:
+            raise RuleViolation(f"{machine.name} takes {machine.server.load_balancer.timed_out} for silent")
+    fleet.end()
+    return fleet
+
+
+def freeze_before_releases(seed):
+    """The coordinator is frozen between the look at its quorum contact and the releases that rest on it."""
+    fleet = started_fleet(seed, 3)
+    for _ in range(3):
+        fleet.move_slice("a")
+        fleet.freeze_when(
+            "a", lambda server: any(call.kind == RELEASE for call in server.key_leases.calls_in_flight), 5.0
+        )
+        fleet.run(8.0)
+    fleet.end()
+    return fleet
+
+
 def deregistration_of_unknown_worker(seed):
     """A worker deregisters at a controller that has never heard of it, and does not hear the one that has."""
     fleet = started_fleet(seed, 3)
@@ -280,6 +313,8 @@
     "proxy behind slow connections": proxy_behind_slow_connections,
     "restart of all after a deregistration": restart_of_all_after_deregistration,
     "all dark after a deregistration": all_dark_after_deregistration,
+    "death unheard amid a restart of all": death_unheard_amid_restart_of_all,
+    "freeze before releases": freeze_before_releases,
     "deregistration of an unknown worker": deregistration_of_unknown_worker,
     "deregistration across a broken pair": deregistration_across_broken_pair,
     "missed configuration": missed_configuration,
--- a/tests/test_damaged_controllers.py
+++ b/tests/test_damaged_controllers.py
@@ -12,7 +12,7 @@
 from bramblewood.controller.storage_schema import DATABASE_FILE
 from bramblewood.controller.voter_changes import UNKNOWN_VOTERS_PATIENCE
 from tests.simulation.damaged_database import change_number_in_text
-from tests.simulation.membership_commands import CONTROL, WAIT_TIMEOUT, ControllerFleet
+from tests.simulation.membership_commands import CONTROL, INNER, WAIT_TIMEOUT, ControllerFleet
 
 WRONG_TIMEOUT = 9  # s; the route's is 2
 CONFIG_PATH = "/bramblewood/config"
@@ -148,6 +148,8 @@
     [line] = fleet.log_events(3, "storage damaged")
     assert Path(line["kept"], DATABASE_FILE).exists()
     fleet.kill(1)  # a further loss is borne: its new disk votes
+    sessions = lambda: fleet.call(2, INNER, "/view/sessions")[1]["archives"]  # noqa: E731
+    fleet.wait_until("silent", lambda: not sessions()[fleet.address_of(1)]["whole"])  # not its last word
     fleet.put_configuration()
     fleet.wait_until_read_back()
 
