A voter whose disk refuses or hangs every write says so and loses its seat; followers of the table look at what changed

Cause: a voter that is heard and whose disk takes no write was shown as a voter and blocked changes of the set. Replicas' readers and proxies' updates looked at all slices once a version.

Change: heartbeats say for how long the disk has failed; after half of CatchUpS the seat goes to a spare ('disk fails'), no change waits for it, a spare in that state gets no seat, and the coordinator is one whose disk is well where there is any. A write every half second notices the recovery. Facts that consensus knows nothing of (deregistrations) don't ride on its writes: a refused one must not hold back messages that need no write. changed_keys goes by the change where a table knows what it was made of; readers are kept by row.

--- a/bramblewood/common/messages/between_controllers.py
+++ b/bramblewood/common/messages/between_controllers.py
@@ -33,6 +33,7 @@
     worker_ages: dict[str, float] | None = None  # s since workers were heard, of the last ones
     # by register: the proposal number of what is safe on the sender's disk, and the digest of its content
     digests: dict[str, tuple[tuple, int]] | None = None
+    disk_failing_for: float | None = None  # s that its disk has refused every write, or not answered
 
     @classmethod
     def from_wire(cls, message: dict) -> "ControllerHeartbeat":
@@ -57,6 +58,7 @@
             fields.texts("desks", None),
             fields.ages("heard", None),
             digests_from_wire(fields),
+            fields.number("nodisk", None),
         )
 
     def to_wire(self) -> dict[str, Any]:
@@ -83,6 +85,7 @@
             ("desks", self.proxies),
             ("heard", self.worker_ages),
             ("sums", self.digests),
+            ("nodisk", self.disk_failing_for),
         ):
             if value is not None:
                 made[key] = value
--- a/bramblewood/controller/consensus/membership.py
+++ b/bramblewood/controller/consensus/membership.py
@@ -50,10 +50,18 @@
             for name, peer in peers.items()
         }
 
-    def is_lost(self, peer: PeerStatus | None) -> bool:
+    def is_silent(self, peer: PeerStatus | None) -> bool:
         """Whether it was silent for so long that its seat may be given to another; None: never heard of."""
         return peer is None or peer.silent_for > self.lost_after
 
+    def has_lost_disk(self, peer: PeerStatus | None) -> bool:
+        """Whether its disk has failed for as long: it can promise and accept nothing, like a silent one."""
+        return peer is not None and peer.disk_failing_for > self.lost_after
+
+    def is_lost(self, peer: PeerStatus | None) -> bool:
+        """Whether its seat may be given to another, and no change waits for it."""
+        return self.is_silent(peer) or self.has_lost_disk(peer)
+
     # --- the change that is due
 
     def founding_change(
@@ -73,10 +81,15 @@
         return self.disk_change(voter_set, peers, versions) or self.seat_change(voter_set, peers, versions)
 
     def has_joining_voter(self, voter_set: VoterSet, peers: dict[str, PeerStatus]) -> bool:
-        """Whether a voter that is heard on its disk is about to be active: one change at a time."""
+        """Whether a voter that is heard on its disk is about to be active: one change at a time. One whose
+        disk fails won't be; the majority that a change needs is counted without it anyway.
+        """
         heard = heard_peers(peers)
         return any(
-            name in heard and heard[name].disk == disk and not heard[name].is_active_in(voter_set, name)
+            name in heard
+            and heard[name].disk == disk
+            and not heard[name].is_active_in(voter_set, name)
+            and not self.has_lost_disk(heard[name])
             for name, disk in voter_set["voters"].items()
         )
 
@@ -102,7 +115,11 @@
         spares = self.spares(voter_set, peers, versions)
         if not spares:
             return None
-        for reason, is_due in (("leaves", self.is_leaving), ("silent", self.is_lost)):
+        for reason, is_due in (
+            ("leaves", self.is_leaving),
+            ("silent", self.is_silent),
+            ("disk fails", self.has_lost_disk),
+        ):
             for name in voters:
                 if is_due(peers.get(name)):
                     following = self.best_replacement(voters, spares, peers, name)
@@ -127,6 +144,7 @@
             if name not in voters
             and peer.steady_for >= self.steady_after
             and not peer.leaving
+            and not peer.disk_failing_for
             and peer.epoch == voter_set["n"]
             and (peer.counts_for_tolerance or not any_counts)
             and peer.has_caught_up(versions)
@@ -194,6 +212,8 @@
             return f"{new} votes already"
         if new not in heard_peers(peers):
             return f"{new} is not heard"
+        if peers[new].disk_failing_for:
+            return f"the disk of {new} refuses writes, or does not answer"
         return "" if peers[new].has_caught_up(versions) else f"{new} has not caught up"
 
     def failure_margin(self, voter_set: VoterSet, peers: dict[str, PeerStatus]) -> int:
--- a/bramblewood/controller/consensus/membership_view.py
+++ b/bramblewood/controller/consensus/membership_view.py
@@ -11,7 +11,7 @@
     """One controller. Keys and states are part of the `--json` form."""
 
     disk: str
-    state: str  # voter, joining, leaving, silent, lost, other disk, spare, new
+    state: str  # voter, joining, leaving, silent, lost, other disk, disk fails, spare, new
     heard: float | None  # s since its last heartbeat, None where it was never heard
     epoch: int | None
     lag: dict[str, int] | None  # versions that it is behind, by register
@@ -85,6 +85,8 @@
         return "lost" if has_seat and is_lost(peer) else "silent"
     if peer.leaving:
         return "leaving"
+    if peer.disk_failing_for:
+        return "disk fails"
     if not has_seat:
         return "spare" if peer.epoch == voter_set["n"] > 0 else "new"
     if not is_voter(voters, address, peer.disk):
--- a/bramblewood/controller/consensus/peer_status.py
+++ b/bramblewood/controller/consensus/peer_status.py
@@ -18,6 +18,7 @@
     silent_for: float  # since its last heartbeat
     steady_for: float  # since its heartbeats began to come without a gap; 0 while they don't
     versions: dict[str, int]  # what it knows to be chosen, by register
+    disk_failing_for: float = 0.0  # that its disk has refused every write, or not answered one
 
     @property
     def is_heard(self) -> bool:
--- a/bramblewood/controller/controller_peers.py
+++ b/bramblewood/controller/controller_peers.py
@@ -99,6 +99,7 @@
             versions=self.quorum_io.versions(),
             is_leaving=self.runtime.shutdown_requested.is_set(),
             echo=NEVER,
+            disk_failing_for=round(self.quorum_io.disk_failing_for(now), 2) or None,
         )
 
     def _details(self) -> PeerDetails:
--- a/bramblewood/controller/departures.py
+++ b/bramblewood/controller/departures.py
@@ -44,7 +44,7 @@
 
     def keep(self, instance_ids: Iterable[str], on_kept: Callable[[], None]) -> None:
         """Have the registry's deregistrations of these workers on disk, then call on_kept. Not called where
-        the disk refuses the write; it is tried again with the next one.
+        the disk refuses the write: the worker calls again.
         """
         phases = {instance_id: self.registry.registrations[instance_id].phase for instance_id in instance_ids}
         missing = {one: phase for one, phase in phases.items() if not self._is_kept(one, phase)}
@@ -68,10 +68,14 @@
         expired = [one for one, at in self.kept_at.items() if now - at > DEPARTURE_RETENTION]
         if not expired:
             return
-        for instance_id in expired:
-            del self.kept_at[instance_id], self.kept_phases[instance_id]
+
+        def removed() -> None:
+            for instance_id in expired:
+                self.kept_at.pop(instance_id, None)
+                self.kept_phases.pop(instance_id, None)
+
         facts = dict.fromkeys(f"{DEPARTURE_FACT_PREFIX}{one}" for one in expired)
-        self.quorum_io.write_facts(facts, lambda: None)
+        self.quorum_io.write_facts(facts, removed)
 
     def _is_kept(self, instance_id: str, phase: str) -> bool:
         """Whether what is on disk says as much. A worker that drains is never ready again, so its first word
--- a/bramblewood/controller/proxy_heartbeats.py
+++ b/bramblewood/controller/proxy_heartbeats.py
@@ -46,7 +46,7 @@
     def send(self, now: float) -> None:
         """Send a heartbeat to each connected proxy."""
         is_current = self.was_current = self.quorum_contact.is_current(now)
-        is_coordinator = self.sessions.coordinator(now, is_current) == self.runtime.own_address
+        is_coordinator = self.quorum_contact.coordinator(now) == self.runtime.own_address
         silent = self.registry_exchange.timed_out_workers(now)
         heartbeat = ProxyHeartbeat(
             versions=self.announced_versions,
--- a/bramblewood/controller/quorum_contact.py
+++ b/bramblewood/controller/quorum_contact.py
@@ -43,4 +43,5 @@
 
     def coordinator(self, now: float) -> str | None:
         """The address of the controller that proposes moves and sends grants for now; None for none."""
-        return self.sessions.coordinator(now, self.is_current(now))
+        disk_fails = self.quorum_io.disk_failing_for(now) > 0
+        return self.sessions.coordinator(now, self.is_current(now), disk_fails)
--- a/bramblewood/controller/quorum_io.py
+++ b/bramblewood/controller/quorum_io.py
@@ -25,6 +25,7 @@
 AGREEMENT_TIMEOUT = 0.85
 PROPOSAL_TIMEOUT = 1.0  # s for a proposal that no caller waits for
 STALL_TIMEOUT = 0.3  # s that a write may take before this controller leaves the proposing to others
+DISK_PROBE_INTERVAL = 0.5  # s between writes that look whether a disk which refuses them has recovered
 EPOCH_FACTS = {VOTER_SET_FACT, ACTIVE_EPOCH_FACT}
 
 
@@ -45,6 +46,8 @@
         self.pending_writes = PendingWrites({})
         self.writes_in_flight = 0
         self.writing_since: float | None = None  # of the oldest write under way, own clock
+        self.refusing_since: float | None = None  # of the first write that failed since the last safe one
+        self.next_probe_at = 0.0
         self.announced_epoch = (-1, False)  # epoch, and whether this is an active voter of it
         self.on_epoch_changed: Callable[[], None] = lambda: None  # once it is on disk
         self.on_progress: Callable[[], None] = lambda: None  # after each step that may have chosen something
@@ -89,6 +92,18 @@
         """Whether the disk has not answered a write for too long."""
         return self.writing_since is not None and now - self.writing_since > STALL_TIMEOUT
 
+    def disk_failing_for(self, now: float) -> float:
+        """For how long (s) the disk has refused each write, or has not answered one; 0.0 where it is well."""
+        begun = [self.writing_since] if self.is_stalled(now) else []
+        begun += [self.refusing_since] if self.refusing_since is not None else []
+        return now - min(begun) if begun else 0.0
+
+    def probe_failing_disk(self, now: float) -> None:
+        """Try a write from time to time while the disk refuses them, so that its recovery is noticed."""
+        if self.refusing_since is not None and not self.writes_in_flight and now >= self.next_probe_at:
+            self.next_probe_at = now + DISK_PROBE_INTERVAL
+            self.write_facts({DISK_FACT: self.consensus.disk}, lambda: None)
+
     def propose(
         self, register: str, change: Callable, on_outcome: Callable[[Any], None], timeout: float
     ) -> None:
@@ -134,13 +149,12 @@
             )
 
     def write_facts(self, facts: dict[str, Any], on_durable: Callable[[], None]) -> None:
-        """Write facts, None to remove one, and call on_durable once they are safe on disk. Where the disk
-        refuses them they come along with the next write, and nothing is called.
+        """Write facts that consensus knows nothing of, None to remove one, and call on_durable once they are
+        safe on disk. Where the disk refuses them nothing is called, and nothing waits for them.
         """
         effects = no_effects()
-        effects.facts.update(facts)
         effects.answer(lambda outcome: outcome and on_durable(), True)
-        self.execute(effects)
+        self._write(effects, [], facts)
 
     def execute(self, effects: Effects) -> None:
         """Write what these effects ask for, then send and answer."""
@@ -149,6 +163,9 @@
             if effects.sends or effects.answers:
                 self._send_and_answer(effects)
             return
+        self._write(effects, rows, facts)
+
+    def _write(self, effects: Effects, rows: list, facts: dict[str, Any]) -> None:
         if self.writing_since is None:
             self.writing_since = self.runtime.now()
         self.writes_in_flight += 1
@@ -160,10 +177,13 @@
         self.writes_in_flight -= 1
         self.writing_since = self.runtime.now() if self.writes_in_flight else None
         if problem:
+            if self.refusing_since is None:
+                self.refusing_since = self.runtime.now()
             self.runtime.log.error("write failed", step="write", problem=problem)
             unclear = [(tag, None) for tag, _ in effects.answers]
             self._send_and_answer(no_effects()._replace(answers=unclear))
             return
+        self.refusing_since = None
         self.pending_writes.mark_durable(rows, facts)
         for register, _, accepted, _ in rows:
             self.consensus.mark_durable(register, accepted)
--- a/bramblewood/controller/read_replicas.py
+++ b/bramblewood/controller/read_replicas.py
@@ -23,6 +23,7 @@
 from ..policy.parameters import CAPACITY_LIMIT
 from .key_leases import RENEWAL_FRACTION, RETRY_DELAY
 from .table_changes import ProposedTable, TableValue
+from .value_diff import changed_keys
 
 MAX_READERS = 8  # of one record; each costs a call each third of a lease and one for each effect
 NEVER = -1e9  # s on the steady clock, before any lease
@@ -59,20 +60,38 @@
     """The read leases of one controller. All times in s of its steady clock."""
 
     def __init__(self) -> None:
+        self.services: dict[str, dict[str, Row]] = {}  # of the newest table known here
+        self.readers_of: dict[tuple[str, str], set[Reader]] = {}  # by service and first key; most have none
         self.known_since: dict[Reader, float] = {}
         self.last_lease_at: dict[Reader, float] = {}  # when it was sent
         self.calls_in_flight: set[Reader] = set()
 
     def learn_table(self, now: float, table: dict[str, Any]) -> None:
         """Take a newer table; called at every controller, also at those that send no leases now."""
-        readers = {
-            Reader(service, int(start), instance_id, version)
-            for service, entries in table["s"].items()
-            for start, row in entries.items()
-            for instance_id, version in all_readers(row).items()
-        }
-        self.known_since = {reader: self.known_since.get(reader, now) for reader in readers}
-        self.last_lease_at = {reader: at for reader, at in self.last_lease_at.items() if reader in readers}
+        services = table["s"]
+        for service in {*self.services, *services}:
+            known, entries = self.services.get(service, {}), services.get(service, {})
+            if entries is known:
+                continue
+            changed = [*changed_keys(known, entries)]
+            if len(known) + len(changed) > len(entries):  # else no slice can have gone
+                changed += known.keys() - entries.keys()
+            for start in changed:
+                self._learn_row(now, service, start, entries.get(start))
+        self.services = services
+
+    def _learn_row(self, now: float, service: str, start: str, row: Row | None) -> None:
+        """Take a slice's new row, None where the slice is gone."""
+        versions = all_readers(row) if row is not None else {}
+        readers = {Reader(service, int(start), one, version) for one, version in versions.items()}
+        before = self.readers_of.pop((service, start), set())
+        if readers:
+            self.readers_of[service, start] = readers
+        for reader in before - readers:
+            del self.known_since[reader]
+            self.last_lease_at.pop(reader, None)
+        for reader in readers - before:
+            self.known_since[reader] = now
 
     def due_leases(
         self, now: float, table: dict[str, Any], registry: WorkerRegistry
--- a/bramblewood/controller/server.py
+++ b/bramblewood/controller/server.py
@@ -277,6 +277,7 @@
     def tick(self, now: float) -> None:
         """Do what is due by the clock, in this order."""
         self.quorum_io.execute(self.quorum_io.consensus.tick(now))
+        self.quorum_io.probe_failing_disk(now)
         self.voter_changes.propose_due_change(now)
         self.controller_peers.reread_seeds_if_isolated(now)
         self.controller_peers.send_due_heartbeats(now)
--- a/bramblewood/controller/sessions.py
+++ b/bramblewood/controller/sessions.py
@@ -38,6 +38,7 @@
     is_leaving: bool
     versions: dict[str, int]  # what it knows to be chosen, by register
     durable: dict[str, ProposalNumber]  # newest accepted proposal by register that is safe on its disk
+    disk_failing_for: float = 0.0  # s that its disk has refused every write, or not answered
 
 
 class PeerDetails(NamedTuple):
@@ -99,6 +100,7 @@
             heartbeat.is_leaving,
             heartbeat.versions,
             heartbeat.durable,
+            heartbeat.disk_failing_for or 0.0,
         )
         self.echoes[peer] = heartbeat.sent_at
         if heartbeat.proxies is not None:
@@ -163,6 +165,7 @@
                 since_last,
                 uninterrupted_for if since_last <= PEER_TIMEOUT else 0.0,
                 session.versions,
+                session.disk_failing_for,
             )
         return statuses
 
@@ -174,13 +177,18 @@
             if self.is_present(now, peer) and session.is_current
         ]
 
-    def coordinator(self, now: float, is_current: bool) -> str | None:
-        """The controller that proposes moves and sends grants: the first by address of the current ones.
+    def coordinator(self, now: float, is_current: bool, disk_fails: bool = False) -> str | None:
+        """The controller that proposes moves and sends grants: the first by address of the current ones, of
+        those whose disks are well where there are any.
 
         This only avoids competing proposals: every move is agreed by a quorum, whoever proposes it.
-        is_current: whether this controller itself is.
+        is_current, disk_fails: whether this controller itself is current, and its disk fails.
         """
-        return min([*self.current_peers(now), *([self.own_address] if is_current else [])], default=None)
+        current = {peer: self.by_peer[peer].disk_failing_for > 0 for peer in self.current_peers(now)}
+        if is_current:
+            current[self.own_address] = disk_fails
+        well = [peer for peer, fails in current.items() if not fails]
+        return min(well or current, default=None)
 
     def all_proxies(self, now: float, connected: list[str]) -> set[str]:
         """The proxies connected to any controller heard of late; connected: those connected to this one."""
--- a/bramblewood/controller/value_diff.py
+++ b/bramblewood/controller/value_diff.py
@@ -54,7 +54,11 @@
 
 
 def changed_keys(old: dict, new: dict) -> Iterator[str]:
-    """Keys of `new` whose values are other objects than those of `old`."""
+    """Keys of `new` whose values are other objects than those of `old`; by its change, where it was made of
+    `old` and knows it.
+    """
+    if isinstance(new, PatchedDict) and new.base() is old:
+        return iter(new.change[PATCH_KEYS])
     return compress(new, map(is_not, map(old.get, new, repeat(MISSING)), new.values()))
 
 
--- a/bramblewood/controller/voter_changes.py
+++ b/bramblewood/controller/voter_changes.py
@@ -60,6 +60,7 @@
             0.0,
             uptime,
             self.quorum_io.versions(),
+            self.quorum_io.disk_failing_for(now),
         )
         known = dict.fromkeys({*self.controller_peers.known, *consensus.voters}, unheard)
         return {**known, **self.sessions.peer_statuses(now), self.runtime.own_address: own}
--- a/tests/simulation/membership_epochs.py
+++ b/tests/simulation/membership_epochs.py
@@ -108,6 +108,9 @@
 
     def synced(self, done: Any) -> None:
         write = self.waiting.pop(0)
+        if self.name in self.world.dead_disks:
+            done("refused")
+            return
         rejected = self.name in self.world.refusing and self.world.rng.random() < 0.4
         if not rejected or self.world.rng.random() < 0.2:  # a refused write may be there all the same
             keep(self.disk, write)
@@ -117,6 +120,7 @@
         now = self.world.now
         self.runtime.peer_connections.dial()
         self.quorum_io.execute(self.consensus.tick(now))
+        self.quorum_io.probe_failing_disk(now)
         self.voter_changes.propose_due_change(now)
         self.controller_peers.send_due_heartbeats(now)
         if self.voter_changes.may_shut_down(now):
@@ -141,6 +145,7 @@
         self.seeds = tuple(f"{name}:1" for name in names[:3])
         self.events, self.order, self.last = [], 0, {}
         self.machines, self.disks, self.refusing, self.cuts, self.frozen_until = {}, {}, set(), set(), {}
+        self.dead_disks: set[str] = set()  # that refuse every write
         self.loss = self.duplication = self.lateness = 0.0
         self.acknowledged, self.rejected, self.sets, self.past = {}, {}, {}, {}
         self.number, self.reads, self.next_name, self.away = 0, 0, len(names), {}
