Controllers call workers through the proxies' strict reader

Cause: grants and releases were read by aiohttp's lenient parser, and the same job stood twice.

Change: response_parser, connection_state and worker_connection move to common; controller/worker_client.py sends each call once over them and keeps one idle connection to a worker. Another call's answer is passed over and the own one awaited; one without an id is taken where it proves something, as before. Connections come up within 0.35 s or the call is tried again.

--- a/bramblewood/proxy/connection_state.py
+++ b/bramblewood/common/connection_state.py
@@ -50,6 +50,8 @@
         self.phase, self.parser = ConnectionPhase.IDLE, ResponseParser()
         self.request_id, self.bytes_received = "", 0
         self.foreign_answer_seen = False  # another request's answer arrived while this one's was awaited
+        self.accepts_unnamed = False  # whether an answer without an id counts as the request's
+        self.requests_sent = 0
 
     @property
     def is_reusable(self) -> bool:
@@ -61,15 +63,18 @@
         """Whether a request is in flight on it."""
         return self.phase in (ConnectionPhase.AWAITING_ANSWER, ConnectionPhase.READING_ANSWER)
 
-    def begin_request(self, request_id: str, head_request: bool) -> bool:
+    def begin_request(self, request_id: str, head_request: bool, accepts_unnamed: bool = False) -> bool:
         """Start an exchange; false where the request must not be sent here.
 
         request_id: its `X-Attempt-Id`. head_request: its method is HEAD, so its answer has no body.
+        accepts_unnamed: an answer without an id is taken too; who asks so looks at the answer, and at what
+        the connection carried before.
         """
         if not self.is_reusable:
             return False
         self.phase, self.request_id, self.bytes_received = ConnectionPhase.AWAITING_ANSWER, request_id, 0
-        self.parser.head_request = head_request
+        self.parser.head_request, self.accepts_unnamed = head_request, accepts_unnamed
+        self.requests_sent += 1
         return True
 
     def on_data(self, data: bytes, unsent_bytes: int = 0) -> ExchangeResult | None:
@@ -110,6 +115,8 @@
             answer_id = answer.headers_by_name.get(ATTEMPT_ID_HEADER)
             if answer_id == self.request_id:
                 return answer
+            if answer_id is None and self.accepts_unnamed:
+                return answer
             if answer_id is None:
                 raise MalformedResponse("an answer without an id")
             self.foreign_answer_seen = True
--- a/bramblewood/proxy/response_parser.py
+++ b/bramblewood/common/response_parser.py
@@ -10,7 +10,7 @@
 
 from multidict import CIMultiDict
 
-from ..common.errors import BramblewoodError
+from .errors import BramblewoodError
 
 MAX_HEAD_BYTES = 2**16  # of a response's head, or of its trailers
 VERSION_PREFIX = b"HTTP/1."
--- a/bramblewood/proxy/worker_connection.py
+++ b/bramblewood/common/worker_connection.py
@@ -8,9 +8,9 @@
 import itertools
 import socket
 
-from ..common.errors import BramblewoodError
-from ..common.peer_connections import set_connection_timeouts
 from .connection_state import AttemptOutcome, ExchangeResult, WorkerConnectionState
+from .errors import BramblewoodError
+from .peer_connections import set_connection_timeouts
 
 CONNECT_TIMEOUT = 0.35  # s to connect: a lost SYN packet is sent again after a second or more
 # ms that sent bytes may stay unacknowledged: a worker's machine acknowledges packets in a few ms
@@ -28,9 +28,10 @@
 
     step = "connect"
 
-    def __init__(self, outcome: AttemptOutcome, address: str) -> None:
+    def __init__(self, outcome: AttemptOutcome, address: str, is_refused: bool = False) -> None:
+        """is_refused: nobody listens there."""
         super().__init__(outcome.value, peer=address)
-        self.outcome = outcome
+        self.outcome, self.is_refused = outcome, is_refused
 
 
 class WorkerConnection(asyncio.Protocol):
@@ -91,13 +92,19 @@
             self.transport.abort()
 
     async def exchange(
-        self, request: bytes, request_id: str, deadline: float, head_request: bool = False
+        self,
+        request: bytes,
+        request_id: str,
+        deadline: float,
+        head_request: bool = False,
+        accepts_unnamed: bool = False,
     ) -> ExchangeResult:
         """Send a request once and await its answer.
 
-        deadline: s of the loop's clock. head_request: its method is HEAD.
+        deadline: s of the loop's clock. head_request, accepts_unnamed: as of
+        `WorkerConnectionState.begin_request`.
         """
-        if not self.is_reusable or not self.state.begin_request(request_id, head_request):
+        if not self.is_reusable or not self.state.begin_request(request_id, head_request, accepts_unnamed):
             return ExchangeResult(AttemptOutcome.NOT_SENT)
         pending = self.pending_exchange = self.loop.create_future()
         self.transport.write(request)
@@ -126,10 +133,12 @@
     return int(number) * KEEP_ALIVE_FRACTION if number.isdigit() else DEFAULT_KEEP_ALIVE
 
 
-async def connect(address: str) -> tuple[WorkerConnection, float]:
+async def connect(
+    address: str, unacknowledged_ms: int = UNACKNOWLEDGED_DATA_TIMEOUT_MS
+) -> tuple[WorkerConnection, float]:
     """A new connection to a worker at `host:port`, and the round trip (s) that making it took.
 
-    Raises `WorkerUnreachable` (not sent).
+    unacknowledged_ms: that sent bytes may stay unacknowledged. Raises `WorkerUnreachable` (not sent).
     """
     loop = asyncio.get_running_loop()
     host, _, port = address.rpartition(":")
@@ -137,14 +146,15 @@
     started_at = loop.time()
     try:
         sock.setblocking(False)
-        set_connection_timeouts(sock, UNACKNOWLEDGED_DATA_TIMEOUT_MS)
+        set_connection_timeouts(sock, unacknowledged_ms)
         async with asyncio.timeout(CONNECT_TIMEOUT):
             await loop.sock_connect(sock, (host, int(port)))
         round_trip = loop.time() - started_at
         _, connection = await loop.create_connection(lambda: WorkerConnection(loop), sock=sock)
-    except (OSError, TimeoutError):
+    except (OSError, TimeoutError, ValueError) as error:
         sock.close()
-        raise WorkerUnreachable(AttemptOutcome.NOT_SENT, address) from None
+        is_refused = isinstance(error, ConnectionRefusedError)
+        raise WorkerUnreachable(AttemptOutcome.NOT_SENT, address, is_refused) from error
     except asyncio.CancelledError:
         sock.close()
         raise
--- a/bramblewood/controller/lease_calls.py
+++ b/bramblewood/controller/lease_calls.py
@@ -6,10 +6,8 @@
 from http import HTTPStatus
 from typing import Any
 
-import aiohttp
-
-from ..common.peer_connections import create_connection_socket
 from ..common.timeouts import READ_LEASE_DURATION
+from ..common.worker_connection import WorkerUnreachable
 from ..common.worker_registry import GONE, WorkerRegistration
 from .chosen_values import ChosenValues
 from .consensus.registers import TABLE
@@ -29,22 +27,19 @@
 from .read_replicas import ReadReplicas, ReplicaLease
 from .registry_exchange import RegistryExchange
 from .runtime import Runtime
+from .worker_client import WorkerClient
 
 GRANT_TIMEOUT = 1.0  # s
-KEEPALIVE = 4.0  # s that an idle connection to a worker is kept
 # a worker whose port refuses calls has ended once it was silent for this many of its heartbeat intervals
 MISSED_HEARTBEATS = 1.3
 
 
 class LeaseCalls:
-    """Calls under way, their counts, and the two HTTP sessions that they use.
+    """Calls under way, their counts, and the connections that they use.
 
     Invariant: no call leaves after the quorum contact that it rests on has run out.
     """
 
-    pooled_session: aiohttp.ClientSession
-    single_use_session: aiohttp.ClientSession  # a new connection for each call
-
     def __init__(
         self,
         runtime: Runtime,
@@ -58,6 +53,7 @@
         self.runtime, self.quorum_io, self.chosen_values = runtime, quorum_io, chosen_values
         self.registry_exchange, self.registry = registry_exchange, registry_exchange.registry
         self.key_leases, self.read_replicas, self.key_releases = key_leases, read_replicas, key_releases
+        self.client = WorkerClient()
         self.tasks: set[asyncio.Task] = set()
         self.refusals: dict[str, int] = {}  # by worker: calls in a row whose connection was refused
         # names of metrics
@@ -128,10 +124,9 @@
         try:
             async with asyncio.timeout(timeout):
                 return await self.send(call.kind, call.address, call.instance_id, body, until)
-        except aiohttp.ClientConnectorError as problem:
-            is_refused = isinstance(problem.os_error, ConnectionRefusedError)
-            return (CONNECTION_REFUSED if is_refused else NO_ANSWER), ""
-        except (OSError, TimeoutError, aiohttp.ClientError):
+        except WorkerUnreachable as problem:
+            return (CONNECTION_REFUSED if problem.is_refused else NO_ANSWER), ""
+        except (OSError, TimeoutError):
             return NO_ANSWER, ""
 
     def _worker_has_ended(
@@ -172,7 +167,7 @@
         try:
             async with asyncio.timeout(READ_LEASE_DURATION * RENEWAL_FRACTION):
                 status, _ = await self.send(GRANT, lease.address, instance_id, body, until)
-        except (OSError, TimeoutError, aiohttp.ClientError):
+        except (WorkerUnreachable, OSError, TimeoutError):
             pass
         self.counts["archive_leases"] += 1
         self.read_replicas.lease_finished(self.runtime.now(), lease, status)
@@ -187,53 +182,21 @@
         on_new_connection: bool = False,
     ) -> tuple[int, str]:
         """A call about a worker's keys, not sent after `until` however long its connection takes to come up;
-        its status and handover.
+        its status and handover. Raises WorkerUnreachable.
 
-        The status is NO_ANSWER where the answer is of another call: a surplus one of an older call may come
-        in its place and names that one's id. One without an id proves no release, but on a connection that
-        carried nothing before.
+        The status is NO_ANSWER where the worker's own answer did not come. One without an id proves no
+        release, but on a connection that carried nothing before: it may be a surplus one of an older call.
         """
-        url = f"http://{address}/bramblewood/{kind}"
         attempt_id = f"{self.runtime.settings.name}-{os.urandom(8).hex()}"
         headers = {"X-Target-Instance": instance_id, "X-Attempt-Id": attempt_id}
-        time_left = until - self.runtime.now()
-        if time_left <= 0:
+        if until <= self.runtime.now():
+            return NO_ANSWER, ""
+        answer = await self.client.post(
+            address, f"/bramblewood/{kind}", headers, body, until, on_new_connection
+        )
+        if answer is None:
             return NO_ANSWER, ""
-        timeout = aiohttp.ClientTimeout(connect=time_left)
-        session = self.single_use_session if on_new_connection else self.pooled_session
-        async with session.post(url, json=body, headers=headers, timeout=timeout) as response:
-            answered_ids = response.headers.getall("X-Attempt-Id", [])
-            if answered_ids not in ([], [attempt_id]):
-                response.protocol.close()  # the call's own may still come there
-                return NO_ANSWER, ""
-            await response.read()
-        if not answered_ids and kind == RELEASE and not on_new_connection:
+        is_proven = "X-Attempt-Id" in answer.headers or answer.is_first_on_connection
+        if kind == RELEASE and not is_proven:
             return await self.send(kind, address, instance_id, body, until, True)
-        return response.status, response.headers.get("X-Handover", "")
-
-
-class ConnectionKeepingResponse(aiohttp.ClientResponse):
-    """An answer that knows its connection even when that has gone back to the pool already."""
-
-    async def start(self, connection: Any) -> "ConnectionKeepingResponse":
-        """Called by aiohttp as the connection is there."""
-        self.protocol = connection.protocol
-        return await super().start(connection)
-
-
-def open_worker_session(**connector_options: Any) -> aiohttp.ClientSession:
-    """A session for calls to workers; connector_options: as of aiohttp.TCPConnector."""
-    connector = aiohttp.TCPConnector(socket_factory=create_connection_socket, limit=0, **connector_options)
-    return aiohttp.ClientSession(
-        connector=connector, auto_decompress=False, response_class=ConnectionKeepingResponse
-    )
-
-
-def open_pooled_session() -> aiohttp.ClientSession:
-    """A session that keeps idle connections for later calls."""
-    return open_worker_session(keepalive_timeout=KEEPALIVE)
-
-
-def open_single_use_session() -> aiohttp.ClientSession:
-    """A session that opens a new connection for each call."""
-    return open_worker_session(force_close=True)
+        return answer.status, answer.headers.get("X-Handover", "")
--- a/bramblewood/controller/server.py
+++ b/bramblewood/controller/server.py
@@ -23,7 +23,7 @@
 from .introspection import Introspection
 from .key_leases import KeyLeases
 from .key_releases import KeyReleases
-from .lease_calls import LeaseCalls, open_pooled_session, open_single_use_session
+from .lease_calls import LeaseCalls
 from .load_reports import LoadReports
 from .operator_api import OperatorApi
 from .outlier_detection import OutlierDetection
@@ -242,8 +242,7 @@
     async def _open_resources(self, resources: AsyncExitStack) -> None:
         """Sessions and servers; they end in the reverse order."""
         calls = self.lease_calls
-        calls.single_use_session = await resources.enter_async_context(open_single_use_session())
-        calls.pooled_session = await resources.enter_async_context(open_pooled_session())
+        resources.callback(calls.client.close)
         resources.push_async_callback(calls.cancel_all)
         resources.push_async_callback(self.runtime.peer_connections.close)
         settings = self.runtime.settings
--- a/bramblewood/proxy/connection_pool.py
+++ b/bramblewood/proxy/connection_pool.py
@@ -6,8 +6,8 @@
 
 import asyncio
 
-from .connection_state import AttemptOutcome
-from .worker_connection import WorkerConnection, WorkerUnreachable, connect
+from ..common.connection_state import AttemptOutcome
+from ..common.worker_connection import WorkerConnection, WorkerUnreachable, connect
 
 # of the idle time after which a connection was found dead: still trusted with non-idempotent requests
 TRUSTED_IDLE_FRACTION = 0.5
--- a/bramblewood/proxy/forwarding.py
+++ b/bramblewood/proxy/forwarding.py
@@ -8,17 +8,17 @@
 import logbook
 from aiohttp import web
 
+from ..common.connection_state import AttemptOutcome, ExchangeResult
+from ..common.response_parser import WorkerResponse
+from ..common.worker_connection import MAX_RESET_WATCH, WorkerConnection, WorkerUnreachable
 from .connection_pool import ConnectionPool
 from .connection_quota import idle_connection_quota
-from .connection_state import AttemptOutcome, ExchangeResult
 from .controller_sessions import ControllerSessions
 from .http_fields import request_head
 from .load_balancing import LoadBalancer
 from .replica_invalidation_calls import ReplicaInvalidator
 from .request_attempts import FinalReply, RequestAttempts
-from .response_parser import WorkerResponse
 from .retry_budget import RetryBudget
-from .worker_connection import MAX_RESET_WATCH, WorkerConnection, WorkerUnreachable
 
 INVALIDATION_FAILED = FinalReply(504, "copies of its record could not be recalled in time")
 
--- a/bramblewood/proxy/replica_invalidation_calls.py
+++ b/bramblewood/proxy/replica_invalidation_calls.py
@@ -4,9 +4,10 @@
 import json
 import os
 
+from ..common.connection_state import AttemptOutcome
+from ..common.worker_connection import WorkerUnreachable
 from ..common.worker_registry import GONE
 from .connection_pool import ConnectionPool
-from .connection_state import AttemptOutcome
 from .controller_sessions import ControllerSessions
 from .load_balancing import LoadBalancer
 from .replica_invalidation import (
@@ -17,7 +18,6 @@
     ReplicaInvalidation,
 )
 from .request_attempts import RequestAttempts
-from .worker_connection import WorkerUnreachable
 
 DROP_TIMEOUT = 0.2  # s for a reader to drop a replica: many times the transit between zones
 RELEASE_PATH = "/bramblewood/release"  # at which workers take releases of keys and of replicas
--- a/bramblewood/proxy/request_attempts.py
+++ b/bramblewood/proxy/request_attempts.py
@@ -11,10 +11,10 @@
 from typing import NamedTuple
 
 from ..common.configuration import Route
-from .connection_state import AttemptOutcome
+from ..common.connection_state import AttemptOutcome
+from ..common.response_parser import WorkerResponse
 from .hot_key_queue import HotKeyQueue
 from .load_balancing import LoadBalancer
-from .response_parser import WorkerResponse
 from .retry_budget import RetryBudget
 
 # Fractions are of the route's latency target (`TargetLatencyS`) where nothing else is said.
--- a/features/steps/connection_pool.py
+++ b/features/steps/connection_pool.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from bramblewood.proxy import worker_connection
+from bramblewood.common import worker_connection
 from bramblewood.proxy.connection_pool import ConnectionPool
 from tests.simulation.proxy import ProxySimulation
 
--- a/features/steps/worker_connections.py
+++ b/features/steps/worker_connections.py
@@ -5,8 +5,8 @@
 
 from behave import then, when
 
-from bramblewood.proxy.connection_state import AttemptOutcome, ConnectionPhase, ExchangeResult
-from bramblewood.proxy.worker_connection import WorkerConnection
+from bramblewood.common.connection_state import AttemptOutcome, ConnectionPhase, ExchangeResult
+from bramblewood.common.worker_connection import WorkerConnection
 from tests.approved import approve
 from tests.simulation.proxy import ProxySimulation
 from tests.simulation.worker_connections import RuleBroken, answered_with, play_all_orders, play_random
--- a/tests/simulation/worker_connections.py
+++ b/tests/simulation/worker_connections.py
@@ -12,15 +12,16 @@
 from types import SimpleNamespace
 from unittest.mock import patch
 
+from bramblewood.common import response_parser
 from bramblewood.common.configuration_parser import build_configuration
-from bramblewood.proxy import request_attempts, response_parser
-from bramblewood.proxy.connection_pool import ConnectionPool
-from bramblewood.proxy.connection_state import (
+from bramblewood.common.connection_state import (
     AttemptOutcome,
     ConnectionPhase,
     ExchangeResult,
     WorkerConnectionState,
 )
+from bramblewood.proxy import request_attempts
+from bramblewood.proxy.connection_pool import ConnectionPool
 from bramblewood.proxy.request_attempts import FinalReply, RequestAttempts, SendToWorker, WaitUntil
 from bramblewood.proxy.retry_budget import RetryBudget
 from tests.simulation.digests import record_event
