Values of registers are checked by the controller, not by consensus

Change: register_values.py checks what a message carries before consensus sees it, and consensus asks back where a difference leads to a value.

--- a/bramblewood/controller/consensus/messages.py
+++ b/bramblewood/controller/consensus/messages.py
@@ -11,7 +11,6 @@
 from ...common.errors import PeerMessageError
 from ...common.messages.fields import Fields
 from .proposal_number import ProposalNumber
-from .registers import VOTER_SET
 from .voter_set import VoterSet, voter_set_from
 
 # kinds, as `k` on the wire
@@ -32,21 +31,6 @@
 number_from = ProposalNumber.from_wire
 
 
-def value_from(register: str, value: Any) -> Any:
-    """A register's value: none yet, or a map with its version. Raises PeerMessageError."""
-    if value is None:
-        return value
-    if register == VOTER_SET:
-        return voter_set_from(value)
-    Fields(value).integer("n")
-    return value
-
-
-def value_if_given(register: str, wire: dict) -> Any:
-    """The value that a message carries under `v`, OMITTED where it left it out."""
-    return value_from(register, wire["v"]) if "v" in wire else OMITTED
-
-
 class Message(Protocol):
     """What every message of this module has."""
 
@@ -92,7 +76,7 @@
     def from_wire(cls, wire: dict) -> "Promise":
         """Read the form on the wire."""
         register, disk = wire["r"], Fields(wire).text("disk")
-        accepted, value = number_from(wire["a"]), value_if_given(register, wire)
+        accepted, value = number_from(wire["a"]), wire.get("v", OMITTED)
         return cls(register, number_from(wire["b"]), disk, accepted, value)
 
     def to_wire(self) -> dict:
@@ -116,7 +100,7 @@
         """Read the form on the wire."""
         if "base" in wire:
             return AcceptDifference(wire["r"], number_from(wire["b"]), number_from(wire["base"]), wire["d"])
-        return cls(wire["r"], number_from(wire["b"]), value_from(wire["r"], wire["v"]))
+        return cls(wire["r"], number_from(wire["b"]), wire["v"])
 
     def to_wire(self) -> dict:
         """The form on the wire."""
@@ -215,7 +199,7 @@
     @classmethod
     def from_wire(cls, wire: dict) -> "Chosen":
         """Read the form on the wire."""
-        return cls(wire["r"], number_from(wire["b"]), value_from(wire["r"], wire["v"]))
+        return cls(wire["r"], number_from(wire["b"]), wire["v"])
 
     def to_wire(self) -> dict:
         """The form on the wire."""
@@ -266,9 +250,9 @@
     value: Any = OMITTED
 
     @classmethod
-    def from_wire(cls, register: str, wire: dict) -> "AcceptedState":
-        """Read the form on the wire, of this register."""
-        return cls(number_from(wire["a"]), value_if_given(register, wire))
+    def from_wire(cls, wire: dict) -> "AcceptedState":
+        """Read the form on the wire."""
+        return cls(number_from(wire["a"]), wire.get("v", OMITTED))
 
     def to_wire(self) -> dict:
         """The form on the wire."""
@@ -290,8 +274,7 @@
         """Read the form on the wire."""
         fields = Fields(wire)
         registers = {
-            register: AcceptedState.from_wire(register, state)
-            for register, state in fields.mapping("regs").items()
+            register: AcceptedState.from_wire(state) for register, state in fields.mapping("regs").items()
         }
         return cls(fields.integer("e"), fields.integer("held"), fields.text("disk"), registers)
 
--- a/bramblewood/controller/consensus/replica.py
+++ b/bramblewood/controller/consensus/replica.py
@@ -12,7 +12,7 @@
 value that was only carried over counts as chosen once a proposal of the epoch itself has chosen it.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 from ..value_diff import apply_difference
@@ -38,7 +38,6 @@
     VoterReply,
     VoterRequest,
     decode,
-    value_from,
 )
 from .proposal_number import NO_PROPOSAL, ProposalNumber
 from .proposal_round import Change
@@ -76,6 +75,8 @@
         self.member = self.member_class(address, disk, incarnation, voter_set, active_epoch)
         self.acceptors = {register: Acceptor(*stored.get(register, ())) for register in ALL_REGISTERS}
         self.durable_accepted = {register: acceptor.accepted for register, acceptor in self.acceptors.items()}
+        # raises where a difference leads to no value of this register; the shell sets it
+        self.require_value: Callable[[str, Any], None] = lambda register, value: None
         backoff = ProposerBackoff(address, PHASE_TIMEOUT)
         self.learner = self.learner_class(self.member, self.acceptors, backoff)
         self.proposer = self.proposer_class(self.member, self.acceptors, self.learner, backoff)
@@ -263,7 +264,8 @@
                 case AcceptDifference(register, number, base, difference):
                     acceptor = self.acceptors[register]
                     if base == acceptor.accepted:  # else the next round brings the value itself
-                        value = value_from(register, apply_difference(acceptor.value, difference))
+                        value = apply_difference(acceptor.value, difference)
+                        self.require_value(register, value)
                         self._accept(now, peer, register, number, value, effects)
 
     def _on_prepare(self, now: float, peer: str, prepare: Prepare, effects: Effects) -> None:
--- a/bramblewood/controller/quorum_io.py
+++ b/bramblewood/controller/quorum_io.py
@@ -18,6 +18,7 @@
 from .consensus.replica import ConsensusReplica
 from .consensus.voter_set import founding_voters
 from .content_agreement import ContentAgreement
+from .register_values import require_register_value, require_values
 from .runtime import TICK_INTERVAL, Runtime
 from .storage import Storage
 
@@ -71,6 +72,7 @@
         self.consensus = ConsensusReplica(
             settings.ip, disk, self.incarnation, registers, voter_set, active_epoch
         )
+        self.consensus.require_value = require_register_value
         self.pending_writes.facts = {DISK_FACT: disk, ACTIVE_EPOCH_FACT: active_epoch}
         if voter_set is not None:
             self.pending_writes.facts[VOTER_SET_FACT] = voter_set
@@ -132,9 +134,12 @@
         return outcome if in_time else None
 
     def handle_consensus_message(self, peer: str, message: dict) -> None:
-        """Take a message of the consensus, in its wire form; none of a peer whose content differs."""
+        """Take a message of the consensus, in its wire form; none of a peer whose content differs. Raises
+        PeerMessageError.
+        """
         if self.content_agreement.differs_from(peer):
             return
+        require_values(message)
         consensus = self.consensus
         self.execute(consensus.receive(self.runtime.now(), peer, message))
         rejection = consensus.take_last_rejection()
--- a/tests/simulation/malformed_messages.py
+++ b/tests/simulation/malformed_messages.py
@@ -9,6 +9,7 @@
 from bramblewood.common.errors import PeerMessageError
 from bramblewood.common.messages import kinds
 from bramblewood.controller.consensus.messages import CONSENSUS_MESSAGE_KINDS, decode
+from bramblewood.controller.register_values import require_values
 
 # in place of a field's value; lone numbers of either sign are of the right type for some fields
 OTHER_VALUES: tuple[Any, ...] = (
@@ -52,6 +53,7 @@
     """The message of a wire form; a heartbeat is a controller's where it says what it accepted."""
     kind = wire["k"]
     if kind in CONSENSUS_MESSAGE_KINDS:
+        require_values(wire)
         return decode(wire)
     if kind == kinds.HEARTBEAT:
         return (messages.ControllerHeartbeat if "acc" in wire else messages.ProxyHeartbeat).from_wire(wire)
