A part of a route stays in its zone as its fraction says; several idle connections to a worker

Cause: the draws for a route's parts and for staying in the zone are CRCs of one id with two prefixes, which differ by a constant: of a part of 10 in 100 none stayed at a fraction of 0.3 and 94 in 100 at 0.6. The one idle connection that a controller kept to a worker was not enough for the grants of its several runs of slices, renewed at the same moment.

Change: the second draw is mixed by a multiplication; up to eight idle connections are kept to a worker.

--- a/bramblewood/controller/worker_client.py
+++ b/bramblewood/controller/worker_client.py
@@ -1,7 +1,8 @@
 """HTTP calls of a controller to workers, over the connections and the strict reader that proxies use too.
 
 Invariant: a call is sent once. Its answer is read whole, and another call's answer is never taken for it
-(`common/connection_state.py`). Idle connections are kept for a while, at most one to a worker.
+(`common/connection_state.py`). Idle connections are kept for a while, a few to a worker: grants of its several
+runs of slices are renewed at the same moment.
 """
 
 import asyncio
@@ -14,6 +15,7 @@
 from ..common.worker_connection import WorkerConnection, connect
 
 KEEP_ALIVE = 4.0  # s that an idle connection to a worker is kept
+MAX_IDLE_PER_WORKER = 8
 ANSWER_TIMEOUT = 60.0  # s; callers bound their calls themselves, by less
 
 
@@ -26,10 +28,10 @@
 
 
 class WorkerClient:
-    """The idle connections to workers, by address."""
+    """The idle connections to workers, by address; the one used last at the end."""
 
     def __init__(self) -> None:
-        self.idle: dict[str, WorkerConnection] = {}
+        self.idle: dict[str, list[WorkerConnection]] = {}
 
     async def post(
         self,
@@ -67,31 +69,36 @@
         return WorkerAnswer(result.answer.status, result.answer.headers_by_name, is_first)
 
     def _take_idle(self, address: str, now: float) -> WorkerConnection | None:
-        connection = self.idle.pop(address, None)
-        if connection is None:
-            return None
-        if connection.is_reusable and now - connection.idle_since < KEEP_ALIVE:
-            return connection
-        connection.close()
+        idle = self.idle.get(address, [])
+        while idle:
+            connection = idle.pop()
+            if connection.is_reusable and now - connection.idle_since < KEEP_ALIVE:
+                return connection
+            connection.close()
         return None
 
     def _keep(self, address: str, connection: WorkerConnection) -> None:
-        if not connection.is_reusable or address in self.idle:
+        idle = self.idle.setdefault(address, [])
+        if not connection.is_reusable or len(idle) >= MAX_IDLE_PER_WORKER:
             connection.close()
             return
-        self.idle[address] = connection
+        idle.append(connection)
         connection.loop.call_later(KEEP_ALIVE, self._close_idle, address, connection, connection.idle_since)
 
     def _close_idle(self, address: str, connection: WorkerConnection, idle_since: float) -> None:
         """Close a connection that nobody has used since."""
-        if self.idle.get(address) is connection and connection.idle_since == idle_since:
-            del self.idle[address]
+        idle = self.idle.get(address, [])
+        if connection in idle and connection.idle_since == idle_since:
+            idle.remove(connection)
             connection.close()
+        if not idle:
+            self.idle.pop(address, None)
 
     def close(self) -> None:
         """Close all idle connections."""
-        for connection in self.idle.values():
-            connection.close()
+        for connections in self.idle.values():
+            for connection in connections:
+                connection.close()
         self.idle.clear()
 
 
--- a/bramblewood/proxy/load_balancing.py
+++ b/bramblewood/proxy/load_balancing.py
@@ -29,6 +29,7 @@
 LOCAL_SLICES_VALIDITY = 0.25  # s that the list of this zone's slices is used: half a cycle of the moves
 # of DrainS in which a draining worker may still get the keys that nobody else owns
 DRAINING_OWNER_FRACTION = 0.6
+MIXING_FACTOR = 2654435761  # 2**32 over the golden ratio: Knuth's multiplicative hash
 MIN_SECOND_SHARE = 0.1  # a second worker's share above which the two are compared by load
 
 
@@ -79,10 +80,20 @@
         """The key in whose slice a request lies whose service has no keys."""
         return zlib.crc32(request_id.encode()) % KEY_SPACE_SIZE
 
+    @staticmethod
+    def locality_draw(request_id: str) -> float:
+        """Evenly in [0, 1), by the request's id; independent of which part of `WeightedTargets` it is in.
+
+        Two CRCs of one text with different prefixes differ by a constant, so the second draw is mixed by a
+        multiplication: else a part of a route would stay in its zone all or none.
+        """
+        mixed = zlib.crc32(b"near" + request_id.encode()) * MIXING_FACTOR % 2**32
+        return mixed / 2**32
+
     def slice_key(self, now: float, service: str, request_id: str) -> int:
         """The same, drawn from this zone's slices for the fraction of the requests that is to stay here."""
         key = self.hash_request_id(request_id)
-        if zlib.crc32(b"near" + request_id.encode()) / 2**32 < self.local_fractions.get(service, 0.0):
+        if self.locality_draw(request_id) < self.local_fractions.get(service, 0.0):
             found_at, starts = self._local_slices.get(service, (-1e9, []))
             if now > found_at + LOCAL_SLICES_VALIDITY:
                 starts = self._find_local_slices(now, service)
--- a/tests/test_worker_client.py
+++ b/tests/test_worker_client.py
@@ -70,6 +70,28 @@
     assert worker.connections == 2
 
 
+def test_calls_at_the_same_moment_have_connections_of_their_own_and_keep_them() -> None:
+    worker = StubWorker(*[answer()] * 6)
+
+    async def play() -> list[bool]:
+        server = await asyncio.start_server(worker.serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        client, until = WorkerClient(), asyncio.get_running_loop().time() + 1.0
+        found = []
+        for round_number in range(2):
+            calls = [
+                client.post(f"{host}:{port}", "/x", {"X-Attempt-Id": f"{round_number}-{n}"}, {}, until, False)
+                for n in range(3)
+            ]
+            found += await asyncio.gather(*calls)
+        client.close()
+        server.close()
+        return [one.is_first_on_connection for one in found]
+
+    assert asyncio.run(play()) == [True] * 3 + [False] * 3
+    assert worker.connections == 3
+
+
 def test_another_calls_answer_is_passed_over() -> None:
     worker = StubWorker(answer("X-Attempt-Id: older\r\n") + answer(status=409), answer())
     found = outcomes(worker, 2)
