--- a/bramblewood/controller/worker_client.py
+++ b/bramblewood/controller/worker_client.py
@@ -1,8 +1,8 @@
 """HTTP calls of a controller to workers, over the connections and the strict reader that proxies use too.
 
 Invariant: a call is sent once. Its answer is read whole, and another call's answer is never taken for it
-(`common/connection_state.py`). Idle connections are kept for a while, a few to a worker: grants of its several
-runs of slices are renewed at the same moment.
+(`common/connection_state.py`). Idle connections are kept for a while, a few to a worker: grants of its
+several runs of slices are renewed at the same moment.
 """
 
 import asyncio
