--- a/bramblewood/controller/consensus/epochs.py
+++ b/bramblewood/controller/consensus/epochs.py
@@ -13,9 +13,9 @@
 
 from .acceptor import Acceptor, NumberedValue
 from .effects import ACTIVE_EPOCH_FACT, DISK_FACT, VOTER_SET_FACT, Effects, no_effects
+from .epoch_messages import OMITTED, AcceptedState, EpochNotice, EpochState, JoinEpoch
 from .learner import Learner
 from .local_member import NEVER_ACTIVE, LocalMember
-from .messages import OMITTED, AcceptedState, EpochNotice, EpochState, JoinEpoch
 from .proposal_number import NO_PROPOSAL, ProposalNumber
 from .proposer import Proposer
 from .registers import ALL_REGISTERS
--- a/bramblewood/controller/consensus/replica.py
+++ b/bramblewood/controller/consensus/replica.py
@@ -18,6 +18,7 @@
 from ..value_diff import apply_difference
 from .acceptor import Acceptor, NumberedValue
 from .effects import Effects, no_effects
+from .epoch_messages import EpochNotice, EpochState, JoinEpoch
 from .epochs import EpochTransition
 from .learner import Learner
 from .local_member import NEVER_ACTIVE, LocalMember
@@ -26,10 +27,7 @@
     AcceptDifference,
     Accepted,
     Chosen,
-    EpochNotice,
-    EpochState,
     FetchChosen,
-    JoinEpoch,
     Prepare,
     Promise,
     RegisterMessage,
--- a/bramblewood/controller/server.py
+++ b/bramblewood/controller/server.py
@@ -16,7 +16,8 @@
 from .content_watch import ContentWatch
 from .controller_peers import KNOWN_CONTROLLERS_FACT, ControllerPeers
 from .coordinator_loop import CoordinatorLoop
-from .damaged_storage import mark_damaged, open_or_replace
+from .damage_response import DamageResponse
+from .damaged_storage import open_or_replace
 from .departures import Departures
 from .drain_progress import DrainProgress
 from .http_listener import HttpListener
@@ -47,7 +48,6 @@
 HOUSEKEEPING_INTERVAL = 0.5  # s, the policy's own turn
 LISTEN_BACKLOG = 512
 STORAGE_UNUSABLE = 2  # exit code
-STORAGE_DAMAGED = 3  # exit code: the next start keeps the database aside
 
 
 class Controller:
@@ -59,6 +59,7 @@
         self.sessions = Sessions(runtime.own_address)
         self.quorum_contact = QuorumContact(runtime, self.quorum_io, self.sessions)
         self.registry, self.proxy_sessions = WorkerRegistry(), ProxySessions()
+        self.damage = DamageResponse(runtime, self.quorum_io)
         self.content_watch = ContentWatch(runtime, self.quorum_io)
         self.departures = Departures(runtime, self.quorum_io, self.registry)
         self.registry_exchange = RegistryExchange(runtime, self.registry, self.proxy_sessions)
@@ -67,7 +68,6 @@
         self._build_apis()
         self._connect_parts()
         self.next_housekeeping_at = 0.0
-        self.damage: str | None = None  # why this process is to end and its database to be kept aside
 
     def _build_peer_parts(self) -> None:
         self.controller_peers = ControllerPeers(
@@ -168,7 +168,7 @@
             runtime.settings.bind_ip,
         )
         runtime.peer_connections.on_malformed = handlers.log_malformed
-        self.content_watch.on_divergence = self.handle_damage
+        self.content_watch.on_divergence = self.damage.begin
         self.quorum_io.on_progress = self.chosen_values.refresh
         self.quorum_io.on_epoch_changed = self.handle_epoch_change
         self.proxy_feed.on_configuration_announced = lambda: self.proxy_heartbeats.send(runtime.now())
@@ -198,34 +198,18 @@
             resources.callback(storage.close)
             await self._open_resources(resources)
             self._log_start()
-            while self.damage is None and not self.voter_changes.may_shut_down(runtime.now()):
+            while self.damage.reason is None and not self.voter_changes.may_shut_down(runtime.now()):
                 self.tick(runtime.now())
                 await self._wait_for_next_tick()
             self.quorum_io.consensus.stop_voting()  # who holds what we hold has been looked at
             runtime.log.info("stopped", step="end")
-        if self.damage is not None:
-            return await self._end_damaged(self.damage)
-        return 0
-
-    def handle_damage(self, reason: str) -> None:
-        """The database turned out to be damaged: vote no more, and end."""
-        if self.damage is None:
-            self.damage = reason
-            self.quorum_io.consensus.stop_voting()
-            self.runtime.log.error("storage damaged", step="run", problem=reason)
-
-    async def _end_damaged(self, reason: str) -> int:
-        try:
-            await asyncio.to_thread(mark_damaged, self.quorum_io.storage.folder, reason)
-        except OSError as problem:
-            self.runtime.log.error("storage not marked", step="end", problem=str(problem))
-        return STORAGE_DAMAGED
+        return 0 if self.damage.reason is None else await self.damage.finish()
 
     def _restore(self, found: StoredState) -> None:
         """Go on from what the disk holds."""
         runtime, settings, loop = self.runtime, self.runtime.settings, self.runtime.loop
         storage = self.quorum_io.storage
-        storage.on_damage = lambda problem: loop.call_soon_threadsafe(self.handle_damage, problem)
+        storage.on_damage = lambda problem: loop.call_soon_threadsafe(self.damage.begin, problem)
         self.quorum_io.restore(found.facts, found.registers, storage.replaces_damaged)
         self.departures.restore(found.facts)
         self.set_planner(
--- a/bramblewood/controller/storage.py
+++ b/bramblewood/controller/storage.py
@@ -19,22 +19,15 @@
 import queue
 import sqlite3
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
 
 from .content_agreement import StoredDigests
-from .row_encoding import DELETE, PUT, RowOperation, descendant_range, row_operations, to_json
-from .storage_checksums import (
-    ContentSum,
-    StoredChecksums,
-    fact_checksum,
-    part_checksum,
-    register_checksum,
-    totals_checksum,
-)
+from .row_encoding import row_operations, to_json
+from .storage_checksums import ContentSum, StoredChecksums
 from .storage_errors import StorageDamagedError, StorageError, is_corruption, means_damage
 from .storage_reader import (
     ProposalNumber,
@@ -45,19 +38,8 @@
     read_database,
     schema_version,
 )
-from .storage_schema import (
-    CREATE_TABLES,
-    DATABASE_FILE,
-    DELETE_FACT,
-    DELETE_PART,
-    DELETE_PARTS_BELOW,
-    DROP_TABLES,
-    PUT_FACT,
-    PUT_PART,
-    PUT_REGISTER,
-    PUT_TOTALS,
-    SCHEMA_VERSION,
-)
+from .storage_rows import write_fact, write_parts, write_register, write_totals
+from .storage_schema import CREATE_TABLES, DATABASE_FILE, DROP_TABLES, SCHEMA_VERSION
 from .value_diff import MISSING, SET, difference
 
 THREAD_NAME = "shelf"
@@ -256,61 +238,10 @@
             stored = checksums.parts.get(name, ContentSum())
             parts = write_parts(database, name, row_operations(change, old, value), stored)
             numbers = to_json(promised), to_json(accepted)
-            checksum = register_checksum(name, *numbers, parts)
-            database.execute(PUT_REGISTER, (name, *numbers, *parts, checksum))
+            write_register(database, name, numbers, parts)
             checksums.parts[name] = parts
         for name, value in facts.items():
             write_fact(database, name, value, checksums.facts)
         if facts or checksums.parts.keys() != self.checksums.parts.keys():
             write_totals(database, checksums)
         return checksums
-
-
-def write_totals(database: Any, checksums: StoredChecksums) -> None:
-    """Within a transaction: what says which rows there are."""
-    totals = checksums.totals()
-    database.execute(PUT_TOTALS, (*totals, totals_checksum(totals)))
-
-
-def write_fact(database: Any, name: str, value: Any, checksums: dict[str, int]) -> None:
-    """Within a transaction: put a fact, or remove it where its value is None; checksums: of all facts."""
-    if value is None:
-        database.execute(DELETE_FACT, (name,))
-        checksums.pop(name, None)
-        return
-    text = to_json(value)
-    checksums[name] = fact_checksum(name, text)
-    database.execute(PUT_FACT, (name, text, checksums[name]))
-
-
-def write_parts(
-    database: Any, register: str, operations: Iterable[RowOperation], stored: ContentSum
-) -> ContentSum:
-    """Within a transaction: operations on the rows of a register's value.
-
-    Returns the sum of all its rows, given the sum of those that are stored.
-    """
-    for operation in operations:
-        if operation.kind == PUT:
-            stored = put_part(database, register, operation, stored)
-        else:
-            stored = clear_parts(database, register, operation, stored)
-    return stored
-
-
-def put_part(database: Any, register: str, operation: RowOperation, stored: ContentSum) -> ContentSum:
-    """Within a transaction: put one row. Returns the sum of all rows."""
-    path, replaced = operation.path, operation.replaced
-    checksum = part_checksum(register, path, operation.text)
-    database.execute(PUT_PART, (register, path, operation.text, checksum))
-    return stored.with_row(checksum, None if replaced is None else part_checksum(register, path, replaced))
-
-
-def clear_parts(database: Any, register: str, operation: RowOperation, stored: ContentSum) -> ContentSum:
-    """Within a transaction: remove the rows below a path, and the row there as `operation` says. Returns the
-    sum of the rows that are left.
-    """
-    removed = list(database.execute(DELETE_PARTS_BELOW, (register, *descendant_range(operation.path))))
-    if operation.kind == DELETE:
-        removed += database.execute(DELETE_PART, (register, operation.path))
-    return stored.without(len(removed), sum(checksum for (checksum,) in removed))
--- a/tests/test_damaged_controllers.py
+++ b/tests/test_damaged_controllers.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from bramblewood.controller.server import STORAGE_DAMAGED
+from bramblewood.controller.damage_response import STORAGE_DAMAGED
 from bramblewood.controller.storage import Storage
 from bramblewood.controller.storage_schema import DATABASE_FILE
 from bramblewood.controller.voter_changes import UNKNOWN_VOTERS_PATIENCE
