A worker that answers here is not taken for unknown

Cause: an upstream that is cut off from the controller which a worker calls does not know that worker, and its proxies would have stopped using it after 4.8 s.

Change: a worker that no registry of the upstream names is left out only once it has answered nothing here for as long.

--- a/bramblewood/proxy/controller_sessions.py
+++ b/bramblewood/proxy/controller_sessions.py
@@ -145,7 +145,7 @@
         if connection.peer == self.selection.upstream:
             if self.freshness.heartbeat_received(now, heartbeat):
                 connection.send(Subscribe(versions).to_wire())  # brings the complete registry again
-        self._update_timed_out()
+        self._update_timed_out(now)
 
     def _on_registrations(self, now: float, connection: PeerConnection, message: dict) -> None:
         update = RegistryUpdate.from_wire(message)
@@ -156,15 +156,23 @@
                 self.connection_pool.close_all(instance_id)
         is_current = self.selection.is_current_upstream(connection.peer)
         self.freshness.registrations_received(now, registrations, update.is_complete, is_current)
-        self._update_timed_out()
+        self._update_timed_out(now)
         if update.is_complete:
             versions = self.known_versions()
             self._send_all(self.selection.registry_received(now, connection.peer, versions))
         self._notify_waiting()
 
-    def _update_timed_out(self) -> None:
-        """Workers that the controllers name silent, and those that they don't know any more."""
-        self.load_balancer.timed_out = self._silent_workers | self.freshness.unconfirmed
+    def _update_timed_out(self, now: float) -> None:
+        """Workers that the controllers name silent, and those that they don't know any more and that answer
+        nothing here: the upstream may be cut off from the controller that a worker calls.
+        """
+        answering_since = now - self.freshness.expiry_time
+        unconfirmed = {
+            instance_id
+            for instance_id in self.freshness.unconfirmed
+            if self.load_balancer.observation(instance_id).answered_at < answering_since
+        }
+        self.load_balancer.timed_out = self._silent_workers | unconfirmed
 
     def _on_configuration(self, now: float, connection: PeerConnection, message: dict) -> None:
         update = ConfigurationUpdate.from_wire(message)
--- a/bramblewood/proxy/forwarding.py
+++ b/bramblewood/proxy/forwarding.py
@@ -126,6 +126,7 @@
     ) -> None:
         observation = self.load_balancer.observation(instance_id)
         observation.record_answer(response_time)
+        observation.answered_at = now
         observation.record_load(now, answer.headers_by_name.get("X-Server-Load", ""))
         if answer.status in (429, 503):
             observation.record_rejection(now)
--- a/bramblewood/proxy/registry_freshness.py
+++ b/bramblewood/proxy/registry_freshness.py
@@ -6,8 +6,8 @@
 Each heartbeat of a controller has the digest of the live registrations that it knows. Where the upstream's
 differs from ours for some time, the proxy asks it for its complete registry. A live registration that is not
 in there, and that no update names in the time after which a worker counts as silent, is unconfirmed: it is
-treated like one that the controllers name silent, until a controller names it again. Without a current
-upstream nothing expires: docs/degraded.md.
+treated like one that the controllers name silent, until a controller names it again; one that goes on to
+answer here is not. Without a current upstream nothing expires: docs/degraded.md.
 
 Times are s of the proxy's own steady clock.
 """
--- a/bramblewood/proxy/worker_observations.py
+++ b/bramblewood/proxy/worker_observations.py
@@ -34,6 +34,7 @@
         "server_errors",
         "response_time",
         "load_reported",
+        "answered_at",
     )
 
     def __init__(self) -> None:
@@ -44,6 +45,7 @@
         self.hot_key_queue = HotKeyQueue()
         self.attempts = self.failures = self.server_errors = 0
         self.response_time, self.load_reported = 0.0, False
+        self.answered_at = -1e9  # when its last answer came, whatever it was
 
     def request_started(self, now: float, non_idempotent: bool) -> None:
         """A request goes to it."""
--- a/tests/test_registry_freshness.py
+++ b/tests/test_registry_freshness.py
@@ -3,7 +3,10 @@
 import pytest
 
 from bramblewood.common.messages import ProxyHeartbeat
+from bramblewood.common.settings import Bounds, Settings
 from bramblewood.common.worker_registry import GONE, READY, WorkerRegistration, WorkerRegistry
+from bramblewood.proxy.controller_sessions import ControllerSessions
+from bramblewood.proxy.load_balancing import LoadBalancer
 from bramblewood.proxy.registry_freshness import MAX_REQUEST_INTERVAL, RegistryFreshness
 
 BEAT = 1.5  # s between a worker's calls
@@ -86,6 +89,23 @@
     }
 
 
+def test_a_worker_that_answers_here_is_used_on() -> None:
+    """The upstream is cut off from the controller that the worker calls: it lives all the same."""
+    settings = Settings(
+        "d", "d", "z", (1, 2), (), False, None, BEAT, {"Front": ("d", 1)}, 2**28, 99, Bounds()
+    )
+    balancer = LoadBalancer(2.5)
+    sessions = ControllerSessions(settings, None, balancer, None, None)
+    for name in ("a", "b"):
+        balancer.registry.record(0.0, name, registration(name))
+    sessions.freshness.unconfirmed = {"a", "b"}
+    balancer.observation("b").answered_at = 99.0
+    sessions._update_timed_out(100.0)
+    assert balancer.timed_out == {"a"}
+    sessions._update_timed_out(99.5 + EXPIRY)
+    assert balancer.timed_out == {"a", "b"}
+
+
 def test_a_digest_is_of_the_live_workers() -> None:
     registry = registry_of("a", "b")
     registry.record(1.0, "b", registration("b", GONE, 2))
