--- a/bramblewood/policy/workers.py
+++ b/bramblewood/policy/workers.py
@@ -25,7 +25,7 @@
         """The share of its capacity that it surely has in its slow start, from `slow_start_minimum` to 1."""
         settings, age = self.manager.settings, self.manager.now - self.warming_since
         least, window = settings.slow_start_minimum, settings.slow_start_window
-        return 1.0 if age >= window or not window else least + (1 - least) * max(age, 0.0) / window
+        return 1.0 if age >= window else least + (1 - least) * max(age, 0.0) / window
 
     def is_over_limit(self, reports: int = parameters.REPORTS_AVERAGED) -> bool:
         """Whether its own reports show it over the limit; true where they don't tell utilization."""
