--- a/bramblewood/cli/storage.py
+++ b/bramblewood/cli/storage.py
@@ -12,6 +12,7 @@
 import click
 
 from ..common.configuration_parser import parse_revision
+from ..controller.storage_errors import READ_ERRORS
 from ..controller.storage_reader import StoredState, find_file_faults, read_database, schema_version
 from ..controller.storage_schema import DATABASE_FILE, SCHEMA_VERSION
 from .exit_codes import PROBLEM_FOUND, SUCCESS
@@ -24,8 +25,6 @@
 FILE_ENDINGS = ("", "-wal")  # of the database and its log
 MAX_COPIES = 5  # tries at a copy that the controller's writes don't cross
 COPY_RETRY_DELAY = 0.1  # s
-# what reading a damaged database may raise, beside sqlite's own errors
-READ_ERRORS = (sqlite3.Error, ValueError, TypeError, LookupError, RecursionError)
 
 
 @click.group()
--- a/bramblewood/common/messages/fields.py
+++ b/bramblewood/common/messages/fields.py
@@ -4,6 +4,7 @@
 that are not known are passed over: a peer of a later release may send more.
 """
 
+from collections.abc import Iterable
 from typing import Any
 
 from ..errors import PeerMessageError
@@ -42,6 +43,11 @@
     return isinstance(value, (list, tuple))
 
 
+def is_map(value: Any) -> bool:
+    """Whether this is a map."""
+    return isinstance(value, dict)
+
+
 def is_proposal_number(value: Any) -> bool:
     """Whether this is a proposal number: epoch, counter, proposer, incarnation."""
     if not is_list(value) or len(value) != 4:
@@ -50,13 +56,20 @@
     return is_integer(epoch) and is_integer(counter) and is_text(proposer) and is_integer(incarnation)
 
 
+def require_all(key: str, values: Iterable[Any], is_valid: Any, expected: str) -> None:
+    """Raise PeerMessageError at the first of a field's values that is not valid."""
+    for value in values:
+        if not is_valid(value):
+            raise fail(key, expected, value)
+
+
 class Fields:
     """The fields of one message. Each method gives the value of a key, or `default` where the key is missing
     or null; it raises PeerMessageError where the value has another type, or there is none and no default.
     """
 
     def __init__(self, message: Any) -> None:
-        if not isinstance(message, dict):
+        if not is_map(message):
             raise PeerMessageError(f"expected a map, found {message!r:.60}")
         self.message = message
 
@@ -87,9 +100,7 @@
     def list_of(self, key: str, is_valid: Any, expected: str, default: Any = REQUIRED) -> Any:
         """A list whose elements are all valid."""
         found = self._field(key, is_list, "a list", default)
-        for element in found or ():
-            if not is_valid(element):
-                raise fail(key, expected, element)
+        require_all(key, found or (), is_valid, expected)
         return found
 
     def texts(self, key: str, default: Any = REQUIRED) -> Any:
@@ -98,14 +109,12 @@
 
     def mapping(self, key: str, default: Any = REQUIRED) -> Any:
         """A map, whatever its values are."""
-        return self._field(key, lambda value: isinstance(value, dict), "a map", default)
+        return self._field(key, is_map, "a map", default)
 
     def map_of(self, key: str, is_valid: Any, expected: str, default: Any = REQUIRED) -> Any:
         """A map whose values are all valid."""
         found = self.mapping(key, default)
-        for value in (found or {}).values():
-            if not is_valid(value):
-                raise fail(key, expected, value)
+        require_all(key, (found or {}).values(), is_valid, expected)
         return found
 
     def versions(self, key: str, default: Any = REQUIRED) -> Any:
--- a/bramblewood/common/messages/shapes.py
+++ b/bramblewood/common/messages/shapes.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from ..slice_table import is_slice_row
-from .fields import is_integer, is_list, is_number
+from .fields import is_integer, is_list, is_map, is_number
 
 WORKER_ROW_LENGTHS = range(4, 7)  # attempts, unanswered, mean time, load; then those that failed
 LOAD_PLACE = 3  # in such a row; null where the worker stated none
@@ -11,11 +11,6 @@
 WORK_IN_FLIGHT_FIELDS = 3
 
 
-def is_map(value: Any) -> bool:
-    """Whether this is a map."""
-    return isinstance(value, dict)
-
-
 def is_fractions(value: Any) -> bool:
     """Whether this is a map of numbers."""
     return is_map(value) and all(map(is_number, value.values()))
--- a/bramblewood/common/timeouts.py
+++ b/bramblewood/common/timeouts.py
@@ -10,6 +10,7 @@
 CLOCK_DRIFT_FACTOR = 1.02
 # for a call in transit, as the pages allow after a freeze (ThawSlackS)
 MAX_TRANSIT_TIME = 0.3
+MISSED_HEARTBEATS = 3.2  # a worker's heartbeat intervals after which one that nobody heard counts as silent
 # from a call's sending to its arrival at most: lost packets are sent again until the socket gives them up
 MAX_CALL_TRANSIT = UNACKNOWLEDGED_TIMEOUT_MS / 1000 + MAX_TRANSIT_TIME
 # of a read replica; one that can't be reached holds up a write's answer as long as a call may take
--- a/bramblewood/controller/content_agreement.py
+++ b/bramblewood/controller/content_agreement.py
@@ -11,7 +11,6 @@
 majority agrees, nobody acts until more voters are heard.
 """
 
-from collections import Counter
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -48,7 +47,6 @@
 
     register: str
     accepted: Number
-    digest: Digest  # of ours
     peers: list[str]
 
 
@@ -78,14 +76,12 @@
         voters: the disks by address of the newest voter set known here.
         """
         for register, (accepted, digest) in self.own.newest.items():
-            others: Counter[Digest] = Counter()
-            peers: dict[Digest, list[str]] = {}
+            peers: dict[Digest, list[str]] = {}  # by the other digest that they hold
             for peer, told in self.by_peer.items():
                 number, other = told.get(register, (None, digest))
                 if peer in voters and number == accepted and other != digest:
-                    others[other] += 1
                     peers.setdefault(other, []).append(peer)
-            for other, count in others.items():
-                if count >= majority(voters):
-                    return Divergence(register, accepted, digest, sorted(peers[other]))
+            for agreeing in peers.values():
+                if len(agreeing) >= majority(voters):
+                    return Divergence(register, accepted, sorted(agreeing))
         return None
--- a/bramblewood/controller/damaged_storage.py
+++ b/bramblewood/controller/damaged_storage.py
@@ -15,7 +15,7 @@
 import logbook
 from result import Err, Result
 
-from .storage import Storage
+from .storage import Storage, sync_folder
 from .storage_errors import StorageDamagedError, StorageError
 from .storage_reader import StoredState
 from .storage_schema import DATABASE_FILE
@@ -26,15 +26,6 @@
 FILE_ENDINGS = ("", "-wal", "-journal", "-shm")
 
 
-def sync_folder(folder: Path) -> None:
-    """Have the names in a folder outlive a power cut."""
-    descriptor = os.open(folder, os.O_RDONLY)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
-
-
 def kept_folders(folder: str) -> list[Path]:
     """The folders of databases that were kept aside, oldest first."""
     found = (one for one in Path(folder).glob(f"{KEPT_FOLDER_PREFIX}*") if one.is_dir())
--- a/bramblewood/controller/registry_exchange.py
+++ b/bramblewood/controller/registry_exchange.py
@@ -3,12 +3,11 @@
 from collections.abc import Callable
 
 from ..common.messages import RegistryUpdate
+from ..common.timeouts import MISSED_HEARTBEATS
 from ..common.worker_registry import READY, WorkerRegistration, WorkerRegistry
 from .proxy_sessions import ProxySessions, leaving_rows
 from .runtime import Runtime
 
-MISSED_HEARTBEATS = 3.2  # heartbeats of a worker after which one that nobody heard counts as gone
-
 
 class RegistryExchange:
     """Records registrations and passes on what was new here. Rows are registrations in their wire form."""
--- a/bramblewood/controller/storage.py
+++ b/bramblewood/controller/storage.py
@@ -28,7 +28,7 @@
 from .content_agreement import StoredDigests
 from .row_encoding import row_operations, to_json
 from .storage_checksums import ContentSum, StoredChecksums
-from .storage_errors import StorageDamagedError, StorageError, is_corruption, means_damage
+from .storage_errors import READ_ERRORS, StorageDamagedError, StorageError, is_corruption, means_damage
 from .storage_reader import (
     ProposalNumber,
     RegisterState,
@@ -59,6 +59,15 @@
     done: Callable[[str | None], None]
 
 
+def sync_folder(folder: Path) -> None:
+    """Have the names in a folder outlive a power cut."""
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
 def connect_durably(path: str) -> sqlite3.Connection:
     """A database in a folder that outlives a power cut too: each part of its path that is new is synced into
     the folder above.
@@ -66,11 +75,7 @@
     folder = Path(path).absolute().parent
     for new_folder in [one for one in (folder, *folder.parents) if not one.exists()][::-1]:
         new_folder.mkdir(exist_ok=True)
-        descriptor = os.open(new_folder.parent, os.O_RDONLY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
+        sync_folder(new_folder.parent)
     return sqlite3.connect(path, isolation_level=None, check_same_thread=False)
 
 
@@ -116,7 +121,7 @@
             else:
                 self.checksums = found.checksums
             self.enable_auto_vacuum(database)
-        except (sqlite3.Error, OSError, ValueError, TypeError, LookupError, RecursionError) as problem:
+        except (*READ_ERRORS, OSError) as problem:
             if not means_damage(problem):
                 return Err(StorageError(self.path, problem))
             if database is not None:
--- a/bramblewood/controller/storage_errors.py
+++ b/bramblewood/controller/storage_errors.py
@@ -19,6 +19,8 @@
         sqlite3.SQLITE_INTERRUPT,
     }
 )
+# what reading a damaged database may raise
+READ_ERRORS = (sqlite3.Error, ValueError, TypeError, LookupError, RecursionError)
 CORRUPTION_CODES = frozenset({sqlite3.SQLITE_CORRUPT, sqlite3.SQLITE_NOTADB})
 PRIMARY_CODE_MASK = 0xFF  # sqlite's extended result codes hold the primary one in their lowest byte
 
--- a/bramblewood/controller/storage_rows.py
+++ b/bramblewood/controller/storage_rows.py
@@ -72,9 +72,7 @@
 
 
 def clear_parts(database: Any, register: str, operation: RowOperation, stored: ContentSum) -> ContentSum:
-    """Remove the rows below a path, and the row there as `operation` says. Returns the
-    sum of the rows that are left.
-    """
+    """Remove the rows below a path, and the row there as `operation` says. Returns the sum of those left."""
     removed = list(database.execute(DELETE_PARTS_BELOW, (register, *descendant_range(operation.path))))
     if operation.kind == DELETE:
         removed += database.execute(DELETE_PART, (register, operation.path))
--- a/bramblewood/proxy/registry_freshness.py
+++ b/bramblewood/proxy/registry_freshness.py
@@ -15,12 +15,12 @@
 from collections.abc import Collection
 
 from ..common.messages import ProxyHeartbeat
+from ..common.timeouts import MISSED_HEARTBEATS
 from ..common.worker_registry import WorkerRegistry
 
 MISMATCH_TOLERANCE = 2.0  # s that registries may differ, as updates are on their way
 FIRST_REQUEST_INTERVAL = 2.0  # s between requests for a complete registry; doubled while they don't help
 MAX_REQUEST_INTERVAL = 60.0  # s
-MISSED_HEARTBEATS = 3.2  # a worker's heartbeat intervals after which one that nobody heard counts as silent
 
 
 class RegistryFreshness:
--- a/tests/simulation/quorum_contact.py
+++ b/tests/simulation/quorum_contact.py
@@ -180,21 +180,29 @@
     return fleet
 
 
-def restart_of_all_after_deregistration(seed):
-    """All controllers restart at once just after a deregistration; an old call comes late, a proxy starts."""
-    fleet = started_fleet(seed, 3)
-    name = sorted(fleet.workers)[seed % 4]
+def deregister(fleet, name):
+    """A worker's deregistration is acknowledged, and it calls no more of itself. Returns its last call from
+    before that, which may still come late.
+    """
     worker = fleet.workers[name]
     registration = WorkerRegistration("s", f"{name}:1", "z", SLOTS, READY, worker.call_sequence)
     worker.phase, worker.next_call_at = DRAINING, fleet.now
     while not worker.is_acknowledged:
         fleet.step()
     worker.next_call_at = fleet.now + UNTIL_THE_END  # it calls no more of itself
+    return RegisterWorker(name, registration)
+
+
+def restart_of_all_after_deregistration(seed):
+    """All controllers restart at once just after a deregistration; an old call comes late, a proxy starts."""
+    fleet = started_fleet(seed, 3)
+    name = sorted(fleet.workers)[seed % 4]
+    late_call = deregister(fleet, name)
     fleet.machines["d1"].kill()
     for controller in fleet.controllers:
         fleet.restart(controller, 0.2)
     fleet.run(0.8)
-    fleet.call("a", RegisterWorker(name, registration))
+    fleet.call("a", late_call)
     fleet.run(0.2)
     fleet.machines["d1"].start(False)
     fleet.run(5.0)
@@ -208,12 +216,7 @@
     """
     fleet = started_fleet(seed, 3 + 2 * (seed % 2))
     name = fleet.rng.choice(sorted(fleet.workers))
-    worker = fleet.workers[name]
-    registration = WorkerRegistration("s", f"{name}:1", "z", SLOTS, READY, worker.call_sequence)
-    worker.phase, worker.next_call_at = DRAINING, fleet.now
-    while not worker.is_acknowledged:
-        fleet.step()
-    worker.next_call_at = fleet.now + UNTIL_THE_END  # it calls no more of itself
+    late_call = deregister(fleet, name)
     for machine in fleet.machines.values():
         machine.kill()
     lost = fleet.machines[fleet.rng.choice(fleet.voters)]
@@ -221,9 +224,8 @@
     for machine in fleet.machines.values():
         fleet.at(fleet.now + fleet.rng.uniform(0.2, 1.0), machine.start, False)
     for _ in range(6):
-        command = RegisterWorker(name, registration)
         late = fleet.now + fleet.rng.uniform(0.3, 6.0)
-        fleet.at(late, fleet.call, fleet.rng.choice(fleet.controllers), command)
+        fleet.at(late, fleet.call, fleet.rng.choice(fleet.controllers), late_call)
     fleet.run(9.0)
     assert all(state.is_ready for state in fleet.rules.proxy_states.values())
     fleet.end()
