Controllers log by which evidence keys left their previous owner

Need: the record of two owners of one slice allows three causes, and no log line or metric tells them apart: a release that ends without an acknowledgement leaves no line.

Change: the log event `keys freed without a release` with its evidence, a count by evidence in /metrics, and the age of the last contact in `lease call failed`.

--- a/bramblewood/controller/coordinator_loop.py
+++ b/bramblewood/controller/coordinator_loop.py
@@ -14,7 +14,7 @@
 from .drain_progress import DrainProgress
 from .key_leases import KeyLeases
 from .key_releases import KeyReleases
-from .lease_calls import LeaseCalls
+from .lease_calls import EXPIRED, LeaseCalls
 from .outlier_detection import OutlierDetection, ejections_of, with_ejections
 from .placement import PlacementPlanner, apply_slice_changes
 from .quorum_contact import QuorumContact
@@ -114,6 +114,8 @@
         for call in calls:
             self.lease_calls.start(self.lease_calls.grant_or_release(call, contact_until))
         for released_keys in released:
+            if not self.key_releases.contains(released_keys):
+                self.lease_calls.log_freed_keys(released_keys, EXPIRED)
             self.key_releases.add(released_keys)
         leases, expired_readers = self.read_replicas.due_leases(now, table, self.registry)
         for lease in leases:
--- a/bramblewood/controller/key_releases.py
+++ b/bramblewood/controller/key_releases.py
@@ -20,11 +20,17 @@
         self.quorum_io = quorum_io
         # releases that no proposal contains yet, by service, first keys and fencing token
         self.pending: dict[tuple, ReleasedKeys] = {}
-        self.is_proposing = False
+        self.proposed: list[ReleasedKeys] = []  # the releases in the proposal in flight
+        self.is_proposing, self.proposed = False, []
         self.on_proposal_finished: Callable[[], None] = lambda: None  # called when a proposal has ended
         # called after on_proposal_finished when no release is pending any more
         self.on_all_released: Callable[[], None] = lambda: None
 
+    def contains(self, released: ReleasedKeys) -> bool:
+        """Whether an equal release is pending or in the proposal in flight, whatever its handover."""
+        known = [*self.pending.values(), *self.proposed]
+        return any(release[:-1] == released[:-1] for release in known)
+
     def add(self, released: ReleasedKeys) -> None:
         """Propose a release with all pending ones, as soon as no other proposal is in flight."""
         self.pending[released.service, released.starts, released.fencing_token] = released
@@ -32,6 +38,7 @@
             return
         self.is_proposing, batch = True, list(self.pending.values())
         self.pending.clear()
+        self.proposed = batch
         self.quorum_io.propose(
             TABLE,
             lambda table: without_previous_owners(table, batch),
@@ -40,7 +47,7 @@
         )
 
     def _proposal_finished(self, outcome: Any) -> None:
-        self.is_proposing = False
+        self.is_proposing, self.proposed = False, []
         self.on_proposal_finished()
         if self.pending:
             self.add(next(iter(self.pending.values())))
--- a/bramblewood/controller/lease_calls.py
+++ b/bramblewood/controller/lease_calls.py
@@ -15,6 +15,7 @@
     CONNECTION_REFUSED,
     GRANT,
     NO_ANSWER,
+    OTHER_INSTANCE,
     RELEASE,
     RENEWAL_FRACTION,
     KeyLeases,
@@ -32,6 +33,13 @@
 GRANT_TIMEOUT = 1.0  # s
 # heartbeat intervals without a heartbeat after which a worker whose port refuses calls counts as ended
 MISSED_HEARTBEATS_WHEN_REFUSED = 1.3
+# kinds of evidence that a previous owner no longer holds its keys; they are parts of metric names
+ACKNOWLEDGED, EXPIRED = "acknowledged", "expired"
+RELEASE_EVIDENCE = {  # by the status of a release
+    HTTPStatus.OK: ACKNOWLEDGED,
+    OTHER_INSTANCE: "other_instance",
+    CONNECTION_REFUSED: "refused",
+}
 
 
 class LeaseCalls:
@@ -59,7 +67,14 @@
         self.consecutive_refusals: dict[str, int] = {}  # by instance id: refused connections in a row
         # number of calls, by the name of their metric
         self.counts = dict.fromkeys(
-            ("archive_grants", "archive_releases", "archive_leases", "archive_calls_failed"), 0
+            (
+                "archive_grants",
+                "archive_releases",
+                "archive_leases",
+                "archive_calls_failed",
+                *(f"archive_freed_{evidence}" for evidence in (*RELEASE_EVIDENCE.values(), EXPIRED)),
+            ),
+            0,
         )
 
     def start(self, call: Coroutine) -> None:
@@ -100,6 +115,7 @@
             now, call, sent_at, status, handover, has_ended
         )
         if released is not None:
+            self.log_freed_keys(released, RELEASE_EVIDENCE[status])
             self.key_releases.add(released)
         elif (
             status == CONNECTION_REFUSED
@@ -161,10 +177,35 @@
             "fencing_token": call.fencing_token,
         }
         if status != HTTPStatus.OK:
-            self.runtime.log.info("lease call failed", status=status, **fields)
+            contact_age = self._contact_age(self.runtime.now(), call.instance_id)
+            self.runtime.log.info("lease call failed", status=status, contact_age=contact_age, **fields)
         elif call.kind == RELEASE or self.key_leases.is_first_grant(call):
             self.runtime.log.info("lease call acknowledged", **fields)
 
+    def log_freed_keys(self, released: ReleasedKeys, evidence: str) -> None:
+        """Log and count keys that their previous owner no longer holds, and the evidence for it.
+
+        An acknowledged release is only counted, because its call is logged.
+        """
+        self.counts[f"archive_freed_{evidence}"] += 1
+        if evidence == ACKNOWLEDGED:
+            return
+        self.runtime.log.info(
+            "keys freed without a release",
+            step=RELEASE,
+            evidence=evidence,
+            service=released.service,
+            peer=released.previous_owner,
+            first_keys=released.starts,
+            fencing_token=released.fencing_token,
+            contact_age=self._contact_age(self.runtime.now(), released.previous_owner),
+        )
+
+    def _contact_age(self, now: float, instance_id: str) -> float | None:
+        """Return the time (s) since any controller or proxy heard the worker; None if none has heard it."""
+        contact_at = self.registry.last_contact_at.get(instance_id)
+        return None if contact_at is None else round(now - contact_at, 2)
+
     async def lease_replica(self, lease: ReplicaLease, quorum_contact_until: float) -> None:
         """Send one lease of a read replica. quorum_contact_until: as for `grant_or_release`."""
         status, (_, key, instance_id, _) = NO_ANSWER, lease.reader
--- /dev/null
+++ b/tests/test_refused_lease_calls.py
@@ -0,0 +1,89 @@
+"""Guards against keys that are granted to a second worker while a worker behind a cut still holds them."""
+
+import asyncio
+from types import SimpleNamespace
+
+from bramblewood.common.connection_state import AttemptOutcome
+from bramblewood.common.worker_connection import WorkerUnreachable
+from bramblewood.common.worker_registry import READY, WorkerRegistration, WorkerRegistry
+from bramblewood.controller.key_leases import KeyLeases
+from bramblewood.controller.key_releases import KeyReleases
+from bramblewood.controller.lease_calls import LeaseCalls
+
+HEARTBEAT_INTERVAL = 1.5  # s
+STEP = 0.1  # s, the interval of the coordinator's steps
+TABLE = {"n": 2, "s": {"s": {"0": ["new", "", 0.0, 2, "", "old"]}}}
+REGISTRATION = WorkerRegistration("s", "10.0.0.1:80", "z", 2, READY, 1)
+
+
+class Clock:
+    now = 100.0
+
+
+class RefusingClient:
+    """A client whose connections are refused, as by a cut that answers with resets."""
+
+    async def post(self, address: str, *arguments: object) -> None:
+        raise WorkerUnreachable(AttemptOutcome.NOT_SENT, address, is_refused=True)
+
+
+class Coordinator:
+    """A coordinator that cannot connect to the worker `old`, which must release its keys."""
+
+    def __init__(self) -> None:
+        self.clock, self.log, self.freed_at = Clock(), [], 0.0
+        self.registry = WorkerRegistry()
+        self.registry.record(self.clock.now, "old", REGISTRATION)
+        self.key_leases = KeyLeases(10.0)
+        runtime = SimpleNamespace(
+            now=lambda: self.clock.now,
+            settings=SimpleNamespace(name="c", heartbeat_interval=HEARTBEAT_INTERVAL),
+            log=SimpleNamespace(info=lambda event, **fields: self.log.append((event, fields))),
+        )
+        exchange = SimpleNamespace(
+            registry=self.registry,
+            record=lambda instance, registration: self.registry.record(
+                self.clock.now, instance, registration
+            ),
+        )
+        quorum_io = SimpleNamespace(propose=self.propose)
+        self.key_releases = KeyReleases(quorum_io)
+        self.calls = LeaseCalls(runtime, quorum_io, None, exchange, self.key_leases, None, self.key_releases)
+        self.calls.client = RefusingClient()
+
+    def propose(self, *arguments: object) -> None:
+        self.freed_at = self.clock.now
+
+    def step(self) -> None:
+        """Send the calls that are due, as `CoordinatorLoop` does, and handle the refused connections."""
+        calls, released = self.key_leases.next_calls(self.clock.now, TABLE, {"s"}, self.registry)
+        for call in calls:
+            asyncio.run(self.calls.grant_or_release(call, self.clock.now + 1.0))
+        for keys in released:
+            self.key_releases.add(keys)
+        self.clock.now += STEP
+
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds / STEP)):
+            self.step()
+
+
+def test_failed_call_is_logged_with_the_age_of_the_last_contact():
+    coordinator = Coordinator()
+    coordinator.clock.now += 0.7
+    coordinator.step()
+    event, fields = coordinator.log[0]
+    assert event == "lease call failed" and fields["status"] == -1 and fields["contact_age"] == 0.7
+
+
+def test_keys_that_end_without_a_release_are_logged_once_with_the_evidence():
+    coordinator = Coordinator()
+    keys = coordinator.key_leases.next_calls(100.0, TABLE, {"s"}, coordinator.registry)[0]
+    released = coordinator.key_leases.call_finished(100.0, keys[0], 100.0, 421, "", False)
+    coordinator.calls.log_freed_keys(released, "other_instance")
+    assert [event for event, _ in coordinator.log] == ["keys freed without a release"]
+    assert coordinator.log[0][1]["evidence"] == "other_instance"
+    assert coordinator.calls.counts["archive_freed_other_instance"] == 1
+    assert not coordinator.key_releases.contains(released)
+    coordinator.key_releases.add(released)
+    assert coordinator.key_releases.contains(released)
