Test: a worker that refuses connections keeps its keys until its lease has expired (fails)

Reproduces the incident of two owners: a cut that answers with resets refuses connections on behalf of a worker that runs, and the controllers free its keys. At the calls of the coordinator, with a silent and with a deregistered worker, and in the simulation of leases, in which a controller without a path to a worker now can be refused.

--- a/tests/simulation/key_leases.py
+++ b/tests/simulation/key_leases.py
@@ -17,6 +17,7 @@
 from bramblewood.common.timeouts import MAX_CALL_TRANSIT
 from bramblewood.common.worker_registry import READY, WorkerRegistration, WorkerRegistry
 from bramblewood.controller.key_leases import (
+    CONNECTION_REFUSED,
     GRANT,
     NO_ANSWER,
     RELEASE,
@@ -73,8 +74,10 @@
 
 
 class KeyLeaseSimulation:
-    def __init__(self, seed: int, missing_guard: str = "") -> None:
-        """missing_guard: the guard that is removed, or "" for none.
+    def __init__(self, seed: int, missing_guard: str = "", cut_refuses_connections: bool = False) -> None:
+        """cut_refuses_connections: a controller without a path to a worker is refused, instead of silence.
+
+        missing_guard: the guard that is removed, or "" for none.
 
         "quorum contact": grants are sent without quorum contact. "expiry wait": the wait for the expiry of
         leases is too short. "attempt id": the next answer on a connection counts as the answer to a call,
@@ -82,6 +85,7 @@
         whatever the release was for.
         """
         self.rng, self.missing_guard, self.now = random.Random(seed), missing_guard, 100.0
+        self.status_behind_cut = CONNECTION_REFUSED if cut_refuses_connections else NO_ANSWER
         rows = {str(i * KEY_SPACE_SIZE // SLICES): ["w1", "", 0.0, 1, "", ""] for i in range(SLICES)}
         self.tables: list[dict[str, Any]] = [{"n": 1, "s": {SERVICE: rows}}]
         self.workers = {address: Worker(address) for address in ADDRESSES}
@@ -180,7 +184,8 @@
 
     def deliver_call(self, name: str, call: LeaseCall, sent_at: float, already_answered: bool) -> None:
         """A call arrives at the worker that listens at its address."""
-        worker, status = self.workers[call.address.partition(":")[0]], NO_ANSWER
+        worker = self.workers[call.address.partition(":")[0]]
+        status = NO_ANSWER if worker.reachable[name] else self.status_behind_cut
         slices = [start * SLICES // KEY_SPACE_SIZE for start in call.starts]
         if worker.reachable[name] and worker.instance_id != call.instance_id:
             status = 421
@@ -189,7 +194,7 @@
             self.grants += status == 200
         elif worker.reachable[name]:
             status = worker.release(self.now, slices, call.fencing_token)
-        if status and self.occurs(0.1):
+        if status > 0 and self.occurs(0.1):
             self.surplus_answers[name, call.address] = status  # the worker answers twice
         if self.occurs(0.1):
             status = NO_ANSWER  # the call arrived, and its answer is lost
@@ -211,7 +216,9 @@
 
     def deliver_answer(self, name: str, call: LeaseCall, sent_at: float, status: int) -> None:
         """An answer arrives at its controller."""
-        keys = self.controllers[name].call_finished(self.now, call, sent_at, status, "h", False)
+        # heartbeats are lost in the same cut
+        has_ended = status == CONNECTION_REFUSED
+        keys = self.controllers[name].call_finished(self.now, call, sent_at, status, "h", has_ended)
         if keys is not None and not self.partitioned[name]:
             if self.missing_guard == "fencing token":
                 entry = SliceEntry.decode(self.tables[-1]["s"][SERVICE][str(keys.starts[0])])
--- a/tests/test_refused_lease_calls.py
+++ b/tests/test_refused_lease_calls.py
@@ -3,12 +3,15 @@
 import asyncio
 from types import SimpleNamespace
 
+import pytest
+
 from bramblewood.common.connection_state import AttemptOutcome
 from bramblewood.common.worker_connection import WorkerUnreachable
-from bramblewood.common.worker_registry import READY, WorkerRegistration, WorkerRegistry
+from bramblewood.common.worker_registry import GONE, READY, WorkerRegistration, WorkerRegistry
 from bramblewood.controller.key_leases import KeyLeases
 from bramblewood.controller.key_releases import KeyReleases
 from bramblewood.controller.lease_calls import LeaseCalls
+from tests.simulation.key_leases import KeyLeaseSimulation
 
 HEARTBEAT_INTERVAL = 1.5  # s
 STEP = 0.1  # s, the interval of the coordinator's steps
@@ -87,3 +90,19 @@
     assert not coordinator.key_releases.contains(released)
     coordinator.key_releases.add(released)
     assert coordinator.key_releases.contains(released)
+
+
+@pytest.mark.parametrize("has_deregistered", [False, True])
+def test_worker_that_refuses_connections_keeps_its_keys_until_its_lease_has_expired(has_deregistered):
+    coordinator = Coordinator()
+    if has_deregistered:  # a worker that leaves still works for some seconds
+        coordinator.registry.record(100.0, "old", REGISTRATION._replace(phase=GONE))
+    coordinator.run(coordinator.key_leases.lease_expiry_delay - STEP)
+    assert not coordinator.freed_at
+    coordinator.run(3 * STEP)
+    assert coordinator.freed_at
+
+
+def test_cut_that_refuses_connections_leases_no_key_to_two_workers():
+    for seed in range(20):
+        KeyLeaseSimulation(seed, cut_refuses_connections=True).run(60.0)
