Key leases: a refused connection no longer frees the keys of a worker

Cause: keys were freed when the port of their previous owner refused the release, and the owner had deregistered or was refused twice and not heard for 1.3 heartbeat intervals. None of this is known of the worker: a cut that answers with resets refuses for it, its heartbeats are lost in the same cut, slow answers to proxies are seconds apart, and a deregistered worker still works.

Fix: only an acknowledged release, another instance at the address, or the expiry of the longest possible lease frees keys; each of these is independent of the network's state.

--- a/bramblewood/controller/key_leases.py
+++ b/bramblewood/controller/key_leases.py
@@ -9,8 +9,6 @@
 
 - The previous owner has acknowledged the release.
 - Another instance answers at the address of the previous owner.
-- The port of the previous owner refuses connections, and its deregistration or missing heartbeats confirm
-  that it has ended.
 - The longest grant that any controller can have sent has expired (`KeyLeases.lease_expiry_delay`).
 
 Invariant: two workers never hold a lease on the same key. Three bounds ensure it:
@@ -20,8 +18,9 @@
 - A call arrives within MAX_CALL_TRANSIT s, or it never arrives.
 - The clock of a worker runs slow by a factor of at most CLOCK_DRIFT_FACTOR.
 
-The worker registry alone does not prove that an instance has ended: a delayed registration of an older
-instance at the same address marks the newer instance as gone.
+Neither the worker registry nor a refused connection proves that an instance has ended: a delayed registration
+of an older instance at the same address marks the newer instance as gone, a deregistered worker still works
+for some seconds, and a network fault can refuse connections for a worker that proxies still reach.
 
 A late answer to a release cannot free a slice that has moved since. An acknowledged release frees only those
 slices whose entries still have the fencing token and the previous owner of the call. The fencing token of a
@@ -232,13 +231,12 @@
         return lease[:2] != (call.instance_id, call.fencing_token)
 
     def call_finished(
-        self, now: float, call: LeaseCall, sent_at: float, status: int, handover: str, has_ended: bool
+        self, now: float, call: LeaseCall, sent_at: float, status: int, handover: str
     ) -> ReleasedKeys | None:
         """Record the result of a call, and return the slices that it frees, or None.
 
         sent_at: when the call was sent. status: an HTTP status, NO_ANSWER or CONNECTION_REFUSED. handover:
-        the data in the answer to a release. has_ended: whether the worker has deregistered, or its
-        heartbeats are missing.
+        the data in the answer to a release.
         """
         call_id = CallId(call.kind, call.service, call.first_key, call.last_key, call.fencing_token)
         self.calls_in_flight.discard(call_id)
@@ -249,7 +247,7 @@
             else:
                 self.retry_at[call_id] = now + RETRY_DELAY
             return None
-        if status in (HTTPStatus.OK, OTHER_INSTANCE) or status == CONNECTION_REFUSED and has_ended:
+        if status in (HTTPStatus.OK, OTHER_INSTANCE):
             valid_handover = handover if status == HTTPStatus.OK else ""
             return ReleasedKeys(
                 call.service, call.starts, call.fencing_token, call.instance_id, valid_handover
--- a/bramblewood/controller/lease_calls.py
+++ b/bramblewood/controller/lease_calls.py
@@ -38,7 +38,6 @@
 RELEASE_EVIDENCE = {  # by the status of a release
     HTTPStatus.OK: ACKNOWLEDGED,
     OTHER_INSTANCE: "other_instance",
-    CONNECTION_REFUSED: "refused",
 }
 
 
@@ -111,9 +110,7 @@
                 lambda outcome: self.chosen_values.refresh(),
                 PROPOSAL_TIMEOUT,
             )
-        released: ReleasedKeys | None = self.key_leases.call_finished(
-            now, call, sent_at, status, handover, has_ended
-        )
+        released: ReleasedKeys | None = self.key_leases.call_finished(now, call, sent_at, status, handover)
         if released is not None:
             self.log_freed_keys(released, RELEASE_EVIDENCE[status])
             self.key_releases.add(released)
--- a/features/steps/key_leases.py
+++ b/features/steps/key_leases.py
@@ -90,8 +90,8 @@
     key_leases, table = KeyLeases(10.0), {"n": 2, "s": {"s": {"0": ["next", "", 0.0, 2, "", "newer"]}}}
     (call,), released = key_leases.next_calls(0.0, table, {"s"}, context.registry)
     assert (call.kind, call.instance_id, released) == ("release", "newer", [])
-    assert key_leases.call_finished(0.0, call, 0.0, 0, "", False) is None
-    assert key_leases.call_finished(0.0, call, 0.0, 421, "", False).previous_owner == "newer"
+    assert key_leases.call_finished(0.0, call, 0.0, 0, "") is None
+    assert key_leases.call_finished(0.0, call, 0.0, 421, "").previous_owner == "newer"
 
 
 def lease_calls() -> LeaseCalls:
--- a/tests/simulation/key_leases.py
+++ b/tests/simulation/key_leases.py
@@ -168,7 +168,7 @@
         contact_until = self.contact_at[name] + QUORUM_CONTACT_VALIDITY
         for call in calls:
             if call.kind == GRANT and self.now >= contact_until and self.missing_guard != "quorum contact":
-                key_leases.call_finished(self.now, call, self.now, NO_ANSWER, "", False)
+                key_leases.call_finished(self.now, call, self.now, NO_ANSWER, "")
                 continue
             duration = UNSHORTENED_LEASE if self.missing_guard == "expiry wait" else call.duration
             surplus = self.surplus_answers.pop((name, call.address), None)
@@ -216,9 +216,7 @@
 
     def deliver_answer(self, name: str, call: LeaseCall, sent_at: float, status: int) -> None:
         """An answer arrives at its controller."""
-        # heartbeats are lost in the same cut
-        has_ended = status == CONNECTION_REFUSED
-        keys = self.controllers[name].call_finished(self.now, call, sent_at, status, "h", has_ended)
+        keys = self.controllers[name].call_finished(self.now, call, sent_at, status, "h")
         if keys is not None and not self.partitioned[name]:
             if self.missing_guard == "fencing token":
                 entry = SliceEntry.decode(self.tables[-1]["s"][SERVICE][str(keys.starts[0])])
--- a/tests/test_refused_lease_calls.py
+++ b/tests/test_refused_lease_calls.py
@@ -82,7 +82,7 @@
 def test_keys_that_end_without_a_release_are_logged_once_with_the_evidence():
     coordinator = Coordinator()
     keys = coordinator.key_leases.next_calls(100.0, TABLE, {"s"}, coordinator.registry)[0]
-    released = coordinator.key_leases.call_finished(100.0, keys[0], 100.0, 421, "", False)
+    released = coordinator.key_leases.call_finished(100.0, keys[0], 100.0, 421, "")
     coordinator.calls.log_freed_keys(released, "other_instance")
     assert [event for event, _ in coordinator.log] == ["keys freed without a release"]
     assert coordinator.log[0][1]["evidence"] == "other_instance"
