Worker registry: a worker that refuses calls is out of use until it is heard, not gone for good

Callers would see: a worker behind a cut that refuses connections gets no requests for the rest of its life, although it calls again once the cut is over.

Two refused connections and 1.3 heartbeat intervals without contact recorded the worker as GONE, which is final in the mergeable registry. docs/system.md says that it counts as gone until it calls.

Change: such a worker is reported as unreachable, counts as timed out, and returns with its next contact. The new test fails on the code before (the phase stays GONE).

--- a/bramblewood/controller/lease_calls.py
+++ b/bramblewood/controller/lease_calls.py
@@ -8,7 +8,6 @@
 
 from ..common.timeouts import READ_LEASE_DURATION
 from ..common.worker_connection import WorkerUnreachable
-from ..common.worker_registry import GONE, WorkerRegistration
 from .chosen_values import ChosenValues
 from .consensus.registers import TABLE
 from .key_leases import (
@@ -31,7 +30,9 @@
 from .worker_client import WorkerClient
 
 GRANT_TIMEOUT = 1.0  # s
-# heartbeat intervals without a heartbeat after which a worker whose port refuses calls counts as ended
+# a worker is unreachable after this many refused connections in a row, if it was not heard for this many
+# heartbeat intervals
+REFUSALS_UNTIL_UNREACHABLE = 2
 MISSED_HEARTBEATS_WHEN_REFUSED = 1.3
 # kinds of evidence that a previous owner no longer holds its keys; they are parts of metric names
 ACKNOWLEDGED, EXPIRED = "acknowledged", "expired"
@@ -100,8 +101,6 @@
         self.counts[f"archive_{call.kind}s"] += 1
         self.counts["archive_calls_failed"] += status != HTTPStatus.OK
         now = self.runtime.now()
-        registration = self.registry.registrations.get(call.instance_id)
-        has_ended = self._worker_has_ended(now, call.instance_id, registration, status)
         self._log_lease_call(call, status)
         if status == HTTPStatus.CONFLICT:  # the worker has received a higher fencing token
             self.quorum_io.propose(
@@ -114,13 +113,8 @@
         if released is not None:
             self.log_freed_keys(released, RELEASE_EVIDENCE[status])
             self.key_releases.add(released)
-        elif (
-            status == CONNECTION_REFUSED
-            and has_ended
-            and registration is not None
-            and registration.phase != GONE
-        ):
-            self.registry_exchange.record(call.instance_id, registration._replace(phase=GONE))
+        if self._is_unreachable(now, call.instance_id, status):
+            self.registry_exchange.report_unreachable(call.instance_id)
 
     async def _send_lease_call(self, call: LeaseCall, sent_at: float, send_by: float) -> tuple[int, str]:
         """Send a call, and return its status and the handover in its answer.
@@ -149,21 +143,14 @@
         except (OSError, TimeoutError):
             return NO_ANSWER, ""
 
-    def _worker_has_ended(
-        self, now: float, instance_id: str, registration: WorkerRegistration | None, status: int
-    ) -> bool:
-        # counts the refused connections in a row; any other result resets the count
+    def _is_unreachable(self, now: float, instance_id: str, status: int) -> bool:
+        """Count refused connections in a row, and return whether the worker is neither reached nor heard."""
         is_refused = status == CONNECTION_REFUSED
-        self.consecutive_refusals[instance_id] = (
-            self.consecutive_refusals.get(instance_id, 0) + 1 if is_refused else 0
-        )
-        heartbeat_age = now - self.registry.last_contact_at.get(instance_id, 0.0)
-        return (
-            registration is None
-            or registration.phase == GONE
-            or self.consecutive_refusals[instance_id] > 1
-            and heartbeat_age > MISSED_HEARTBEATS_WHEN_REFUSED * self.runtime.settings.heartbeat_interval
-        )
+        refusals = self.consecutive_refusals.get(instance_id, 0) + 1 if is_refused else 0
+        self.consecutive_refusals[instance_id] = refusals
+        contact_age = now - self.registry.last_contact_at.get(instance_id, 0.0)
+        max_contact_age = MISSED_HEARTBEATS_WHEN_REFUSED * self.runtime.settings.heartbeat_interval
+        return refusals >= REFUSALS_UNTIL_UNREACHABLE and contact_age > max_contact_age
 
     def _log_lease_call(self, call: LeaseCall, status: int) -> None:
         fields = {
--- a/bramblewood/controller/registry_exchange.py
+++ b/bramblewood/controller/registry_exchange.py
@@ -4,7 +4,7 @@
 
 from ..common.messages import RegistryUpdate
 from ..common.timeouts import HEARTBEATS_UNTIL_SILENT
-from ..common.worker_registry import READY, WorkerRegistration, WorkerRegistry
+from ..common.worker_registry import GONE, READY, WorkerRegistration, WorkerRegistry
 from .proxy_sessions import ProxySessions, departing_rows
 from .runtime import Runtime
 
@@ -17,6 +17,8 @@
 
     def __init__(self, runtime: Runtime, registry: WorkerRegistry, proxy_sessions: ProxySessions) -> None:
         self.runtime, self.registry, self.proxy_sessions = runtime, registry, proxy_sessions
+        # by instance id: when this controller found the worker unreachable, s of its clock
+        self.unreachable_since: dict[str, float] = {}
         # called with the present time (s) after a worker has reported that it is draining or gone
         self.on_departure: Callable[[float], None] = lambda now: None
 
@@ -72,11 +74,34 @@
         """The rows of all workers in the registry."""
         return {instance_id: [*row] for instance_id, row in self.registry.registrations.items()}
 
+    def report_unreachable(self, instance_id: str) -> None:
+        """Treat a worker as timed out until a controller or proxy hears it again.
+
+        The worker may still run, so it is not recorded as GONE, which would be final.
+        """
+        registration = self.registry.registrations.get(instance_id)
+        is_registered = registration is not None and registration.phase != GONE
+        if is_registered and instance_id not in self.unreachable_since:
+            self.unreachable_since[instance_id] = self.runtime.now()
+            self.runtime.log.info("worker unreachable", step="registry", peer=instance_id)
+
     def timed_out_workers(self, now: float) -> set[str]:
-        """The ids of workers that no controller has heard for HEARTBEATS_UNTIL_SILENT heartbeat intervals.
+        """The ids of the workers that are out of use although they have not deregistered.
 
-        Workers whose phase is GONE are left out.
+        These are the workers that no controller has heard for HEARTBEATS_UNTIL_SILENT heartbeat intervals,
+        and those that were reported as unreachable and have not been heard since.
         """
-        return self.registry.timed_out(
-            now, HEARTBEATS_UNTIL_SILENT * self.runtime.settings.heartbeat_interval
-        )
+        timeout = HEARTBEATS_UNTIL_SILENT * self.runtime.settings.heartbeat_interval
+        self._forget_reachable()
+        return self.registry.timed_out(now, timeout) | self.unreachable_since.keys()
+
+    def _forget_reachable(self) -> None:
+        # removes the workers that were heard after they were found unreachable, and those that are gone
+        registrations, last_contact_at = self.registry.registrations, self.registry.last_contact_at
+        self.unreachable_since = {
+            instance_id: since
+            for instance_id, since in self.unreachable_since.items()
+            if instance_id in registrations
+            and registrations[instance_id].phase != GONE
+            and last_contact_at.get(instance_id, 0.0) <= since
+        }
--- a/tests/test_refused_lease_calls.py
+++ b/tests/test_refused_lease_calls.py
@@ -11,6 +11,7 @@
 from bramblewood.controller.key_leases import KeyLeases
 from bramblewood.controller.key_releases import KeyReleases
 from bramblewood.controller.lease_calls import LeaseCalls
+from bramblewood.controller.registry_exchange import RegistryExchange
 from tests.simulation.key_leases import KeyLeaseSimulation
 
 HEARTBEAT_INTERVAL = 1.5  # s
@@ -41,17 +42,17 @@
         runtime = SimpleNamespace(
             now=lambda: self.clock.now,
             settings=SimpleNamespace(name="c", heartbeat_interval=HEARTBEAT_INTERVAL),
+            loop=SimpleNamespace(call_soon=lambda *arguments: None),
+            peer_connections=SimpleNamespace(connected=()),
             log=SimpleNamespace(info=lambda event, **fields: self.log.append((event, fields))),
         )
-        exchange = SimpleNamespace(
-            registry=self.registry,
-            record=lambda instance, registration: self.registry.record(
-                self.clock.now, instance, registration
-            ),
-        )
+        sessions = SimpleNamespace(send_registrations=lambda rows: None)
+        self.exchange = RegistryExchange(runtime, self.registry, sessions)
         quorum_io = SimpleNamespace(propose=self.propose)
         self.key_releases = KeyReleases(quorum_io)
-        self.calls = LeaseCalls(runtime, quorum_io, None, exchange, self.key_leases, None, self.key_releases)
+        self.calls = LeaseCalls(
+            runtime, quorum_io, None, self.exchange, self.key_leases, None, self.key_releases
+        )
         self.calls.client = RefusingClient()
 
     def propose(self, *arguments: object) -> None:
@@ -106,3 +107,14 @@
 def test_cut_that_refuses_connections_leases_no_key_to_two_workers():
     for seed in range(20):
         KeyLeaseSimulation(seed, cut_refuses_connections=True).run(60.0)
+
+
+def test_unreachable_worker_is_out_of_use_until_it_is_heard_again():
+    coordinator = Coordinator()
+    coordinator.run(1.3 * HEARTBEAT_INTERVAL)
+    assert not coordinator.exchange.timed_out_workers(coordinator.clock.now)
+    coordinator.run(0.5)
+    assert coordinator.exchange.timed_out_workers(coordinator.clock.now) == {"old"}
+    coordinator.registry.record(coordinator.clock.now, "old", REGISTRATION._replace(call_sequence=2))
+    assert not coordinator.exchange.timed_out_workers(coordinator.clock.now)
+    assert coordinator.registry.registrations["old"].phase == READY
