Read replicas: a deregistered reader is asked to drop its replica like any other

Callers would see: a read of a hot key that misses an effect which was already acknowledged, through a proxy that does not know yet that the reader has deregistered.

The registry's phase GONE counted as proof that the replica cannot be read, but a worker that has deregistered still serves for some seconds (PROTOCOL: some send DELETE first, serve on, and end).

Change: the reader is called whatever its phase. Its confirmation, or 421 by another instance at its address, proves the drop; otherwise the reader is removed by the controllers and its lease expires, as for a reader that does not answer.

--- a/bramblewood/proxy/replica_invalidation_calls.py
+++ b/bramblewood/proxy/replica_invalidation_calls.py
@@ -3,10 +3,10 @@
 import asyncio
 import json
 import os
+from http import HTTPStatus
 
 from ..common.connection_state import AttemptOutcome
 from ..common.worker_connection import WorkerUnreachable
-from ..common.worker_registry import GONE
 from .connection_pool import ConnectionPool
 from .controller_sessions import ControllerSessions
 from .load_balancing import LoadBalancer
@@ -20,6 +20,8 @@
 from .request_attempts import RequestAttempts
 
 DROP_TIMEOUT = 0.2  # s for a reader to confirm a drop: many times the transit time between zones
+# statuses that prove a drop: a confirmation, or the answer of another instance at the reader's address
+DROPPED_STATUSES = (HTTPStatus.OK, HTTPStatus.MISDIRECTED_REQUEST)
 RELEASE_PATH = "/bramblewood/release"  # path at which workers accept the release of keys and replicas
 
 
@@ -71,11 +73,12 @@
     async def _drop_replica(self, instance_id: str, key: int, fencing_token: int) -> bool:
         """Request that a reader drop its replica of a key.
 
-        Returns whether it confirms the drop or is gone.
+        Returns whether it confirms the drop, or another instance answers at its address. A reader that has
+        deregistered may still serve reads for some seconds, so its registration proves nothing.
         """
         registration = self.load_balancer.registry.registrations.get(instance_id)
-        if registration is None or registration.phase == GONE:
-            return True
+        if registration is None or not registration.address:
+            return False
         # a release of the range from `Source` to `TargetVersion`, which contains only this key
         body = json.dumps({"Source": key, "TargetVersion": key, "fence": fencing_token}).encode()
         request_id = f"drop-{self.proxy_name}-{os.urandom(4).hex()}"
@@ -97,4 +100,4 @@
             return False
         result = await connection.exchange(request, request_id, loop.time() + DROP_TIMEOUT)
         connection.close()
-        return result.outcome is AttemptOutcome.ANSWERED and result.response.status == 200
+        return result.outcome is AttemptOutcome.ANSWERED and result.response.status in DROPPED_STATUSES
