Fleet simulation: partitions that refuse the controllers' connections to workers

Need: the simulation of whole controllers checks each grant for a second holder, but its partitions were silent, so it could not meet the cause of the two owners.

Change: a partition can refuse connections instead. Two runs: workers behind such partitions, some of them draining or gone, and random faults of the whole cluster beside them. Both stand in the feature with the guard that is removed to see them fail.

--- a/features/quorum_contact.feature
+++ b/features/quorum_contact.feature
@@ -27,21 +27,23 @@
     Then the rules hold in "<run>" for all seeds below 1
     And without <guard> a rule is broken in "<run>" for a seed below <seeds>
     Examples:
-      | run                                               | guard                                             | seeds |
-      | minority partition                                | the majority check for deregistrations            | 4     |
-      | minority partition                                | the quorum contact check for worker calls         | 4     |
-      | minority partition                                | the quorum contact check for current controllers  | 1     |
-      | deregistration with a broken link                 | forwarding of deregistrations between controllers | 4     |
-      | deregistration of an unknown worker               | deregistration of unknown workers                 | 1     |
-      | restart of all controllers after a deregistration | deregistrations on disk and from proxies          | 1     |
-      | power loss after a deregistration                 | deregistrations on disk                           | 1     |
-      | freeze during reads                               | the clock check after a proposal                  | 4     |
-      | freeze before grants                              | the quorum contact check before a lease call      | 1     |
-      | freeze before releases                            | the quorum contact check before a lease call      | 1     |
-      | worker crash during a restart of all controllers  | the check for workers unknown to all controllers  | 1     |
-      | chosen proposal not learned                       | the check of the controller's own acceptances     | 4     |
-      | missed configuration                              | quorum contact for the configuration              | 1     |
-      | proxy behind slow connections                     | the confirmation before a proxy is ready          | 1     |
+      | run                                               | guard                                                  | seeds |
+      | minority partition                                | the majority check for deregistrations                 | 4     |
+      | minority partition                                | the quorum contact check for worker calls              | 4     |
+      | minority partition                                | the quorum contact check for current controllers       | 1     |
+      | deregistration with a broken link                 | forwarding of deregistrations between controllers      | 4     |
+      | deregistration of an unknown worker               | deregistration of unknown workers                      | 1     |
+      | restart of all controllers after a deregistration | deregistrations on disk and from proxies               | 1     |
+      | power loss after a deregistration                 | deregistrations on disk                                | 1     |
+      | freeze during reads                               | the clock check after a proposal                       | 4     |
+      | freeze before grants                              | the quorum contact check before a lease call           | 1     |
+      | freeze before releases                            | the quorum contact check before a lease call           | 1     |
+      | worker crash during a restart of all controllers  | the check for workers unknown to all controllers       | 1     |
+      | chosen proposal not learned                       | the check of the controller's own acceptances          | 4     |
+      | missed configuration                              | quorum contact for the configuration                   | 1     |
+      | proxy behind slow connections                     | the confirmation before a proxy is ready               | 1     |
+      | workers behind a partition that refuses           | the wait for leases of workers that refuse connections | 2     |
+      | random faults with partitions that refuse         | the wait for leases of workers that refuse connections | 2     |
 
   Scenario: Only a recent confirmation without newer versions makes a proxy ready
     Given a proxy that has received everything from a current controller
--- a/features/steps/quorum_contact.py
+++ b/features/steps/quorum_contact.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+from http import HTTPStatus
 from unittest import mock
 
 from behave import given, then, when
@@ -15,7 +16,7 @@
 from bramblewood.controller.deregistration import Deregistrations
 from bramblewood.controller.deregistration_store import DeregistrationStore
 from bramblewood.controller.http_responses import make_response
-from bramblewood.controller.key_leases import KeyLeases
+from bramblewood.controller.key_leases import CONNECTION_REFUSED, RELEASE, KeyLeases
 from bramblewood.controller.lease_calls import LeaseCalls
 from bramblewood.controller.peer_sessions import PeerSessions
 from bramblewood.controller.quorum_contact import QuorumContact
@@ -30,7 +31,7 @@
 
 # the original methods, which replacements of guards call
 quorum_contact_until, deregister = PeerSessions.quorum_contact_until, WorkerApi.deregister
-grant_or_release = LeaseCalls.grant_or_release
+grant_or_release, send_lease_call = LeaseCalls.grant_or_release, LeaseCalls._send_lease_call
 heartbeat_received = ControllerSelection.heartbeat_received
 
 
@@ -65,6 +66,13 @@
     return await grant_or_release(self, call, 1e9)
 
 
+async def send_and_trust_refusals(self, call, sent_at, send_by):
+    status, handover = await send_lease_call(self, call, sent_at, send_by)
+    if call.kind == RELEASE and status == CONNECTION_REFUSED:
+        status = HTTPStatus.OK
+    return status, handover
+
+
 def contact_without_own_acceptances(self, now, voters, epoch, chosen, accepted, excluded):
     nothing_accepted = accepted and dict.fromkeys(accepted, NO_PROPOSAL)
     return quorum_contact_until(self, now, voters, epoch, chosen, nothing_accepted, excluded)
@@ -114,6 +122,11 @@
         "grant_or_release",
         grant_or_release_with_expired_contact,
     ),
+    "the wait for leases of workers that refuse connections": (
+        LeaseCalls,
+        "_send_lease_call",
+        send_and_trust_refusals,
+    ),
     "the check of the controller's own acceptances": (
         PeerSessions,
         "quorum_contact_until",
--- a/tests/simulation/fleet/fleet.py
+++ b/tests/simulation/fleet/fleet.py
@@ -34,6 +34,8 @@
         self.controllers = self.voters + tuple("xyz"[:spares])  # callers send calls to voters and to spares
         # blocked_until: by (sender, receiver), the end of a partition
         self.connections, self.blocked_until, self.scheduled, self.errors = [], {}, [], []
+        # whether a partition refuses a controller's connections to workers instead of leaving them silent
+        self.partitions_refuse_connections = False
         # read_delays: by machine, s between two messages that it reads from one connection
         self.workers, self.read_delays = ({}, {})
         self.configurations_put = 0
--- a/tests/simulation/fleet/machine.py
+++ b/tests/simulation/fleet/machine.py
@@ -5,7 +5,9 @@
 
 from multidict import CIMultiDict
 
+from bramblewood.common.connection_state import AttemptOutcome
 from bramblewood.common.settings import Bounds, Settings
+from bramblewood.common.worker_connection import WorkerUnreachable
 from bramblewood.controller.placement import PlacementPlanner
 from bramblewood.controller.runtime import TICK_INTERVAL
 from bramblewood.controller.server import Controller
@@ -174,7 +176,10 @@
 
 
 class WorkerCall:
-    """One call to a worker, and its response. Raises OSError where the worker cannot be reached."""
+    """One call to a worker, and its response.
+
+    Raises OSError where the worker cannot be reached, or WorkerUnreachable where its connection is refused.
+    """
 
     def __init__(self, machine, address, kind, body, headers):
         self.machine, self.address, self.kind, self.body = machine, address, kind, body
@@ -186,6 +191,8 @@
         await asyncio.sleep(fleet.rng.uniform(*TRANSIT_TIMES))
         worker = fleet.workers.get(self.address.partition(":")[0])
         if worker is None or worker.has_ended or fleet.is_blocked(machine.name, worker.name):
+            if fleet.partitions_refuse_connections:
+                raise WorkerUnreachable(AttemptOutcome.NOT_SENT, self.address, is_refused=True)
             raise OSError
         self.status = worker.handle_call(self.kind, self.body, machine)
         record_event("call", fleet.now, machine.name, worker.name, self.kind, self.body, self.status)
--- a/tests/simulation/quorum_contact.py
+++ b/tests/simulation/quorum_contact.py
@@ -13,6 +13,7 @@
 from bramblewood.controller.key_leases import RELEASE
 
 from .fleet import TCP_USER_TIMEOUT, Fleet, RuleViolation
+from .fleet.timing import DRAIN_TIME
 from .fleet.worker import SLOTS
 
 LONG_TCP_USER_TIMEOUT = 30.0  # s; longer than any partition, so that buffered bytes arrive after it
@@ -325,6 +326,50 @@
     return fleet
 
 
+def workers_behind_refusing_partition(seed):
+    """Workers are partitioned from all controllers, whose connections to them are refused, several times.
+
+    Some of them drain or deregister before. The keys of all of them may move, and they keep their leases.
+    """
+    fleet = start_fleet(seed, 3)
+    fleet.partitions_refuse_connections = True
+    for _ in range(4):
+        ready = [name for name, worker in fleet.workers.items() if worker.phase == READY]
+        isolated = fleet.rng.sample(ready, fleet.rng.randint(1, len(ready) - 1))
+        if fleet.rng.random() < 0.3:
+            replace_worker(fleet)
+            fleet.run(fleet.rng.choice([0.1, DRAIN_TIME + 1.5]))
+        fleet.partition(isolated, fleet.now + fleet.rng.uniform(2.0, 12.0))
+        for _ in range(6):
+            fleet.move_slice(fleet.rng.choice(fleet.controllers))
+            fleet.run(fleet.rng.uniform(0.2, 2.0))
+    fleet.finish()
+    return fleet
+
+
+def random_faults_with_refusing_partitions(seed, seconds=40.0):
+    """As `random_faults`, while workers are partitioned from controllers, which are refused."""
+    fleet = start_fleet(seed, 3 + 2 * (seed % 2))
+    fleet.partitions_refuse_connections = True
+    rng, ends_at = fleet.rng, fleet.now + seconds
+    next_fault_at = next_partition_at = next_move_at = next_replacement_at = fleet.now
+    while fleet.now < ends_at:
+        if fleet.now >= next_fault_at:
+            next_fault_at = fleet.now + inject_random_fault(fleet) * rng.choice([0.5, 1.2])
+        if fleet.now >= next_partition_at:
+            next_partition_at = fleet.now + rng.uniform(1.0, 5.0)
+            fleet.partition([rng.choice(sorted(fleet.workers))], fleet.now + rng.uniform(1.0, 10.0))
+        if fleet.now >= next_move_at:
+            next_move_at = fleet.now + rng.uniform(0.2, 2.0)
+            fleet.move_slice(rng.choice(fleet.controllers))
+        if fleet.now >= next_replacement_at:
+            next_replacement_at = fleet.now + rng.uniform(2.0, 8.0)
+            replace_worker(fleet)
+        fleet.step()
+    fleet.finish()
+    return fleet
+
+
 # by their names in features/quorum_contact.feature
 DIRECTED_RUNS = {
     "minority partition": minority_partition,
@@ -339,4 +384,6 @@
     "deregistration of an unknown worker": deregistration_of_unknown_worker,
     "deregistration with a broken link": deregistration_with_broken_link,
     "missed configuration": missed_configuration,
+    "workers behind a partition that refuses": workers_behind_refusing_partition,
+    "random faults with partitions that refuse": random_faults_with_refusing_partitions,
 }
