--- a/bramblewood/policy/load_accounting.py
+++ b/bramblewood/policy/load_accounting.py
@@ -63,7 +63,7 @@
         return not worker.retries_off and waited and fits
 
     def safe_capacity(self, worker: Worker) -> float:
-        """Return the heat that a worker can surely serve: its share, by warmth, of the rate of answers."""
+        """Return the heat that a worker can surely serve: its share by warmth of answers, less retries."""
         answered = mean([rate for rate in self.answered_rates if rate])
         answered = answered * self.total_heat / (self.own_heat or 1.0)  # extrapolated to all managers
         return worker.warmth() * worker.weight * min(answered, self.total_heat) / self.usual_total_load
--- a/bramblewood/policy/parameters.py
+++ b/bramblewood/policy/parameters.py
@@ -7,7 +7,7 @@
 FLUCTUATION_BOUND = 1.4  # highest over lowest load, above which slices move; middle of the paper's 1.3-1.5
 SLOW_FACTOR = 1.5  # times the median response time, or the latency objective; source: docs/design.md
 TREND_BOUNDS = (0.5, 2.0)  # bounds of the ratio of a heat to the one before; source: docs/design.md
-WORKING_POINT = 0.65  # share of capacity at which the paper's servers respond best
+WORKING_POINT = 0.65  # share of capacity where the paper's servers respond best; capacity is load over this
 COOLDOWN_BOUNDS = (5.0, 640.0)  # pause after a slice's first ordinary move, doubled by each next one; maximum
 MAX_MOVES_COUNTED = 16  # ordinary moves of one slice; its cooldown reaches the maximum long before
 
@@ -34,11 +34,11 @@
 # Ejection, failover and slow start
 EJECTION_TIME = 6.0  # first ejection; it doubles at most twice, because recovered workers are needed
 MAX_EJECTIONS_COUNTED = 2  # consecutive ejections that double the time
-UNANSWERED_LIMIT = 0.5  # unanswered share of attempts above the median share, at which a worker is ejected
+UNANSWERED_LIMIT = 0.5  # unanswered share above the median share, to eject a worker; noise stays far below
 SPARE_LOAD = 0.5  # median share of capacity in use, below which others can take a saturated worker's slices
 MAX_EJECTED_SHARE = 0.45  # share of ready workers; more failures at once point to a faulty observer
 SURGE_FACTOR = 1.3  # latest heat over average heat, above which it is a surge; lower values are noise
-SLOW_START_SHARE = 0.8  # usable share of a warming worker's safe capacity; the rest is a safety margin
+SLOW_START_SHARE = 0.8  # usable share of a warming worker's safe capacity; at all of it, one was overloaded
 SLOW_START_SPACING = 0.9  # cycles between slices that move to a warming worker; below 1 because turns jitter
 STANDBY_WEIGHT = 0.01  # weight of a standby route: enough for retries, too low to shift load
 OVERFLOW_WEIGHT = 0.4  # weight of a standby route while the primary is overloaded; it costs cache hits
--- a/bramblewood/policy/planner.py
+++ b/bramblewood/policy/planner.py
@@ -34,7 +34,7 @@
         self.rebalance()
 
     def forget_workers(self) -> None:
-        """Remove workers that are long deregistered and silent, because new ids arrive continuously."""
+        """Remove workers long deregistered and silent: new ids arrive, and cut-off workers return sooner."""
         routed = {worker for slice in self.manager.own_slices() for worker in slice.routes}
         for worker in list(self.manager.workers.values()):
             silent = worker.cycles_without_report >= parameters.FORGET_AFTER
--- a/bramblewood/policy/publishing.py
+++ b/bramblewood/policy/publishing.py
@@ -61,7 +61,7 @@
         quota = math.ceil(len(self.ordinary) / parameters.TURNS_TO_PUBLISH) if turn else 0
         slices = sorted(self.urgent, key=Slice.publishing_priority) + list(self.ordinary)[:quota]
         expedite = any(s.workers_to_exclude() or s.routes.get(s.primary) != 1.0 for s in self.urgent)
-        room = (urgent_limit - waiting) // (proxies or 1) - header - len(defaults)  # exclusions that fit
+        room = (urgent_limit - waiting) // (proxies or 1) - header - len(defaults)  # all may never fit
         leaving = list(dict.fromkeys(w for s in slices for w in s.workers_to_exclude()))[: max(int(room), 0)]
         orders: list = [*defaults, *(ExcludeWorker(worker.name, True) for worker in leaving)]
         draft = MessageDraft(orders, header, proxies, waiting)
