Fleet simulation: one run of random faults serves partitions that refuse as well

Cause: the run with refusing partitions repeated the loop of random_faults. It is now a parameter of it, and configurations are put and read in it too.

--- a/tests/simulation/quorum_contact.py
+++ b/tests/simulation/quorum_contact.py
@@ -5,6 +5,7 @@
 rule is broken, and otherwise returns the fleet.
 """
 
+import math
 from unittest import mock
 
 from bramblewood.common.worker_registry import DRAINING, READY, WorkerRegistration
@@ -66,14 +67,22 @@
     return name
 
 
-def random_faults(seed, voter_count=5, seconds=60.0):
-    """Inject random faults, up to two at a time, during puts, reads, slice moves and deregistrations."""
+def random_faults(seed, voter_count=5, seconds=60.0, partitions_workers=False):
+    """Inject random faults, up to two at a time, during puts, reads, slice moves and deregistrations.
+
+    partitions_workers: whether single workers are partitioned too, with refused connections to them.
+    """
     fleet = start_fleet(seed, voter_count, spares=seed % 2)
+    fleet.partitions_refuse_connections = partitions_workers
     rng, ends_at = fleet.rng, fleet.now + seconds
     next_fault_at = next_call_at = next_move_at = next_replacement_at = fleet.now
+    next_partition_at = fleet.now if partitions_workers else math.inf
     while fleet.now < ends_at:
         if fleet.now >= next_fault_at:
             next_fault_at = fleet.now + inject_random_fault(fleet) * rng.choice([0.5, 1.2])
+        if fleet.now >= next_partition_at:
+            next_partition_at = fleet.now + rng.uniform(1.0, 5.0)
+            fleet.partition([rng.choice(sorted(fleet.workers))], fleet.now + rng.uniform(1.0, 10.0))
         if fleet.now >= next_call_at:
             next_call_at = fleet.now + rng.choice([0.05, 0.5, 1.0])
             call = fleet.put_configuration if rng.random() < 0.4 else fleet.get_configuration
@@ -347,27 +356,9 @@
     return fleet
 
 
-def random_faults_with_refusing_partitions(seed, seconds=40.0):
-    """As `random_faults`, while workers are partitioned from controllers, which are refused."""
-    fleet = start_fleet(seed, 3 + 2 * (seed % 2))
-    fleet.partitions_refuse_connections = True
-    rng, ends_at = fleet.rng, fleet.now + seconds
-    next_fault_at = next_partition_at = next_move_at = next_replacement_at = fleet.now
-    while fleet.now < ends_at:
-        if fleet.now >= next_fault_at:
-            next_fault_at = fleet.now + inject_random_fault(fleet) * rng.choice([0.5, 1.2])
-        if fleet.now >= next_partition_at:
-            next_partition_at = fleet.now + rng.uniform(1.0, 5.0)
-            fleet.partition([rng.choice(sorted(fleet.workers))], fleet.now + rng.uniform(1.0, 10.0))
-        if fleet.now >= next_move_at:
-            next_move_at = fleet.now + rng.uniform(0.2, 2.0)
-            fleet.move_slice(rng.choice(fleet.controllers))
-        if fleet.now >= next_replacement_at:
-            next_replacement_at = fleet.now + rng.uniform(2.0, 8.0)
-            replace_worker(fleet)
-        fleet.step()
-    fleet.finish()
-    return fleet
+def random_faults_with_refusing_partitions(seed):
+    """Random faults, while workers are partitioned from the controllers, whose connections are refused."""
+    return random_faults(seed, 3 + 2 * (seed % 2), 40.0, partitions_workers=True)
 
 
 # by their names in features/quorum_contact.feature
