Worker registry and lease calls: no state remains of workers that are removed

Change: an address goes with its last instance, the count with a call that is not refused or with the registration. Tests that failed before.

--- a/bramblewood/common/worker_registry.py
+++ b/bramblewood/common/worker_registry.py
@@ -231,6 +231,9 @@
             if registration.phase == GONE and now - self.changed_at.get(instance_id, 0.0) > GONE_RETENTION
         ]
         for instance_id in expired:
+            address = self.registrations[instance_id].address
+            if self.instance_by_address.get(address) == instance_id:
+                del self.instance_by_address[address]
             for state in (self.registrations, self.last_contact_at, self.changed_at, self.warm_at):
                 state.pop(instance_id, None)
 
--- a/bramblewood/controller/lease_calls.py
+++ b/bramblewood/controller/lease_calls.py
@@ -145,9 +145,15 @@
 
     def _is_unreachable(self, now: float, instance_id: str, status: int) -> bool:
         """Count refused connections in a row, and return whether the worker is neither reached nor heard."""
-        is_refused = status == CONNECTION_REFUSED
-        refusals = self.consecutive_refusals.get(instance_id, 0) + 1 if is_refused else 0
-        self.consecutive_refusals[instance_id] = refusals
+        if status != CONNECTION_REFUSED:
+            self.consecutive_refusals.pop(instance_id, None)
+            return False
+        refusals = self.consecutive_refusals.get(instance_id, 0) + 1
+        self.consecutive_refusals = {
+            other: count
+            for other, count in self.consecutive_refusals.items()
+            if other in self.registry.registrations
+        } | {instance_id: refusals}
         contact_age = now - self.registry.last_contact_at.get(instance_id, 0.0)
         max_contact_age = MISSED_HEARTBEATS_WHEN_REFUSED * self.runtime.settings.heartbeat_interval
         return refusals >= REFUSALS_UNTIL_UNREACHABLE and contact_age > max_contact_age
--- a/tests/test_refused_lease_calls.py
+++ b/tests/test_refused_lease_calls.py
@@ -118,3 +118,14 @@
     coordinator.registry.record(coordinator.clock.now, "old", REGISTRATION._replace(call_sequence=2))
     assert not coordinator.exchange.timed_out_workers(coordinator.clock.now)
     assert coordinator.registry.registrations["old"].phase == READY
+
+
+def test_refusals_are_counted_for_registered_workers_only():
+    coordinator = Coordinator()
+    coordinator.step()
+    assert coordinator.calls.consecutive_refusals == {"old": 1}
+    del coordinator.registry.registrations["old"]
+    assert not coordinator.calls._is_unreachable(coordinator.clock.now, "new", -1)
+    assert coordinator.calls.consecutive_refusals == {"new": 1}
+    assert not coordinator.calls._is_unreachable(coordinator.clock.now, "new", 200)
+    assert coordinator.calls.consecutive_refusals == {}
