Controllers log failed lease calls of one worker once a second

Need: with workers behind a cut, the lines about failed calls (one for each run of a worker's slices, each 0.3 s) exceed the log's limit of 40 lines a second.

Change: one line a second for each worker, kind and status, with the number of the others.

--- a/bramblewood/controller/lease_calls.py
+++ b/bramblewood/controller/lease_calls.py
@@ -1,6 +1,7 @@
 """Sends the calls to workers that grant or release keys or lease read replicas, and handles the answers."""
 
 import asyncio
+import math
 import os
 from collections.abc import Coroutine
 from http import HTTPStatus
@@ -30,6 +31,8 @@
 from .worker_client import WorkerClient
 
 GRANT_TIMEOUT = 1.0  # s
+FAILURE_LOG_INTERVAL = 1.0  # s between two lines about failed calls of one kind to one worker
+FAILURE_RETENTION = 60.0  # s after a line for which further failures are counted
 # a worker is unreachable after this many refused connections in a row, if it was not heard for this many
 # heartbeat intervals
 REFUSALS_UNTIL_UNREACHABLE = 2
@@ -65,6 +68,8 @@
         self.client = WorkerClient()
         self.tasks: set[asyncio.Task] = set()
         self.consecutive_refusals: dict[str, int] = {}  # by instance id: refused connections in a row
+        # by worker, kind and status of failed calls: time of the last line, and failures since then
+        self.unlogged_failures: dict[tuple[str, str, int], tuple[float, int]] = {}
         # number of calls, by the name of their metric
         self.counts = dict.fromkeys(
             (
@@ -167,11 +172,32 @@
             "fencing_token": call.fencing_token,
         }
         if status != HTTPStatus.OK:
-            contact_age = self._contact_age(self.runtime.now(), call.instance_id)
-            self.runtime.log.info("lease call failed", status=status, contact_age=contact_age, **fields)
+            self._log_failure(self.runtime.now(), call, status, fields)
         elif call.kind == RELEASE or self.key_leases.is_first_grant(call):
             self.runtime.log.info("lease call acknowledged", **fields)
 
+    def _log_failure(self, now: float, call: LeaseCall, status: int, fields: dict[str, Any]) -> None:
+        """Log a failed call, unless one of this kind to this worker was logged within the last interval.
+
+        A worker has a call for each run of its slices. Without this limit, one unreachable worker causes more
+        lines than MAX_LINES_PER_SECOND, and lines that matter more are dropped.
+        """
+        self.unlogged_failures = {
+            failure: (logged_at, count)
+            for failure, (logged_at, count) in self.unlogged_failures.items()
+            if now < logged_at + FAILURE_RETENTION
+        }
+        failure = (call.instance_id, call.kind, status)
+        logged_at, unlogged = self.unlogged_failures.get(failure, (-math.inf, 0))
+        if now < logged_at + FAILURE_LOG_INTERVAL:
+            self.unlogged_failures[failure] = (logged_at, unlogged + 1)
+            return
+        self.unlogged_failures[failure] = (now, 0)
+        contact_age = self._contact_age(now, call.instance_id)
+        self.runtime.log.info(
+            "lease call failed", status=status, contact_age=contact_age, unlogged=unlogged, **fields
+        )
+
     def log_freed_keys(self, released: ReleasedKeys, evidence: str) -> None:
         """Log and count keys that their previous owner no longer holds, and the evidence for it.
 
--- a/tests/test_refused_lease_calls.py
+++ b/tests/test_refused_lease_calls.py
@@ -129,3 +129,11 @@
     assert coordinator.calls.consecutive_refusals == {"new": 1}
     assert not coordinator.calls._is_unreachable(coordinator.clock.now, "new", 200)
     assert coordinator.calls.consecutive_refusals == {}
+
+
+def test_failed_calls_of_one_worker_are_logged_once_a_second_with_the_number_of_the_others():
+    coordinator = Coordinator()
+    coordinator.run(1.5)
+    failures = [fields for event, fields in coordinator.log if event == "lease call failed"]
+    assert [fields["unlogged"] for fields in failures] == [0, 2]
+    assert failures[1]["contact_age"] >= 1.0
