Consensus: a voter that has stopped voting reports no state to joining voters

Cause: stop_voting sets the active epoch to "never", and a seat whose disk was never active counts towards the seal of an epoch with an empty report. So a controller that ends, or found its disk damaged, could complete the majority of reports without the value that it and an unreachable voter had accepted.

Change: such a process joins no epoch and reports nothing; the joining voters wait for another report. Its disk keeps the accepted values for its next start.

--- a/bramblewood/controller/consensus/epochs.py
+++ b/bramblewood/controller/consensus/epochs.py
@@ -122,9 +122,13 @@
     def seat_state(self, voter_set: VoterSet) -> SeatState | None:
         """Returns the state of this disk's seat for the epoch of `voter_set`.
 
-        Returns None if a report of this disk does not count for a voter that joins that epoch.
+        Returns None if a report of this disk does not count for a voter that joins that epoch, or if this
+        process has stopped voting. In that case `active_epoch` no longer says whether the disk was active,
+        and a report without its accepted values must not count as that of an unused seat.
         """
         member, epoch, before = self.member, voter_set["n"], voter_set["before"]
+        if member.has_stopped_voting:
+            return None
         if member.active_epoch == epoch and is_voter(voter_set["voters"], member.address, member.disk):
             return SeatState.ACTIVE
         if member.active_epoch == epoch - 1 and is_voter(before, member.address, member.disk):
--- a/bramblewood/controller/consensus/local_member.py
+++ b/bramblewood/controller/consensus/local_member.py
@@ -28,6 +28,8 @@
         self.address, self.disk, self.incarnation = address, disk, incarnation
         self.voter_set: VoterSet = voter_set or NO_VOTERS
         self.active_epoch = active_epoch
+        # whether this process votes no more; its disk still holds what it has accepted
+        self.has_stopped_voting = False
 
     @property
     def epoch(self) -> int:
@@ -62,7 +64,10 @@
 
         It may if the seat names the disk. It may also if the seat is open to any disk and this disk was
         active in the previous epoch. An empty disk was not active in it, and waits for a seat that names it.
+        It may not once this process has stopped voting.
         """
+        if self.has_stopped_voting:
+            return False
         if self.voters.get(self.address) == self.disk:
             return True
         return self.matches_seat and 0 <= self.active_epoch == self.epoch - 1
--- a/bramblewood/controller/consensus/replica.py
+++ b/bramblewood/controller/consensus/replica.py
@@ -187,8 +187,11 @@
         self.durable_accepted[register] = accepted
 
     def stop_voting(self) -> None:
-        """Makes this controller answer no proposal from now on, because its process is about to exit."""
-        self.member.active_epoch = NEVER_ACTIVE
+        """Makes this controller answer no proposal from now on, because its process is about to exit.
+
+        It joins no further epoch, and reports no state to voters that join one.
+        """
+        self.member.active_epoch, self.member.has_stopped_voting = NEVER_ACTIVE, True
 
     def adopt_voter_set(self, now: float, voter_set: VoterSet, effects: Effects) -> None:
         """Adopts a voter set that a peer reports as chosen, if it is newer."""
--- a/features/membership_epochs.feature
+++ b/features/membership_epochs.feature
@@ -16,6 +16,7 @@
       | rows of a refused write are repeated             | a refused write and the next write                         |
       | a disk rollback is detected                      | forgotten promise after a disk rollback, three voters      |
       | a disk rollback is detected                      | forgotten promise after a disk rollback, five voters       |
+      | a voter that stopped voting reports no state     | a voter that stopped voting                                |
 
   Scenario: Random runs with faults within Tolerance lose no acknowledged configuration
     Then in 24 random runs no acknowledged configuration is lost, and a majority answers
--- a/tests/simulation/membership_epoch_cases.py
+++ b/tests/simulation/membership_epoch_cases.py
@@ -341,6 +341,33 @@
         raise RuleViolation(f"no change that gives the seat of a to the disk a9 is due: {change}")
 
 
+def voter_that_stopped_voting() -> None:
+    """A voter that has stopped voting reports no state to voters that join the next epoch.
+
+    It has accepted an acknowledged configuration, and the other voter that accepted it is out of reach.
+    """
+    cluster = ScriptedCluster("abc", "de")
+    cluster.put("a", "first")
+    cluster.deliver("ab")
+    cluster.change("a", "ab", {"c": "c0", "d": "d0", "e": "e0"})
+    voter_set = cluster.replicas["b"].voter_set
+    cluster.replicas["b"].stop_voting()
+    cluster.in_flight.clear()
+    for name in "bcde":
+        cluster.notify(name, voter_set)
+    cluster.deliver("bcde")
+    for name in "bcde":
+        cluster.apply(name, cluster.replicas[name].tick(10.0))
+    cluster.deliver("bcde")
+    if cluster.replicas["b"].is_active_voter:
+        raise RuleViolation("a voter that has stopped voting votes in the next epoch")
+    cluster.put("c", "second")
+    cluster.deliver("bcde")
+    cluster.check_invariants()
+    if not any(outcome == (200, "first") for _, outcome in cluster.outcomes):
+        raise AssertionError('the configuration "first" was not acknowledged, so the case proves nothing')
+
+
 FORGOTTEN_PROMISE_OF_ONE_OF_THREE = forgotten_promise("abc", "d", "d", "bc", "ab", "c")
 FORGOTTEN_PROMISE_OF_ONE_OF_FIVE = forgotten_promise("abcde", "", "e", "bcd", "abc", "d")
 CASES = {
@@ -363,6 +390,7 @@
     "a proposer that loses its disk during a voter set change": lost_proposer("disk"),
     "the seal of a voter that was never active": seal_of_unused_seat,
     "a seat of any disk": seat_of_any_disk,
+    "a voter that stopped voting": voter_that_stopped_voting,
     "a heartbeat of the previous epoch": heartbeat_of_previous_epoch,
     "shutdown after heartbeats of the previous epoch": early_shutdown,
     "a refused write and the next write": refused_write,
--- a/tests/simulation/membership_epoch_guards.py
+++ b/tests/simulation/membership_epoch_guards.py
@@ -13,7 +13,7 @@
 from bramblewood.controller.consensus import epochs, local_member
 from bramblewood.controller.consensus.effects import PendingWrites, no_effects
 from bramblewood.controller.consensus.epochs import EpochTransition
-from bramblewood.controller.consensus.local_member import LocalMember
+from bramblewood.controller.consensus.local_member import NEVER_ACTIVE, LocalMember
 from bramblewood.controller.consensus.peer_status import PeerStatus
 from bramblewood.controller.consensus.proposer import Proposer
 from bramblewood.controller.consensus.replica import ConsensusReplica
@@ -126,6 +126,15 @@
     )
 
 
+def report_unused_seat_after_stop(_unused: Any) -> Any:
+    """Lets a voter that has stopped voting report its seat as unused, without what it has accepted."""
+
+    def unguarded(self: ConsensusReplica) -> None:
+        self.member.active_epoch = NEVER_ACTIVE
+
+    return mock.patch.object(ConsensusReplica, "stop_voting", unguarded)
+
+
 GUARDS = {
     "proposals count only in their epoch": accept_proposals_of_any_epoch,
     "seats belong to one disk": accept_any_disk,
@@ -138,6 +147,7 @@
     "a disk rollback is detected": ignore_disk_rollback,
     "a leaving voter waits until others hold its acceptances": shut_down_at_once,
     "rows of a refused write are repeated": forget_rows_of_refused_write,
+    "a voter that stopped voting reports no state": report_unused_seat_after_stop,
 }
 
 
