Key leases: free the keys of a silent worker as soon as its last grant has expired

Cause: since a refused connection no longer frees keys, the keys of every crashed worker waited 8.42 s after their move: the bound for a grant that an unknown controller may have sent under the older table.

Change: the wait ends with the last grant that can have arrived. The coordinator records its own grants. A controller that may send grants claims so in its heartbeats and relies only on contact that echoes the claim; voters report how long ago they last knew of a claim by a third controller, together with the table that they have on disk. A majority of such reports shares a voter with every contact, so it bounds the last grant of all others. A restart, an earlier release, a younger epoch or a missing majority leave the full wait. New keys in heartbeats between controllers: grants, granted.

--- a/bramblewood/common/messages/between_controllers.py
+++ b/bramblewood/common/messages/between_controllers.py
@@ -41,6 +41,10 @@
     digests: dict[str, tuple[tuple, int]] | None = None
     # s for which the sender's disk has refused each write or has stalled; None for a healthy disk
     disk_failing_for: float | None = None
+    # whether the sender may send grants on the basis of an echo of this heartbeat; None in earlier releases
+    sends_grants: bool | None = None
+    # s since the sender knew of such a claim by any controller except the receiver; None in earlier releases
+    claim_age: float | None = None
 
     @classmethod
     def from_wire(cls, message: dict) -> "ControllerHeartbeat":
@@ -66,6 +70,8 @@
             fields.ages("heard", None),
             digests_from_wire(fields),
             fields.number("nodisk", None),
+            fields.flag("grants", None),
+            fields.number("granted", None),
         )
 
     def to_wire(self) -> dict[str, Any]:
@@ -93,6 +99,8 @@
             ("heard", self.worker_ages),
             ("sums", self.digests),
             ("nodisk", self.disk_failing_for),
+            ("grants", self.sends_grants),
+            ("granted", self.claim_age),
         ):
             if value is not None:
                 wire_form[key] = value
--- a/bramblewood/controller/controller_peers.py
+++ b/bramblewood/controller/controller_peers.py
@@ -1,5 +1,7 @@
 """Keeps the list of known controllers, the connections to them, and the heartbeats sent to them."""
 
+import math
+
 from ..common.messages import ControllerHeartbeat
 from ..common.peer_connections import CONNECTION_TIMEOUT
 from ..common.settings import SEED_REREAD_INTERVAL, reread_seeds
@@ -34,6 +36,7 @@
     ) -> None:
         self.runtime, self.quorum_io, self.quorum_contact = runtime, quorum_io, quorum_contact
         self.sessions, self.registry, self.proxy_sessions = sessions, registry, proxy_sessions
+        self.grant_claims = quorum_contact.grant_claims
         self.known_addresses: set[str] = set()  # addresses of the other controllers
         self.connection_changed_at: dict[str, float] = {}  # when a connection came up or was lost, by address
         self.next_heartbeat_at = 0.0
@@ -113,6 +116,7 @@
             is_leaving=self.runtime.shutdown_requested.is_set(),
             echo=NO_ECHO,
             disk_failing_for=round(self.quorum_io.disk_failing_for(now), 2) or None,
+            sends_grants=self.grant_claims.granting_since is not None,
         )
 
     def _own_details(self) -> PeerDetails:
@@ -154,4 +158,10 @@
             proxies=unsent.proxies,
             worker_ages=worker_ages,
             digests=unsent.digests,
+            claim_age=round_down(self.grant_claims.claim_age(now, self.runtime.started_at, peer)),
         )
+
+
+def round_down(age: float) -> float:
+    """Return an age rounded down to hundredths of a second, so that it does not point to too early a time."""
+    return math.floor(100 * age) / 100
--- a/bramblewood/controller/coordinator_loop.py
+++ b/bramblewood/controller/coordinator_loop.py
@@ -4,6 +4,7 @@
 the quorum contact of the controller that sends it. The other controllers do none of this work.
 """
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -12,7 +13,7 @@
 from .consensus.registers import TABLE
 from .drain_plans import drain_steps_of, worker_drains_of
 from .drain_progress import DrainProgress
-from .key_leases import KeyLeases
+from .key_leases import GRANT, KeyLeases
 from .key_releases import KeyReleases
 from .lease_calls import EXPIRED, LeaseCalls
 from .outlier_detection import OutlierDetection, ejections_of, with_ejections
@@ -51,6 +52,8 @@
         self.key_leases, self.read_replicas = key_leases, read_replicas
         self.key_releases, self.lease_calls = key_releases, lease_calls
         self.drain_progress, self.outlier_detection = drain_progress, outlier_detection
+        self.grant_claims = quorum_contact.grant_claims
+        self.on_claim: Callable[[], None] = lambda: None  # called when this controller claims to send grants
         self.is_coordinator = False  # as of the last step
         self.is_proposing = False
         self.next_outlier_check_at = 0.0
@@ -104,14 +107,24 @@
         event = "became coordinator" if is_coordinator else "no longer coordinator"
         self.runtime.log.info(event, step="coordinator")
         if is_coordinator:
+            self.grant_claims.start_granting(now)
+            self.on_claim()
             self.placement.reset()  # other coordinators may have moved slices since the last plan
             self.key_leases.calls_in_flight.clear()
+        else:
+            self.grant_claims.stop_granting(now)
 
     def _renew_leases(self, now: float, table: Any, keyed_services: set[str]) -> None:
         """Send the lease calls that are due, and propose the removal of expired readers."""
-        calls, released = self.key_leases.next_calls(now, table, keyed_services, self.registry)
-        contact_until = self.quorum_contact.quorum_contact_until(now)
+        contact_until = self.quorum_contact.lease_contact_until(now)
+        if contact_until <= now:
+            return
+        calls, released = self.key_leases.next_calls(
+            now, table, keyed_services, self.registry, self._unknown_grants_until
+        )
         for call in calls:
+            if call.kind == GRANT:
+                self.key_leases.grant_planned(call, contact_until)
             self.lease_calls.start(self.lease_calls.grant_or_release(call, contact_until))
         for released_keys in released:
             if not self.key_releases.contains(released_keys):
@@ -123,6 +136,23 @@
         if expired_readers and not self.is_proposing:
             self.change_table(lambda latest: without_expired_readers(latest, expired_readers))
 
+    def _unknown_grants_until(self, table_version: int) -> float:
+        """Return when the last grant can have been sent that rests on an older table and is not known here.
+
+        These are the grants of other controllers, and those of an earlier process of this one. Returns
+        infinity if no majority of the voters bounds that time.
+        """
+        now, consensus, claims = self.runtime.now(), self.quorum_io.consensus, self.grant_claims
+        claims.record_epoch(now, consensus.epoch)
+        started_at = self.runtime.started_at
+        if now < claims.epoch_since + self.key_leases.lease_expiry_delay:
+            return math.inf
+        has_accepted = consensus.durable_accepted[TABLE] >= consensus.chosen[TABLE][0]
+        own_age = None
+        if consensus.is_active_voter and has_accepted:
+            own_age = claims.claim_age(now, started_at, excluded=self.runtime.own_address)
+        return max(started_at, claims.others_granted_until(now, consensus.voters, table_version, own_age))
+
     def _advance_drain_plans(self, now: float, table: Any) -> None:
         capacities = self.placement.service_capacities()
         change = self.drain_progress.next_change(now, table, self.registry, capacities)
--- a/bramblewood/controller/key_leases.py
+++ b/bramblewood/controller/key_leases.py
@@ -9,7 +9,8 @@
 
 - The previous owner has acknowledged the release.
 - Another instance answers at the address of the previous owner.
-- The longest grant that any controller can have sent has expired (`KeyLeases.lease_expiry_delay`).
+- The longest grant that any controller can have sent has expired: `KeyLeases.lease_expiry_delay` s after the
+  move is known, or earlier if the last grant that reached the previous owner is known (`lease_end`).
 
 Invariant: two workers never hold a lease on the same key. Three bounds ensure it:
 
@@ -28,12 +29,14 @@
 received before.
 """
 
-from collections.abc import Iterator
+import math
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any, Literal, NamedTuple
 
 from ..common.slice_table import KEY_SPACE_SIZE, Row, SliceEntry, sorted_first_keys
-from ..common.timeouts import lease_expiry_delay
+from ..common.timeouts import CLOCK_DRIFT_FACTOR, MAX_CALL_TRANSIT, lease_expiry_delay
 from ..common.worker_registry import GONE, WorkerRegistry
 
 # Duration of a grant as a fraction of HoldMaxS. With a larger fraction, workers keep their keys during a
@@ -48,8 +51,10 @@
 RELEASE: Literal["release"] = "release"
 
 # results of a call, in addition to the HTTP statuses
-NO_ANSWER = 0
+NO_ANSWER = 0  # the call may have arrived
 CONNECTION_REFUSED = -1
+NOT_SENT = -2  # no connection opened in time, or no quorum contact was left
+NOT_ARRIVED = (CONNECTION_REFUSED, NOT_SENT)
 # another instance listens at the address, so the instance that was called has ended
 OTHER_INSTANCE = HTTPStatus.MISDIRECTED_REQUEST
 
@@ -121,6 +126,20 @@
     entry: SliceEntry
 
 
+@dataclass
+class GrantArrivals:
+    """The latest time at which a grant of this controller can have arrived at one worker, s of its clock."""
+
+    finished: float = -math.inf  # of the grants whose results are known
+    planned: float = -math.inf  # of the grants in flight
+    in_flight: int = 0
+
+    @property
+    def latest(self) -> float:
+        """Of all grants."""
+        return max(self.finished, self.planned) if self.in_flight else self.finished
+
+
 class KeyLeases:
     """The lease state of one controller: acknowledged grants, calls in flight and pending releases.
 
@@ -135,20 +154,55 @@
         self.release_pending_since: dict[PendingRelease, float] = {}
         self.retry_at: dict[CallId, float] = {}  # earliest time of the next attempt, by failed call
         self.calls_in_flight: set[CallId] = set()
+        self.arrivals: dict[str, GrantArrivals] = {}  # by instance id
 
     @property
     def lease_expiry_delay(self) -> float:
         """Time (s) from learning of a change until all grants based on an older table have expired."""
         return lease_expiry_delay(self.lease_duration)
 
+    def lease_end(self, instance_id: str, unknown_grants_until: float) -> float:
+        """Return the time at which the worker holds no lease any more, if no further grant is sent to it.
+
+        unknown_grants_until: the latest time at which a grant can have been sent that is not recorded here.
+        """
+        arrivals = self.arrivals.get(instance_id)
+        known = arrivals.latest if arrivals is not None else -math.inf
+        return max(known, unknown_grants_until + MAX_CALL_TRANSIT) + self.lease_duration * CLOCK_DRIFT_FACTOR
+
+    def grant_planned(self, call: LeaseCall, send_by: float) -> None:
+        """Record a grant that will be sent, at the latest at `send_by`. It is recorded before it is sent."""
+        arrivals = self.arrivals.setdefault(call.instance_id, GrantArrivals())
+        arrivals.in_flight += 1
+        arrivals.planned = max(arrivals.planned, send_by + MAX_CALL_TRANSIT)
+
+    def _record_arrival(self, now: float, call: LeaseCall, status: int) -> None:
+        arrivals = self.arrivals.get(call.instance_id)
+        if arrivals is None or not arrivals.in_flight:
+            return
+        arrivals.in_flight -= 1
+        if status == NO_ANSWER:  # it may have been written at any time until now, and may be on its way
+            arrivals.finished = max(arrivals.finished, arrivals.planned, now + MAX_CALL_TRANSIT)
+        elif status not in NOT_ARRIVED:
+            arrivals.finished = max(arrivals.finished, now)
+        if not arrivals.in_flight:
+            arrivals.planned = -math.inf
+
     def next_calls(
-        self, now: float, table: dict[str, Any], keyed: set[str], registry: WorkerRegistry
+        self,
+        now: float,
+        table: dict[str, Any],
+        keyed: set[str],
+        registry: WorkerRegistry,
+        unknown_grants_until: Callable[[int], float] = lambda table_version: math.inf,
     ) -> tuple[list[LeaseCall], list[ReleasedKeys]]:
         """Return the calls to send now, and the slices whose previous owner's lease has expired.
 
         The returned calls are recorded as in flight until `call_finished` receives their results.
 
         table: the agreed value (`common/slice_table.py`). keyed: the services whose slices are leased.
+        unknown_grants_until: called with a table version, returns the latest time at which a grant can have
+        been sent that rests on an older table and is not recorded here.
         """
         calls: list[LeaseCall] = []
         released: list[ReleasedKeys] = []
@@ -163,7 +217,9 @@
                     pending = pending_release(run)
                     pending_releases.add(pending)
                     pending_since = self.release_pending_since.setdefault(pending, now)
-                    if now >= pending_since + self.lease_expiry_delay:
+                    unknown_until = unknown_grants_until(pending.fencing_token)
+                    lease_end = self.lease_end(pending.previous_owner, unknown_until)
+                    if now >= min(pending_since + self.lease_expiry_delay, lease_end):
                         released.append(
                             ReleasedKeys(
                                 service, run.starts, pending.fencing_token, pending.previous_owner, ""
@@ -235,13 +291,14 @@
     ) -> ReleasedKeys | None:
         """Record the result of a call, and return the slices that it frees, or None.
 
-        sent_at: when the call was sent. status: an HTTP status, NO_ANSWER or CONNECTION_REFUSED. handover:
+        sent_at: when the call was sent. status: an HTTP status or a result such as NO_ANSWER. handover:
         the data in the answer to a release.
         """
         call_id = CallId(call.kind, call.service, call.first_key, call.last_key, call.fencing_token)
         self.calls_in_flight.discard(call_id)
         self.retry_at = {other: at for other, at in self.retry_at.items() if at > now}
         if call.kind == GRANT:
+            self._record_arrival(now, call, status)
             if status == HTTPStatus.OK:
                 self._record_grant(call, sent_at)
             else:
--- a/bramblewood/controller/lease_calls.py
+++ b/bramblewood/controller/lease_calls.py
@@ -15,6 +15,7 @@
     CONNECTION_REFUSED,
     GRANT,
     NO_ANSWER,
+    NOT_SENT,
     OTHER_INSTANCE,
     RELEASE,
     RENEWAL_FRACTION,
@@ -124,13 +125,13 @@
     async def _send_lease_call(self, call: LeaseCall, sent_at: float, send_by: float) -> tuple[int, str]:
         """Send a call, and return its status and the handover in its answer.
 
-        The status is NO_ANSWER or CONNECTION_REFUSED if no answer arrived. A grant is sent by `send_by` or
-        not at all. A release must only be started by then, so that none is sent if this process was frozen
-        after it planned the call. Its connection may open later, because a release frees slices only through
-        a change of the agreed table.
+        The status is NO_ANSWER, CONNECTION_REFUSED or NOT_SENT if no answer arrived. A grant is sent by
+        `send_by` or not at all. A release must only be started by then, so that none is sent if this process
+        was frozen after it planned the call. Its connection may open later, because a release frees slices
+        only through a change of the agreed table.
         """
         if sent_at >= send_by:
-            return NO_ANSWER, ""
+            return NOT_SENT, ""
         body = {"Source": call.first_key, "TargetVersion": call.last_key, "fence": call.fencing_token}
         timeout = self.key_leases.lease_expiry_delay
         if call.kind == GRANT:
@@ -144,7 +145,7 @@
             async with asyncio.timeout(timeout):
                 return await self.send(call.kind, call.address, call.instance_id, body, send_by)
         except WorkerUnreachable as error:
-            return (CONNECTION_REFUSED if error.is_refused else NO_ANSWER), ""
+            return (CONNECTION_REFUSED if error.is_refused else NOT_SENT), ""
         except (OSError, TimeoutError):
             return NO_ANSWER, ""
 
--- a/bramblewood/controller/peer_handlers.py
+++ b/bramblewood/controller/peer_handlers.py
@@ -27,7 +27,7 @@
 from .consensus.messages import CONSENSUS_MESSAGE_KINDS
 from .consensus.proposal_number import NO_PROPOSAL
 from .consensus.registers import ALL_REGISTERS, DATA_REGISTERS, TABLE
-from .consensus.voter_set import parse_voter_set
+from .consensus.voter_set import is_voter, parse_voter_set
 from .controller_peers import ControllerPeers
 from .deregistration_store import DeregistrationStore
 from .divergence_monitor import DivergenceMonitor
@@ -67,6 +67,7 @@
     ) -> None:
         self.runtime, self.quorum_io, self.quorum_contact = runtime, quorum_io, quorum_contact
         self.sessions, self.controller_peers = sessions, controller_peers
+        self.grant_claims = quorum_contact.grant_claims
         self.registry_exchange, self.registry = registry_exchange, registry_exchange.registry
         self.proxy_feed, self.proxy_sessions = proxy_feed, proxy_feed.proxy_sessions
         self.proxy_heartbeats, self.chosen_values = proxy_heartbeats, chosen_values
@@ -136,9 +137,10 @@
         if heartbeat.voter_set is not None:
             parse_voter_set(heartbeat.voter_set)
         self.sessions.record_heartbeat(now, peer, heartbeat)
-        # The peer has no heartbeat to echo yet. It gets one at once, so that quorum contact need not wait for
-        # the next interval.
-        if heartbeat.echo < 0:
+        is_new_claim = self.grant_claims.record_claim(now, peer, heartbeat.sends_grants)
+        # The peer has no heartbeat to echo yet, or waits for the echo of its claim. It gets one at once, so
+        # that quorum contact need not wait for the next interval.
+        if heartbeat.echo < 0 or is_new_claim:
             self.controller_peers.send_heartbeats(now, peer)
         is_first_on_connection = heartbeat.zone is not None
         # The digests are compared first, because `_learn_from_heartbeat` ignores peers whose content differs.
@@ -146,6 +148,7 @@
             self.divergence_monitor.record(peer, heartbeat.digests or {})
         self.registry.record_last_contacts(now, heartbeat.worker_ages or {})
         self._learn_from_heartbeat(now, peer, heartbeat)
+        self._record_claim_report(now, peer, heartbeat)
         self.chosen_values.refresh()
         self.worker_api.check_confirmations()
         if not self.proxy_heartbeats.was_current and self.quorum_contact.is_current(now):
@@ -153,6 +156,20 @@
         for controller in heartbeat.controllers or ():
             self.controller_peers.add(controller)
 
+    def _record_claim_report(self, now: float, peer: str, heartbeat: ControllerHeartbeat) -> None:
+        """Record when a voter that has accepted the newest table last knew of a claim to send grants."""
+        consensus = self.quorum_io.consensus
+        self.grant_claims.record_epoch(now, consensus.epoch)
+        is_active = heartbeat.is_voting and heartbeat.epoch == consensus.epoch
+        newest_table = consensus.chosen[TABLE][0]
+        if (
+            heartbeat.claim_age is not None
+            and is_active
+            and is_voter(consensus.voters, peer, heartbeat.disk)
+            and heartbeat.durable.get(TABLE, NO_PROPOSAL) >= newest_table
+        ):
+            self.grant_claims.record_report(now, peer, consensus.version(TABLE), heartbeat.claim_age)
+
     def _learn_from_heartbeat(self, now: float, peer: str, heartbeat: ControllerHeartbeat) -> None:
         """Pass the consensus state in a heartbeat to the replica, unless the sender's content differs."""
         consensus, effects = self.quorum_io.consensus, no_effects()
--- a/bramblewood/controller/peer_sessions.py
+++ b/bramblewood/controller/peer_sessions.py
@@ -15,6 +15,7 @@
 direction, whatever data is still buffered in a socket.
 """
 
+import math
 from collections.abc import Collection
 from typing import NamedTuple
 
@@ -120,6 +121,7 @@
         chosen: dict[str, ProposalNumber],
         accepted: dict[str, ProposalNumber] | None,
         excluded: Collection[str] = (),
+        echoes_after: float = -math.inf,
     ) -> float:
         """Return the time until which no proposal newer than `chosen` can have been chosen unnoticed.
 
@@ -134,6 +136,7 @@
         vote. This controller counts with the last time at which it had accepted nothing newer than `chosen`,
         because its vote together with one more may complete a majority.
         excluded: controllers that do not count because their content differs from the content held here.
+        echoes_after: only echoes of heartbeats that were sent after this time count.
         """
         contact_times = []
         if accepted is not None and self.own_address in voters:
@@ -152,7 +155,8 @@
                 for register, proposal_number in chosen.items()
             )
             is_active = is_voter(voters, peer, session.disk) and session.is_voting and session.epoch == epoch
-            if is_active and has_nothing_newer and peer not in excluded:
+            is_usable = is_active and session.echo > echoes_after and peer not in excluded
+            if is_usable and has_nothing_newer:
                 contact_times.append(session.echo)
         needed = majority_size(voters)
         if not voters or len(contact_times) < needed:
--- a/bramblewood/controller/server.py
+++ b/bramblewood/controller/server.py
@@ -22,6 +22,7 @@
 from .deregistration_store import DeregistrationStore
 from .divergence_monitor import DivergenceMonitor
 from .drain_progress import DrainProgress
+from .grant_claims import GrantClaims
 from .http_listener import HttpListener
 from .introspection import Introspection
 from .key_leases import KeyLeases
@@ -60,7 +61,9 @@
         runtime = self.runtime = Runtime(settings)
         self.quorum_io = QuorumIO(runtime, Storage(settings.data_directory or DEFAULT_DATA_DIRECTORY))
         self.sessions = PeerSessions(runtime.own_address)
-        self.quorum_contact = QuorumContact(runtime, self.quorum_io, self.sessions)
+        self.quorum_contact = QuorumContact(
+            runtime, self.quorum_io, self.sessions, GrantClaims(runtime.own_address)
+        )
         self.registry, self.proxy_sessions = WorkerRegistry(), ProxySessions()
         self.damage_response = DamageResponse(runtime, self.quorum_io)
         self.divergence_monitor = DivergenceMonitor(runtime, self.quorum_io)
@@ -175,6 +178,7 @@
         self.quorum_io.on_consensus_step = self.chosen_values.refresh
         self.quorum_io.on_epoch_changed = self.handle_epoch_change
         self.proxy_feed.on_configuration_announced = lambda: self.proxy_heartbeats.send(runtime.now())
+        self.coordinator_loop.on_claim = lambda: self.controller_peers.send_heartbeats(runtime.now())
         self.registry_exchange.on_departure = self.coordinator_loop.step
         self.key_releases.on_proposal_finished = self.chosen_values.refresh
         self.key_releases.on_all_released = lambda: self.coordinator_loop.step(runtime.now())
--- a/features/quorum_contact.feature
+++ b/features/quorum_contact.feature
@@ -44,6 +44,8 @@
       | proxy behind slow connections                     | the confirmation before a proxy is ready               | 1     |
       | workers behind a partition that refuses           | the wait for leases of workers that refuse connections | 2     |
       | random faults with partitions that refuse         | the wait for leases of workers that refuse connections | 2     |
+      | random faults with partitions that refuse         | the claims of other controllers to send grants         | 3     |
+      | workers behind a partition that refuses           | the record of grants in flight                         | 1     |
 
   Scenario: Only a recent confirmation without newer versions makes a proxy ready
     Given a proxy that has received everything from a current controller
--- a/features/steps/quorum_contact.py
+++ b/features/steps/quorum_contact.py
@@ -15,6 +15,7 @@
 from bramblewood.controller.consensus.registers import TABLE
 from bramblewood.controller.deregistration import Deregistrations
 from bramblewood.controller.deregistration_store import DeregistrationStore
+from bramblewood.controller.grant_claims import GrantClaims
 from bramblewood.controller.http_responses import make_response
 from bramblewood.controller.key_leases import CONNECTION_REFUSED, RELEASE, KeyLeases
 from bramblewood.controller.lease_calls import LeaseCalls
@@ -73,9 +74,9 @@
     return status, handover
 
 
-def contact_without_own_acceptances(self, now, voters, epoch, chosen, accepted, excluded):
+def contact_without_own_acceptances(self, now, voters, epoch, chosen, accepted, excluded, echoes_after):
     nothing_accepted = accepted and dict.fromkeys(accepted, NO_PROPOSAL)
-    return quorum_contact_until(self, now, voters, epoch, chosen, nothing_accepted, excluded)
+    return quorum_contact_until(self, now, voters, epoch, chosen, nothing_accepted, excluded, echoes_after)
 
 
 def ready_without_confirmation(self, now, peer, heartbeat, known_versions):
@@ -127,6 +128,12 @@
         "_send_lease_call",
         send_and_trust_refusals,
     ),
+    "the claims of other controllers to send grants": (
+        GrantClaims,
+        "record_claim",
+        lambda self, now, peer, sends_grants: False,
+    ),
+    "the record of grants in flight": (KeyLeases, "grant_planned", lambda self, call, send_by: None),
     "the check of the controller's own acceptances": (
         PeerSessions,
         "quorum_contact_until",
