--- a/bramblewood/controller/coordinator_loop.py
+++ b/bramblewood/controller/coordinator_loop.py
@@ -124,7 +124,7 @@
         )
         for call in calls:
             if call.kind == GRANT:
-                self.key_leases.grant_planned(call, contact_until)
+                self.key_leases.arrivals.grant_planned(call.instance_id, contact_until)
             self.lease_calls.start(self.lease_calls.grant_or_release(call, contact_until))
         for released_keys in released:
             if not self.key_releases.contains(released_keys):
--- a/bramblewood/controller/key_leases.py
+++ b/bramblewood/controller/key_leases.py
@@ -31,13 +31,13 @@
 
 import math
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any, Literal, NamedTuple
 
 from ..common.slice_table import KEY_SPACE_SIZE, Row, SliceEntry, sorted_first_keys
 from ..common.timeouts import CLOCK_DRIFT_FACTOR, MAX_CALL_TRANSIT, lease_expiry_delay
 from ..common.worker_registry import GONE, WorkerRegistry
+from .grant_arrivals import GrantArrivals
 
 # Duration of a grant as a fraction of HoldMaxS. With a larger fraction, workers keep their keys during a
 # longer loss of quorum contact, but the keys of a crashed worker also wait longer for their next owner.
@@ -50,11 +50,6 @@
 GRANT: Literal["grant"] = "grant"
 RELEASE: Literal["release"] = "release"
 
-# results of a call, in addition to the HTTP statuses
-NO_ANSWER = 0  # the call may have arrived
-CONNECTION_REFUSED = -1
-NOT_SENT = -2  # no connection opened in time, or no quorum contact was left
-NOT_ARRIVED = (CONNECTION_REFUSED, NOT_SENT)
 # another instance listens at the address, so the instance that was called has ended
 OTHER_INSTANCE = HTTPStatus.MISDIRECTED_REQUEST
 
@@ -126,20 +121,6 @@
     entry: SliceEntry
 
 
-@dataclass
-class GrantArrivals:
-    """The latest time at which a grant of this controller can have arrived at one worker, s of its clock."""
-
-    finished: float = -math.inf  # of the grants whose results are known
-    planned: float = -math.inf  # of the grants in flight
-    in_flight: int = 0
-
-    @property
-    def latest(self) -> float:
-        """Of all grants."""
-        return max(self.finished, self.planned) if self.in_flight else self.finished
-
-
 class KeyLeases:
     """The lease state of one controller: acknowledged grants, calls in flight and pending releases.
 
@@ -154,7 +135,7 @@
         self.release_pending_since: dict[PendingRelease, float] = {}
         self.retry_at: dict[CallId, float] = {}  # earliest time of the next attempt, by failed call
         self.calls_in_flight: set[CallId] = set()
-        self.arrivals: dict[str, GrantArrivals] = {}  # by instance id
+        self.arrivals = GrantArrivals()
 
     @property
     def lease_expiry_delay(self) -> float:
@@ -166,27 +147,8 @@
 
         unknown_grants_until: the latest time at which a grant can have been sent that is not recorded here.
         """
-        arrivals = self.arrivals.get(instance_id)
-        known = arrivals.latest if arrivals is not None else -math.inf
-        return max(known, unknown_grants_until + MAX_CALL_TRANSIT) + self.lease_duration * CLOCK_DRIFT_FACTOR
-
-    def grant_planned(self, call: LeaseCall, send_by: float) -> None:
-        """Record a grant that will be sent, at the latest at `send_by`. It is recorded before it is sent."""
-        arrivals = self.arrivals.setdefault(call.instance_id, GrantArrivals())
-        arrivals.in_flight += 1
-        arrivals.planned = max(arrivals.planned, send_by + MAX_CALL_TRANSIT)
-
-    def _record_arrival(self, now: float, call: LeaseCall, status: int) -> None:
-        arrivals = self.arrivals.get(call.instance_id)
-        if arrivals is None or not arrivals.in_flight:
-            return
-        arrivals.in_flight -= 1
-        if status == NO_ANSWER:  # it may have been written at any time until now, and may be on its way
-            arrivals.finished = max(arrivals.finished, arrivals.planned, now + MAX_CALL_TRANSIT)
-        elif status not in NOT_ARRIVED:
-            arrivals.finished = max(arrivals.finished, now)
-        if not arrivals.in_flight:
-            arrivals.planned = -math.inf
+        latest_arrival = max(self.arrivals.latest(instance_id), unknown_grants_until + MAX_CALL_TRANSIT)
+        return latest_arrival + self.lease_duration * CLOCK_DRIFT_FACTOR
 
     def next_calls(
         self,
@@ -204,37 +166,37 @@
         unknown_grants_until: called with a table version, returns the latest time at which a grant can have
         been sent that rests on an older table and is not recorded here.
         """
-        calls: list[LeaseCall] = []
+        calls: list[LeaseCall | None] = []
         released: list[ReleasedKeys] = []
         pending_releases: set[PendingRelease] = set()
         for service in keyed & table["s"].keys():
             for run in slice_runs(service, table["s"][service]):
-                call = None
                 if not run.entry.previous_owner:
                     if self._needs_grant(now, run):
-                        call = self._start_call(now, GRANT, run, run.entry.worker, registry)
+                        calls.append(self._start_call(now, GRANT, run, run.entry.worker, registry))
+                    continue
+                pending = pending_release(run)
+                pending_releases.add(pending)
+                if self._has_lease_expired(now, pending, unknown_grants_until):
+                    released.append(
+                        ReleasedKeys(service, run.starts, pending.fencing_token, pending.previous_owner, "")
+                    )
                 else:
-                    pending = pending_release(run)
-                    pending_releases.add(pending)
-                    pending_since = self.release_pending_since.setdefault(pending, now)
-                    unknown_until = unknown_grants_until(pending.fencing_token)
-                    lease_end = self.lease_end(pending.previous_owner, unknown_until)
-                    if now >= min(pending_since + self.lease_expiry_delay, lease_end):
-                        released.append(
-                            ReleasedKeys(
-                                service, run.starts, pending.fencing_token, pending.previous_owner, ""
-                            )
-                        )
-                    else:
-                        call = self._start_call(now, RELEASE, run, run.entry.previous_owner, registry)
-                if call is not None:
-                    calls.append(call)
+                    calls.append(self._start_call(now, RELEASE, run, run.entry.previous_owner, registry))
         self.release_pending_since = {
             pending: since
             for pending, since in self.release_pending_since.items()
             if pending in pending_releases
         }
-        return calls, released
+        return [call for call in calls if call is not None], released
+
+    def _has_lease_expired(
+        self, now: float, pending: PendingRelease, unknown_grants_until: Callable[[int], float]
+    ) -> bool:
+        """Whether the previous owner holds no lease any more, whichever controller sent the last grant."""
+        pending_since = self.release_pending_since.setdefault(pending, now)
+        lease_end = self.lease_end(pending.previous_owner, unknown_grants_until(pending.fencing_token))
+        return now >= min(pending_since + self.lease_expiry_delay, lease_end)
 
     def _needs_grant(self, now: float, run: SliceRun) -> bool:
         """Whether a slice of the run lacks a grant with the present terms, or its renewal is due."""
@@ -298,7 +260,7 @@
         self.calls_in_flight.discard(call_id)
         self.retry_at = {other: at for other, at in self.retry_at.items() if at > now}
         if call.kind == GRANT:
-            self._record_arrival(now, call, status)
+            self.arrivals.grant_finished(now, call.instance_id, status)
             if status == HTTPStatus.OK:
                 self._record_grant(call, sent_at)
             else:
--- a/bramblewood/controller/lease_calls.py
+++ b/bramblewood/controller/lease_calls.py
@@ -11,11 +11,9 @@
 from ..common.worker_connection import WorkerUnreachable
 from .chosen_values import ChosenValues
 from .consensus.registers import TABLE
+from .grant_arrivals import CONNECTION_REFUSED, NO_ANSWER, NOT_SENT
 from .key_leases import (
-    CONNECTION_REFUSED,
     GRANT,
-    NO_ANSWER,
-    NOT_SENT,
     OTHER_INSTANCE,
     RELEASE,
     RENEWAL_FRACTION,
--- a/features/steps/quorum_contact.py
+++ b/features/steps/quorum_contact.py
@@ -15,9 +15,10 @@
 from bramblewood.controller.consensus.registers import TABLE
 from bramblewood.controller.deregistration import Deregistrations
 from bramblewood.controller.deregistration_store import DeregistrationStore
+from bramblewood.controller.grant_arrivals import CONNECTION_REFUSED, GrantArrivals
 from bramblewood.controller.grant_claims import GrantClaims
 from bramblewood.controller.http_responses import make_response
-from bramblewood.controller.key_leases import CONNECTION_REFUSED, RELEASE, KeyLeases
+from bramblewood.controller.key_leases import RELEASE, KeyLeases
 from bramblewood.controller.lease_calls import LeaseCalls
 from bramblewood.controller.peer_sessions import PeerSessions
 from bramblewood.controller.quorum_contact import QuorumContact
@@ -133,7 +134,11 @@
         "record_claim",
         lambda self, now, peer, sends_grants: False,
     ),
-    "the record of grants in flight": (KeyLeases, "grant_planned", lambda self, call, send_by: None),
+    "the record of grants in flight": (
+        GrantArrivals,
+        "grant_planned",
+        lambda self, instance_id, send_by: None,
+    ),
     "the check of the controller's own acceptances": (
         PeerSessions,
         "quorum_contact_until",
--- a/tests/simulation/key_lease_orders.py
+++ b/tests/simulation/key_lease_orders.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from bramblewood.controller.key_leases import NO_ANSWER, RETRY_DELAY
+from bramblewood.controller.grant_arrivals import NO_ANSWER
+from bramblewood.controller.key_leases import RETRY_DELAY
 
 from .key_leases import SERVICE, KeyLeaseSimulation
 
--- a/tests/simulation/key_leases.py
+++ b/tests/simulation/key_leases.py
@@ -16,10 +16,9 @@
 from bramblewood.common.slice_table import KEY_SPACE_SIZE, SliceEntry
 from bramblewood.common.timeouts import MAX_CALL_TRANSIT
 from bramblewood.common.worker_registry import READY, WorkerRegistration, WorkerRegistry
+from bramblewood.controller.grant_arrivals import CONNECTION_REFUSED, NO_ANSWER
 from bramblewood.controller.key_leases import (
-    CONNECTION_REFUSED,
     GRANT,
-    NO_ANSWER,
     RELEASE,
     KeyLeases,
     LeaseCall,
--- a/tests/test_grant_claims.py
+++ b/tests/test_grant_claims.py
@@ -6,8 +6,9 @@
 
 from bramblewood.common.timeouts import CLOCK_DRIFT_FACTOR, MAX_CALL_TRANSIT, QUORUM_CONTACT_VALIDITY
 from bramblewood.controller.consensus.registers import TABLE
+from bramblewood.controller.grant_arrivals import CONNECTION_REFUSED, NO_ANSWER
 from bramblewood.controller.grant_claims import UNKNOWN, GrantClaims
-from bramblewood.controller.key_leases import CONNECTION_REFUSED, GRANT, NO_ANSWER, KeyLeases, LeaseCall
+from bramblewood.controller.key_leases import GRANT, KeyLeases, LeaseCall
 from tests.simulation.quorum_contact import start_fleet
 
 VOTERS = {"a": "a0", "b": "b0", "c": "c0"}
@@ -88,7 +89,7 @@
 def test_lease_ends_after_the_last_grant_that_can_have_arrived(status, expected):
     key_leases = KeyLeases(10.0)
     lease = key_leases.lease_duration * CLOCK_DRIFT_FACTOR
-    key_leases.grant_planned(CALL, 100.5)
+    key_leases.arrivals.grant_planned("w", 100.5)
     assert key_leases.lease_end("w", -math.inf) == 100.5 + MAX_CALL_TRANSIT + lease
     key_leases.call_finished(101.0, CALL, 100.0, status, "")
     assert key_leases.lease_end("w", -math.inf) == expected + lease
