--- a/tests/test_refused_lease_calls.py
+++ b/tests/test_refused_lease_calls.py
@@ -8,6 +8,7 @@
 from bramblewood.common.connection_state import AttemptOutcome
 from bramblewood.common.worker_connection import WorkerUnreachable
 from bramblewood.common.worker_registry import GONE, READY, WorkerRegistration, WorkerRegistry
+from bramblewood.controller.grant_arrivals import NOT_SENT
 from bramblewood.controller.key_leases import KeyLeases
 from bramblewood.controller.key_releases import KeyReleases
 from bramblewood.controller.lease_calls import LeaseCalls
@@ -24,11 +25,13 @@
     now = 100.0
 
 
-class RefusingClient:
-    """A client whose connections are refused, as by a cut that answers with resets."""
+class UnreachableClient:
+    """A client whose connections do not open. They are refused, as by a cut that answers with resets."""
+
+    is_refused = True
 
     async def post(self, address: str, *arguments: object) -> None:
-        raise WorkerUnreachable(AttemptOutcome.NOT_SENT, address, is_refused=True)
+        raise WorkerUnreachable(AttemptOutcome.NOT_SENT, address, self.is_refused)
 
 
 class Coordinator:
@@ -53,7 +56,7 @@
         self.calls = LeaseCalls(
             runtime, quorum_io, None, self.exchange, self.key_leases, None, self.key_releases
         )
-        self.calls.client = RefusingClient()
+        self.calls.client = UnreachableClient()
 
     def propose(self, *arguments: object) -> None:
         self.freed_at = self.clock.now
@@ -80,6 +83,14 @@
     assert event == "lease call failed" and fields["status"] == -1 and fields["contact_age"] == 0.7
 
 
+def test_call_without_a_connection_is_known_not_to_be_sent():
+    coordinator = Coordinator()
+    coordinator.calls.client.is_refused = False
+    coordinator.step()
+    assert coordinator.log[0][1]["status"] == NOT_SENT
+    assert coordinator.calls.consecutive_refusals == {}
+
+
 def test_keys_that_end_without_a_release_are_logged_once_with_the_evidence():
     coordinator = Coordinator()
     keys = coordinator.key_leases.next_calls(100.0, TABLE, {"s"}, coordinator.registry)[0]
